--- /dev/null
+++ b/internal/model/worker.go
@@ -0,0 +1,11 @@
+package model
+
+// WorkerSpec is what the configuration declares of one worker.
+type WorkerSpec struct {
+	ID          string    `json:"id"`
+	Addr        string    `json:"addr"` // host:port of the worker's HTTP interface
+	AZ          string    `json:"az"`
+	Rack        string    `json:"rack"`
+	Capacity    Resources `json:"capacity"`
+	Connections int       `json:"connections"` // concurrent direct connections
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,100 @@
+// Package platform defines the small interfaces through which cuminloft meets
+// the platform's table service, object store and host list. The HTTP adapter
+// in platform/httpplatform is the only place that knows their wire shapes.
+package platform
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors of the platform. Adapters wrap them; callers test with errors.Is.
+var (
+	// ErrUnavailable: the call had no effect and may be repeated.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrAmbiguous: the answer was lost; a write may have taken effect. The
+	// writer settles it by reading back its own nonce.
+	ErrAmbiguous = errors.New("platform answer lost")
+	// ErrConflict: a condition of the transaction did not hold; nothing was
+	// written. Adapters return a *ConflictError.
+	ErrConflict = errors.New("condition failed")
+	// ErrNotFound: no such row or object.
+	ErrNotFound = errors.New("not found")
+)
+
+// ConflictError names the row whose condition failed.
+type ConflictError struct {
+	Key string
+}
+
+// Error returns the failed row's key.
+func (e *ConflictError) Error() string { return "condition failed on row " + e.Key }
+
+// Is makes errors.Is(err, ErrConflict) hold.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Row is one row of the table. Version grows with every write of the row and
+// is never zero for a row that exists.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"version"`
+}
+
+// Special values of Write.IfVersion.
+const (
+	MustBeAbsent int64 = 0
+	AnyVersion   int64 = -1
+)
+
+// Write is one operation of a transaction: a put, a delete or, with CheckOnly,
+// a condition alone.
+type Write struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	IfVersion int64  `json:"if_version"`
+	Delete    bool   `json:"delete,omitempty"`
+	CheckOnly bool   `json:"check_only,omitempty"`
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get returns one row or ErrNotFound.
+	Get(ctx context.Context, key string) (Row, error)
+	// Range returns up to limit rows whose key has the prefix and is greater
+	// than after, in key order.
+	Range(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Apply commits all writes or none and returns the new version of each
+	// written row, in order (zero for deletes and checks).
+	Apply(ctx context.Context, writes []Write) ([]int64, error)
+}
+
+// ObjectStore is the platform's store of larger values. Put replaces whole
+// objects.
+type ObjectStore interface {
+	Put(ctx context.Context, name string, data []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+	Delete(ctx context.Context, name string) error
+	List(ctx context.Context, prefix string) ([]string, error)
+}
+
+// HostState is what the platform says of a host.
+type HostState string
+
+// States in the host list. A host that is absent from the list is gone.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one entry of the platform's host list.
+type Host struct {
+	ID    string    `json:"id"`
+	AZ    string    `json:"az"`
+	State HostState `json:"state"`
+}
+
+// HostList is the platform's list of worker and entry hosts. It lags.
+type HostList interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
