--- /dev/null
+++ b/internal/member/counters.go
@@ -0,0 +1,6 @@
+package member
+
+import "expvar"
+
+// counters of the membership protocol, published as "member".
+var counters = expvar.NewMap("member")
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,239 @@
+// Package settings reads the process settings of an entry host: who it is,
+// where it listens and how much it takes on. What operators declare of the cell
+// is not here but in package config.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+
+	"cuminloft/internal/strictjson"
+)
+
+// Settings are the process settings of one entry host.
+type Settings struct {
+	Host string `json:"host"` // unique name of this entry host
+	AZ   string `json:"az"`
+	// Listen is the host:port for callers and operators.
+	Listen string `json:"listen"`
+	// RPCListen is the host:port for other entry hosts.
+	RPCListen string `json:"rpc_listen"`
+	// RPCAdvertise is the host:port that other entry hosts dial; default RPCListen.
+	RPCAdvertise string `json:"rpc_advertise,omitempty"`
+	// Platform is the base URL of the platform's table, object store and host list.
+	Platform string `json:"platform"`
+	// Peers are RPC addresses of other entry hosts, used until the table or
+	// another member has named them.
+	Peers        []string      `json:"peers,omitempty"`
+	OperatorKeys []OperatorKey `json:"operator_keys"`
+	Limits       Limits        `json:"limits"`
+	Budget       Budget        `json:"budget"`
+	Log          Log           `json:"log"`
+}
+
+// OperatorKey grants the operators' interface. Only the hash is kept.
+type OperatorKey struct {
+	ID     string `json:"id"`
+	SHA256 string `json:"sha256"`
+}
+
+// Limits bound what callers may take of this process. Zero takes the default.
+type Limits struct {
+	MaxConnections     int   `json:"max_connections,omitempty"`
+	MaxHeaderBytes     int   `json:"max_header_bytes,omitempty"`
+	MaxBodyBytes       int64 `json:"max_body_bytes,omitempty"` // of a direct request
+	MaxJobBytes        int64 `json:"max_job_bytes,omitempty"`  // of a submission
+	HeaderTimeoutMS    int   `json:"header_timeout_ms,omitempty"`
+	IdleTimeoutMS      int   `json:"idle_timeout_ms,omitempty"`
+	MaxInFlightPerTeam int   `json:"max_in_flight_per_team,omitempty"`
+}
+
+// Budget bounds this process's calls to the platform. Zero takes the default.
+type Budget struct {
+	WritesPerSecond int `json:"writes_per_second,omitempty"`
+	ReadsPerSecond  int `json:"reads_per_second,omitempty"`
+}
+
+// Log chooses what is logged.
+type Log struct {
+	Level  string `json:"level,omitempty"`  // debug, info or error; default info
+	Format string `json:"format,omitempty"` // json or text; default json
+}
+
+// Defaults of the limits and budgets.
+const (
+	DefaultMaxConnections     = 20_000
+	DefaultMaxHeaderBytes     = 16 << 10
+	DefaultMaxBodyBytes       = 4 << 30
+	DefaultMaxJobBytes        = 1 << 20
+	DefaultHeaderTimeoutMS    = 5_000
+	DefaultIdleTimeoutMS      = 120_000
+	DefaultMaxInFlightPerTeam = 2_000
+	DefaultWritesPerSecond    = 50
+	DefaultReadsPerSecond     = 200
+)
+
+// Codes of problems that this package finds.
+const (
+	codeMissing strictjson.Code = "missing"
+	codeInvalid strictjson.Code = "invalid"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings whole and fills in the defaults. The error is a
+// *strictjson.Error with every problem found.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := new(Settings)
+	d, err := strictjson.Decode(name, data, s)
+	if err != nil {
+		return nil, err
+	}
+	c := &checker{document: d}
+	c.settings(s)
+	if len(c.problems) > 0 {
+		return nil, &strictjson.Error{Problems: c.problems}
+	}
+	s.fillDefaults()
+	return s, nil
+}
+
+func (s *Settings) fillDefaults() {
+	if s.RPCAdvertise == "" {
+		s.RPCAdvertise = s.RPCListen
+	}
+	l := &s.Limits
+	fill(&l.MaxConnections, DefaultMaxConnections)
+	fill(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	fill(&l.MaxBodyBytes, DefaultMaxBodyBytes)
+	fill(&l.MaxJobBytes, DefaultMaxJobBytes)
+	fill(&l.HeaderTimeoutMS, DefaultHeaderTimeoutMS)
+	fill(&l.IdleTimeoutMS, DefaultIdleTimeoutMS)
+	fill(&l.MaxInFlightPerTeam, DefaultMaxInFlightPerTeam)
+	fill(&s.Budget.WritesPerSecond, DefaultWritesPerSecond)
+	fill(&s.Budget.ReadsPerSecond, DefaultReadsPerSecond)
+	fill(&s.Log.Level, "info")
+	fill(&s.Log.Format, "json")
+}
+
+// fill sets *v to def if it is zero.
+func fill[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// checker collects the problems of one settings file.
+type checker struct {
+	document *strictjson.Document
+	problems []strictjson.Problem
+}
+
+func (c *checker) settings(s *Settings) {
+	c.name("host", s.Host)
+	c.name("az", s.AZ)
+	c.address("listen", s.Listen, true)
+	c.address("rpc_listen", s.RPCListen, true)
+	c.address("rpc_advertise", s.RPCAdvertise, false)
+	for i, addr := range s.Peers {
+		c.address(fmt.Sprintf("peers[%d]", i), addr, true)
+	}
+	c.platform(s.Platform)
+	for i, k := range s.OperatorKeys {
+		c.operatorKey(fmt.Sprintf("operator_keys[%d]", i), k)
+	}
+	c.limits(s)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "error")
+	c.oneOf("log.format", s.Log.Format, "json", "text")
+}
+
+func (c *checker) limits(s *Settings) {
+	for _, n := range []struct {
+		path  string
+		value int64
+	}{
+		{"limits.max_connections", int64(s.Limits.MaxConnections)},
+		{"limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes)},
+		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
+		{"limits.max_job_bytes", s.Limits.MaxJobBytes},
+		{"limits.header_timeout_ms", int64(s.Limits.HeaderTimeoutMS)},
+		{"limits.idle_timeout_ms", int64(s.Limits.IdleTimeoutMS)},
+		{"limits.max_in_flight_per_team", int64(s.Limits.MaxInFlightPerTeam)},
+		{"budget.writes_per_second", int64(s.Budget.WritesPerSecond)},
+		{"budget.reads_per_second", int64(s.Budget.ReadsPerSecond)},
+	} {
+		if n.value < 0 {
+			c.add(n.path, codeInvalid, fmt.Sprintf("%d is negative", n.value), "leave it out for the default")
+		}
+	}
+}
+
+func (c *checker) name(path, value string) {
+	if value == "" {
+		c.add(path, codeMissing, "is missing", "give a name such as entry-1")
+	} else if !namePattern.MatchString(value) {
+		c.add(path, codeInvalid, fmt.Sprintf("%q is not a name", value), "use a-z, 0-9, '.', '_' and '-', at most 63 characters")
+	}
+}
+
+func (c *checker) address(path, value string, required bool) {
+	if value == "" {
+		if required {
+			c.add(path, codeMissing, "is missing", "give host:port")
+		}
+		return
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		c.add(path, codeInvalid, fmt.Sprintf("%q is not host:port", value), "for example 127.0.0.1:7101")
+	}
+}
+
+func (c *checker) platform(value string) {
+	if value == "" {
+		c.add("platform", codeMissing, "is missing", "give the base URL of the platform's service")
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add("platform", codeInvalid, fmt.Sprintf("%q is not an http or https URL", value), "for example http://127.0.0.1:7000")
+	}
+}
+
+func (c *checker) operatorKey(path string, k OperatorKey) {
+	c.name(path+".id", k.ID)
+	if !hashPattern.MatchString(k.SHA256) {
+		c.add(path+".sha256", codeInvalid, "is not a SHA-256 hash", "64 hexadecimal digits in lower case, as `cuminloft key new` prints them")
+	}
+}
+
+func (c *checker) oneOf(path, value string, allowed ...string) {
+	if value == "" {
+		return
+	}
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	c.add(path, codeInvalid, fmt.Sprintf("%q is not known", value), fmt.Sprintf("one of %v", allowed))
+}
+
+func (c *checker) add(path string, code strictjson.Code, message, remedy string) {
+	c.problems = append(c.problems, c.document.Problem(path, code, message, remedy))
+}
