--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -25,7 +25,7 @@
 		want        []string
 	}{
 		{"whole", `{"name": "a", /* note */ "count": 2, "items": [{"on": true},], "tags": {"x": 1}}`, nil},
-		{"unknown field", "{\n  \"nmae\": \"a\"\n}", []string{"f:2:3: nmae: unknown field (known here: count, items, name, tags)"}},
+		{"unknown field", "{\n  \"label\": \"a\"\n}", []string{"f:2:3: label: unknown field (known here: count, items, name, tags)"}},
 		{"wrong types", `{"name": 1, "count": "two", "items": [{"on": "yes"}]}`, []string{
 			"f:1:10: name: found a number (want a string)",
 			"f:1:22: count: found a string (want a whole number)",
