shared: strictjson keeps what it could decode when a file has problems

Cause: a whole check needs the values beside an unknown field or a wrong type, so that all problems of a file are reported at once. Decode still returns the same error; it now also fills the target as far as it can, and Lookup tells whether a path stands in a file.

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -80,7 +80,9 @@
 }
 
 // Decode reads data into the struct that into points to. The error is an
-// *Error with every problem found.
+// *Error with every problem found. If the syntax is right, the document is
+// returned and into holds what could be decoded even with an error, so that
+// callers can add the problems of their own check.
 func Decode(name string, data []byte, into any) (*Document, error) {
 	root, err := hujson.Parse(data)
 	if err != nil {
@@ -89,17 +91,24 @@
 	d := &Document{name: name, data: data, positions: map[string]Position{}}
 	w := &walker{document: d}
 	w.value(&root, reflect.TypeOf(into).Elem(), "")
-	if len(w.problems) > 0 {
-		return d, &Error{Problems: w.problems}
-	}
 	standard := root.Clone()
 	standard.Standardize()
-	if err := json.Unmarshal(standard.Pack(), into); err != nil {
+	err = json.Unmarshal(standard.Pack(), into)
+	switch {
+	case len(w.problems) > 0:
+		return d, &Error{Problems: w.problems}
+	case err != nil:
 		return d, &Error{Problems: []Problem{d.unmarshalProblem(err)}}
 	}
 	return d, nil
 }
 
+// Lookup returns where the value at path stands, and false if it is absent.
+func (d *Document) Lookup(path string) (Position, bool) {
+	p, ok := d.positions[path]
+	return p, ok
+}
+
 // Position returns where the value at path stands; for an absent path, where
 // its nearest enclosing value stands.
 func (d *Document) Position(path string) Position {
