--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -19,6 +19,8 @@
 	Organisations []Organisation     `json:"organisations"`
 	Queues        []Queue            `json:"queues"`
 	Policy        Knobs              `json:"policy"`
+
+	index *Index // set by the constructors of this package; see Config.Index
 }
 
 // AZ is an availability zone of the cell.
