--- a/internal/config/encode.go
+++ b/internal/config/encode.go
@@ -13,7 +13,7 @@
 	"github.com/gravitational/trace"
 )
 
-// ErrCorrupt: a stored configuration cannot be read back.
+// ErrCorrupt is returned if a stored configuration cannot be read back.
 var ErrCorrupt = errors.New("stored configuration is corrupt")
 
 // Encode returns the stored form of c, gzipped JSON, and its digest.
--- /dev/null
+++ b/internal/configsync/cluster_test.go
@@ -0,0 +1,321 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/model"
+	"cuminloft/internal/platform"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+)
+
+const (
+	testHosts   = 8
+	aliveEvery  = 2 * time.Second // interval of an owner's sign of life
+	confirmTime = 30 * time.Millisecond
+)
+
+// testConfig has three AZs of one shard and a solo window of 10 s. Team t has
+// the key "secret" in even versions only.
+func testConfig(version config.Version) *config.Config {
+	c := &config.Config{
+		Cell:          "c",
+		Organisations: []config.Organisation{{Name: "o", Share: 1, Teams: []config.Team{{Name: "t", Share: int(version)}}}},
+		Policy:        config.Knobs{SoloWindowSeconds: 10, LeaseSeconds: 10},
+	}
+	if version%2 == 0 {
+		c.Organisations[0].Teams[0].Keys = []config.Key{{ID: "k", SHA256: config.HashKey("secret")}}
+	}
+	for i := range 3 {
+		az := fmt.Sprint("az", i)
+		c.AZs = append(c.AZs, config.AZ{Name: az, InService: true})
+		c.Workers = append(c.Workers, model.WorkerSpec{
+			ID: fmt.Sprint("w", i), Addr: fmt.Sprint("127.0.0.1:", i+1), AZ: az, Rack: "r",
+			Capacity: model.Resources{MilliCores: 1, MemoryMB: 1, Slots: 1},
+		})
+	}
+	return c
+}
+
+// host is one entry host: a Sync and the shards that it owns. A frozen host
+// does nothing; a cut one reaches neither the table nor other hosts.
+type host struct {
+	*Sync
+	cluster *cluster
+	name    string
+	mu      sync.Mutex
+	frozen  bool
+	cut     bool
+	owned   map[string]*rpc.ShardDigest
+	highest config.Version // accepted version seen so far
+	stop    context.CancelFunc
+}
+
+type cluster struct {
+	t     *testing.T
+	table *standin.Table
+	hosts []*host
+	group sync.WaitGroup
+}
+
+// newCluster starts the hosts; host i owns the shard of AZ i, for i below 3.
+func newCluster(ctx context.Context, t *testing.T, hosts int) *cluster {
+	c := &cluster{t: t, table: standin.NewTable()}
+	for i := range hosts {
+		h := &host{cluster: c, name: fmt.Sprint("h", i), owned: map[string]*rpc.ShardDigest{}}
+		h.Sync = New(Options{Host: h.name, Table: hostTable{h}, Peers: h, Local: h.Confirmations, Log: logr.Discard()})
+		c.hosts = append(c.hosts, h)
+	}
+	for _, h := range c.hosts {
+		c.start(ctx, h)
+	}
+	return c
+}
+
+func (c *cluster) start(ctx context.Context, h *host) {
+	ctx, h.stop = context.WithCancel(ctx)
+	c.group.Go(func() { _ = h.Run(ctx) })
+	c.group.Go(func() { h.own(ctx) })
+}
+
+// own confirms versions and gives signs of life for the shards of the host.
+func (h *host) own(ctx context.Context) {
+	ticker := time.NewTicker(aliveEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		changed := h.Changed()
+		_ = pause(ctx, confirmTime)
+		h.confirm(ctx)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-ticker.C:
+			h.signAlive(ctx)
+		}
+	}
+}
+
+func (h *host) confirm(ctx context.Context) {
+	if h.stopped() || h.Fresh(ctx) != nil {
+		return
+	}
+	_, version := h.Effective()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.owned {
+		d.Confirmed = int64(version)
+	}
+}
+
+func (h *host) signAlive(ctx context.Context) {
+	if !h.reachable() {
+		return
+	}
+	for _, d := range h.Confirmations() {
+		_, _ = h.cluster.table.Apply(ctx, []platform.Write{{Key: "shard/" + d.GetShard() + "/alive", IfVersion: platform.AnyVersion}})
+	}
+}
+
+func (h *host) stopped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen
+}
+
+func (h *host) set(frozen, cut bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.frozen, h.cut = frozen, cut
+}
+
+func (h *host) reachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.frozen && !h.cut
+}
+
+// takeShard makes h the owner under the fence, as internal/owner does: after
+// the row is written it polls before it confirms anything.
+func (h *host) takeShard(ctx context.Context, shard string, fence int64) {
+	value, err := json.Marshal(ownerRow{Host: h.name, Fence: fence})
+	if err != nil {
+		h.cluster.t.Error(err)
+	}
+	_, err = h.cluster.table.Apply(ctx, []platform.Write{{Key: "shard/" + shard + "/owner", Value: value, IfVersion: platform.AnyVersion}})
+	if err != nil {
+		h.cluster.t.Error(err)
+	}
+	_ = h.Refresh(ctx)
+	h.mu.Lock()
+	h.owned[shard] = &rpc.ShardDigest{Shard: shard, Owner: h.name, Fence: fence}
+	h.mu.Unlock()
+	h.confirm(ctx)
+}
+
+// accepts reports whether the host would start work for the key "secret" now.
+func (h *host) accepts(ctx context.Context) bool {
+	if h.stopped() || h.Fresh(ctx) != nil || h.stopped() {
+		return false
+	}
+	c, _ := h.Effective()
+	_, ok := c.KeyTeam(config.HashKey("secret"))
+	return ok
+}
+
+// Peers implements Peers.
+func (h *host) Peers() []Peer {
+	var peers []Peer
+	for _, other := range h.cluster.hosts {
+		if other != h {
+			peers = append(peers, Peer{Host: other.name, RPC: link{h, other}})
+		}
+	}
+	return peers
+}
+
+// Confirmations implements Peers and Options.Local with the host's own shards.
+func (h *host) Confirmations() []*rpc.ShardDigest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var digests []*rpc.ShardDigest
+	for _, d := range h.owned {
+		digests = append(digests, &rpc.ShardDigest{Shard: d.Shard, Owner: d.Owner, Fence: d.Fence, Confirmed: d.Confirmed})
+	}
+	return digests
+}
+
+// link is the way from one host to another; calls hang while either is stopped.
+type link struct{ from, to *host }
+
+func (l link) Stage(ctx context.Context, r *rpc.StageRequest) (*rpc.StageReply, error) {
+	if err := pause(ctx, time.Millisecond); err != nil {
+		return nil, err
+	}
+	if !l.from.reachable() || !l.to.reachable() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return l.to.Stage(ctx, r)
+}
+
+// hostTable is the table as one host reaches it.
+type hostTable struct{ h *host }
+
+func (t hostTable) admit(ctx context.Context) error {
+	if err := pause(ctx, 2*time.Millisecond); err != nil {
+		return err
+	}
+	for t.h.stopped() {
+		time.Sleep(10 * time.Millisecond) // like a paused process, past any deadline
+	}
+	for !t.h.reachable() {
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		}
+	}
+	return nil
+}
+
+func (t hostTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.admit(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	return t.h.cluster.table.Get(ctx, key)
+}
+
+func (t hostTable) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.admit(ctx); err != nil {
+		return nil, err
+	}
+	return t.h.cluster.table.Range(ctx, prefix, after, limit)
+}
+
+func (t hostTable) Apply(ctx context.Context, writes []platform.Write) ([]int64, error) {
+	if err := t.admit(ctx); err != nil {
+		return nil, err
+	}
+	return t.h.cluster.table.Apply(ctx, writes)
+}
+
+// apply applies testConfig of the next version from host h.
+func (c *cluster) apply(ctx context.Context, h *host, base config.Version) (Result, error) {
+	return h.Apply(ctx, ApplyRequest{Base: base, Config: testConfig(base + 1), Author: h.name}, nil)
+}
+
+// must applies and demands acceptance.
+func (c *cluster) must(ctx context.Context, h *host, base config.Version) {
+	c.t.Helper()
+	r, err := c.apply(ctx, h, base)
+	if err != nil || r.State != StateAccepted {
+		c.t.Fatalf("version %d: %+v, %v", base+1, r, err)
+	}
+}
+
+// waitAccepted waits until all running hosts hold version v.
+func (c *cluster) waitAccepted(v config.Version, most time.Duration) {
+	c.t.Helper()
+	began := time.Now()
+	for _, h := range c.hosts {
+		for !h.stopped() {
+			if _, now := h.Accepted(); now >= v {
+				break
+			}
+			if time.Since(began) > most {
+				c.t.Fatalf("%s does not hold version %d after %v", h.name, v, most)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// checkMonotone fails if a host's accepted version went back.
+func (c *cluster) checkMonotone() {
+	for _, h := range c.hosts {
+		_, v := h.Accepted()
+		if v < h.highest {
+			c.t.Errorf("%s went back from version %d to %d", h.name, h.highest, v)
+		}
+		h.highest = v
+	}
+}
+
+// inCluster runs test with started hosts that hold version 2 and own the shards.
+func inCluster(t *testing.T, hosts int, test func(ctx context.Context, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCluster(ctx, t, hosts)
+		defer c.end(cancel)
+		c.must(ctx, c.hosts[0], 0)
+		c.must(ctx, c.hosts[1%hosts], 1)
+		for i := range 3 {
+			c.hosts[i%hosts].takeShard(ctx, fmt.Sprintf("az%d-0", i), 1)
+		}
+		c.waitAccepted(2, 2*time.Second)
+		test(ctx, c)
+	})
+}
+
+// end thaws and stops all hosts.
+func (c *cluster) end(cancel func()) {
+	for _, h := range c.hosts {
+		h.set(false, false)
+	}
+	cancel()
+	c.group.Wait()
+}
+
+var errStale = func(err error) bool { return errors.Is(err, config.ErrStale) }
+
+// lossy loses every n-th answer of the table after the effect.
+func lossy(n int) standin.FaultSet { return standin.FaultSet{LoseEvery: n} }
