--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -94,6 +94,7 @@
 type Tracker struct {
 	opts     Options
 	inbox    chan any
+	announce chan struct{}
 	snapshot atomic.Pointer[snapshot]
 	leaving  atomic.Bool
 
@@ -115,10 +116,11 @@
 // NewTracker returns a tracker that knows this host only. Run starts it.
 func NewTracker(opts Options) *Tracker {
 	t := &Tracker{
-		opts:  opts,
-		inbox: make(chan any, 256),
-		peers: map[string]*peer{},
-		seeds: map[string]bool{},
+		opts:     opts,
+		inbox:    make(chan any, 256),
+		announce: make(chan struct{}, 1),
+		peers:    map[string]*peer{},
+		seeds:    map[string]bool{},
 	}
 	for _, addr := range opts.Seeds {
 		if addr != opts.Self.Addr {
@@ -133,6 +135,15 @@
 // it no shards and route no requests to it.
 func (t *Tracker) Leave() { t.leaving.Store(true) }
 
+// Announce pings every live member at once, so that a change of this host or of
+// its shards is known before the next interval.
+func (t *Tracker) Announce() {
+	select {
+	case t.announce <- struct{}{}:
+	default: // one is pending already
+	}
+}
+
 // Run pings the other members until ctx ends.
 func (t *Tracker) Run(ctx context.Context) error {
 	ticker := time.NewTicker(PingInterval)
@@ -148,6 +159,8 @@
 			return group.Wait()
 		case <-ticker.C:
 			t.tick(pingCtx)
+		case <-t.announce:
+			t.pingAll(pingCtx)
 		case m := <-t.inbox:
 			t.handle(m)
 		}
@@ -223,6 +236,17 @@
 	t.publish()
 }
 
+// pingAll pings every live member, whether or not a ping is on its way: that
+// one carries what was true before.
+func (t *Tracker) pingAll(ctx context.Context) {
+	for host, p := range t.peers {
+		if p.alive {
+			t.ping(ctx, p.client, pingEnded{host: host}, t.near(p.member))
+		}
+	}
+	t.publish()
+}
+
 func (t *Tracker) near(m *rpc.Member) bool { return m.GetAz() == t.opts.Self.GetAz() }
 
 func (t *Tracker) wantsPing(p *peer) bool {
