--- a/internal/member/tracker_test.go
+++ b/internal/member/tracker_test.go
@@ -144,7 +144,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := standin.NewTable()
-		table.Faults.Set(standin.FaultSet{Down: true})
+		table.Set(standin.FaultSet{Down: true})
 		c := newCluster(table)
 		defer c.close()
 		a := c.start("keller", 1)
