sched: a first whole decision core

Cause: the owner of a shard needs something to drive. Change: sched.Core with direct, service, batch and gang placement, shares in two levels, limits by grant, one reservation at a time, restarts with backoff, preemption, learned sizes, suspect workers and explanations. events.go gains JobAdded.Avoid and LastAttempt, TaskRestored, TaskAdopted.Size and RefusedByWorker, all additive.

--- /dev/null
+++ b/internal/sched/estimate.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"time"
+)
+
+// Bounds on what is learned, against one wrong measurement.
+const (
+	maxKinds        = 10_000
+	maxGrowth       = 8 // learned sizes are at most this many times the declared
+	estimateInertia = 8 // samples until a learned size has mostly shrunk
+)
+
+// kindKey groups jobs that are expected to behave alike.
+type kindKey struct{ team, kind string }
+
+// estimate is what was measured of a kind.
+type estimate struct {
+	size    vec           // quick to grow, slow to shrink
+	runTime time.Duration // quick to grow, slow to shrink
+	samples int
+	ends    []kindEnd // the last end on each of the last workers
+}
+
+// estimates holds what was learned per team and kind.
+type estimates struct{ byKind map[kindKey]*estimate }
+
+func newEstimates() estimates {
+	return estimates{byKind: make(map[kindKey]*estimate)}
+}
+
+// of returns the estimate of j's kind; nil if there are too many kinds.
+func (e *estimates) of(j *job) *estimate {
+	key := kindKey{j.spec.Team, j.spec.Kind}
+	est := e.byKind[key]
+	if est == nil && len(e.byKind) < maxKinds {
+		est = &estimate{}
+		e.byKind[key] = est
+	}
+	return est
+}
+
+// learnedSize returns what one task of j counts as: what was declared or what
+// was measured of its kind, whichever is the larger, but no more than still
+// fits a worker and the team's limit.
+func (c *Core) learnedSize(j *job) vec {
+	size := j.asked
+	learned := j.est.size
+	for i := range dimConnections {
+		if i == dimSlots || learned[i] <= size[i] {
+			continue
+		}
+		bound := min(j.team.limit[i], size[i]*maxGrowth)
+		if len(c.byPos) > 0 {
+			bound = min(bound, c.largest[i])
+		}
+		size[i] = max(size[i], min(learned[i], bound))
+	}
+	if len(c.byPos) > 0 && !c.fitsSomeWorker(&size) {
+		return j.asked
+	}
+	return size
+}
+
+// resize brings the size of j's tasks that wait up to date with what was
+// learned since. Room that is reserved already keeps its size.
+func (c *Core) resize(j *job) {
+	if j.est == nil || j.estSamples == j.est.samples || j.reserved != nil {
+		return
+	}
+	j.estSamples = j.est.samples
+	size := c.learnedSize(j)
+	if size == j.size {
+		return
+	}
+	j.team.waiting.addScaled(&j.size, -int64(j.ready))
+	j.size = size
+	j.team.waiting.addScaled(&j.size, int64(j.ready))
+}
+
+// usageReported raises the size of an attempt to what was measured and learns.
+func (c *Core) usageReported(ev UsageReported) {
+	a := c.find(ev.Task, ev.Attempt)
+	if a == nil {
+		return
+	}
+	measured := newVec(ev.Usage, 0)
+	if est := a.job.est; est != nil {
+		est.observeSize(&measured)
+	}
+	grown := a.size
+	grown.raiseTo(&measured)
+	if grown == a.size {
+		return
+	}
+	delta := grown
+	delta.sub(&a.size)
+	a.size = grown
+	a.worker.used.add(&delta)
+	c.charge(a.job.team, &delta, 1)
+	c.direct.grown(a, &delta)
+	c.refresh(a.worker)
+}
+
+// observeSize grows at once and shrinks slowly.
+func (e *estimate) observeSize(measured *vec) {
+	for i := range e.size {
+		e.size[i] = max(measured[i], e.size[i]-(e.size[i]-measured[i])/estimateInertia)
+	}
+	e.samples++
+}
+
+func (e *estimate) observeRunTime(ran time.Duration) {
+	e.runTime = max(ran, e.runTime-(e.runTime-ran)/estimateInertia)
+}
--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -37,7 +37,26 @@
 }
 
 // JobAdded hands over accepted work: a journaled job, or a direct request.
-type JobAdded struct{ Job model.Job }
+type JobAdded struct {
+	Job model.Job
+	// Avoid names workers on which a direct request is not to be started again.
+	Avoid []string
+	// LastAttempt is the highest attempt number used for a direct request that
+	// is handed over again; its next attempt gets a higher one.
+	LastAttempt int
+}
+
+// TaskRestored tells what the journal knows of a task after a takeover. It
+// follows the JobAdded of its job and precedes the first WorkerReady.
+type TaskRestored struct {
+	Task        model.TaskID
+	LastAttempt int // highest attempt number ever used
+	// Over is true if the task has ended as End tells and never starts again.
+	Over       bool
+	End        End
+	Restarts   int
+	Checkpoint string
+}
 
 // JobCancelled withdraws a job. Queued tasks are dropped, running ones stopped.
 type JobCancelled struct{ Job model.JobID }
@@ -50,6 +69,7 @@
 	Attempt int
 	Worker  string
 	Started time.Time
+	Size    model.Resources // as admitted; zero if not known
 }
 
 // StartConfirmed tells that the worker admitted the attempt.
@@ -117,6 +137,7 @@
 func (ConfigChanged) isEvent()  {}
 func (WorkerChanged) isEvent()  {}
 func (JobAdded) isEvent()       {}
+func (TaskRestored) isEvent()   {}
 func (JobCancelled) isEvent()   {}
 func (TaskAdopted) isEvent()    {}
 func (StartConfirmed) isEvent() {}
@@ -182,6 +203,7 @@
 	RefusedDeadline    RefusalCode = "cannot_start_in_time"
 	RefusedUnknownTeam RefusalCode = "unknown_team"
 	RefusedCancelled   RefusalCode = "cancelled"
+	RefusedByWorker    RefusalCode = "refused_by_worker" // a direct start; try elsewhere
 )
 
 // WantGrant asks for more of a team's upper limit.
--- /dev/null
+++ b/internal/sched/preempt.go
@@ -0,0 +1,210 @@
+package sched
+
+import (
+	"time"
+
+	"cuminloft/internal/model"
+)
+
+// How long each step of preemption is given before the next one. Urgent
+// requests have to start within 1.4 s.
+const (
+	urgentStepTime = 300 * time.Millisecond
+	sharesStepTime = 2 * time.Second
+	// searchPause is how often at most victims are looked for in vain.
+	searchPause = 50 * time.Millisecond
+	// shareGap is by how much of the fleet a victim's organisation or team has
+	// to be ahead, so that room is not moved to and fro.
+	shareGap = 0.01
+)
+
+// preempts bounds preemption.
+type preempts struct {
+	times   []time.Time // of the last minute, oldest first
+	urgent  int         // attempts that are stopping for urgent requests
+	shares  int         // attempts that are stopping for shares
+	retryAt time.Time   // no search for victims before
+}
+
+func (p *preempts) ended(a *attempt) {
+	switch {
+	case !a.counted:
+	case a.urgent:
+		p.urgent--
+	default:
+		p.shares--
+	}
+}
+
+// left returns how many preemptions the budget still allows in this minute.
+func (p *preempts) left(now time.Time, budget int) int {
+	n := 0
+	for n < len(p.times) && now.Sub(p.times[n]) >= time.Minute {
+		n++
+	}
+	p.times = p.times[n:]
+	return budget - len(p.times)
+}
+
+// stop stops an attempt at once: its job was cancelled or its gang broke.
+func (c *Core) stop(a *attempt, reason string) {
+	if a.stopping && a.step == PreemptStop {
+		return
+	}
+	a.stopping, a.step = true, PreemptStop
+	c.decide(PreemptTask{Task: a.id(), Attempt: a.number, Worker: a.worker.spec.ID, Step: PreemptStop, Reason: reason})
+}
+
+// preempt begins to take room back from an attempt.
+func (c *Core) preempt(a *attempt, urgent bool, reason string) {
+	c.preempts.times = append(c.preempts.times, c.now)
+	a.stopping, a.counted, a.urgent = true, true, urgent
+	if urgent {
+		c.preempts.urgent++
+	} else {
+		c.preempts.shares++
+	}
+	a.reason = reason
+	c.step(a, PreemptCheckpoint)
+}
+
+func (c *Core) step(a *attempt, step PreemptStep) {
+	a.step = step
+	pause := sharesStepTime
+	if a.urgent {
+		pause = urgentStepTime
+	}
+	if step != PreemptStop {
+		c.timers.push(c.now.Add(pause), timerPreempt, nil, nil, a)
+	}
+	c.decide(PreemptTask{Task: a.id(), Attempt: a.number, Worker: a.worker.spec.ID, Step: step, Reason: a.reason})
+}
+
+// escalate takes the next step with an attempt that still runs.
+func (c *Core) escalate(a *attempt) {
+	if a.job.tasks[a.index].running != a {
+		return
+	}
+	switch a.step {
+	case PreemptCheckpoint:
+		c.step(a, PreemptThrottle)
+	case PreemptThrottle:
+		c.step(a, PreemptStop)
+	case PreemptStop:
+	}
+}
+
+// reclaimUrgent makes room for urgent requests that no worker can take.
+func (c *Core) reclaimUrgent() {
+	waiting := 0
+	var first *job
+	for _, t := range c.active[tierUrgent] {
+		waiting += t.pending[laneUrgent]
+		if j := t.lanes[laneUrgent].head; j != nil && j.blocked == blockedByRoom && (first == nil || j.waits.Before(first.waits)) {
+			first = j
+		}
+	}
+	if first == nil || c.preempts.urgent >= waiting {
+		return
+	}
+	for range waiting - c.preempts.urgent {
+		if !c.reclaim(first, true) {
+			return
+		}
+	}
+}
+
+// reclaimShares makes room for the blocked job that is farthest below its
+// share, at the cost of those that are ahead of theirs.
+func (c *Core) reclaimShares() {
+	j := c.starved
+	if j == nil || j.spec.Policy == model.PolicyGang || c.preempts.shares >= j.ready {
+		return
+	}
+	if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) <= 0 {
+		return
+	}
+	c.reclaim(j, false)
+}
+
+// reclaim preempts the victims on the one worker where the least work is lost.
+func (c *Core) reclaim(j *job, urgent bool) bool {
+	if c.now.Before(c.preempts.retryAt) {
+		return false
+	}
+	left := c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget())
+	victims := c.cheapestVictims(j, urgent, left)
+	if victims == nil {
+		c.preempts.retryAt = c.now.Add(searchPause)
+		c.timers.push(c.preempts.retryAt, timerPass, nil, nil, nil)
+		return false
+	}
+	reason := "room for a team below its share"
+	if urgent {
+		reason = "room for an urgent request"
+	}
+	for _, a := range victims {
+		c.preempt(a, urgent, reason)
+	}
+	return true
+}
+
+// cheapestVictims returns the attempts of one worker whose end makes room for
+// a task of j and which have run for the shortest time, or nil.
+func (c *Core) cheapestVictims(j *job, urgent bool, bound int) []*attempt {
+	var best []*attempt
+	bestCost := time.Duration(0)
+	for _, w := range c.byPos {
+		if !c.usable(w) || w.health.probing || !j.size.fits(&w.capacity) || !c.accepts(w, j) {
+			continue
+		}
+		victims, cost := c.victimsOn(w, j, urgent, bound)
+		if victims != nil && (best == nil || cost < bestCost) {
+			best, bestCost = victims, cost
+		}
+	}
+	return best
+}
+
+// victimsOn returns the youngest attempts on w that make enough room together.
+func (c *Core) victimsOn(w *worker, j *job, urgent bool, bound int) ([]*attempt, time.Duration) {
+	free := w.free()
+	var victims []*attempt
+	cost := time.Duration(0)
+	for i := len(w.attempts) - 1; i >= 0 && len(victims) < bound; i-- {
+		a := w.attempts[i]
+		if !c.mayPreempt(a, j, urgent) {
+			continue
+		}
+		victims = append(victims, a)
+		cost += c.now.Sub(a.started) + time.Second
+		free.add(&a.size)
+		if j.size.fits(&free) {
+			return victims, cost
+		}
+	}
+	return nil, 0
+}
+
+// mayPreempt reports whether a may be stopped for j: only work that can be
+// started again, and for shares only of teams that stay ahead of j's.
+func (c *Core) mayPreempt(a *attempt, j *job, urgent bool) bool {
+	if a.stopping || !a.confirmed || !a.job.restartable() || a.job.spec.Policy == model.PolicyGang {
+		return false
+	}
+	return urgent || c.aheadAfter(a, j)
+}
+
+// aheadAfter reports whether a's team would still not be behind j's team after
+// the room of a has gone from one to the other.
+func (c *Core) aheadAfter(a *attempt, j *job) bool {
+	v, t := a.job.team, j.team
+	if v == t {
+		return false
+	}
+	gives, takes := a.size.dominant(&c.total), j.size.dominant(&c.total)
+	if v.org != t.org {
+		return v.org.key-gives/v.org.weight-shareGap/v.org.weight > t.org.key+takes/t.org.weight
+	}
+	return v.key-gives/v.weight-shareGap/v.weight > t.key+takes/t.weight
+}
--- /dev/null
+++ b/internal/sched/suspect.go
@@ -0,0 +1,147 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// A worker is taken out when the failures held against it reach minBlame
+	// and are at least blamePart of what it ran of late.
+	minBlame  = 3.0
+	blamePart = 0.8
+	// healthDecay is how much each new end lessens the weight of older ones.
+	healthDecay = 0.9
+	// unknownKindBlame is how much of a failure is held against the worker if
+	// the kind of job ran nowhere else yet.
+	unknownKindBlame = 0.5
+	// kindEnds is on how many workers the last end of a kind is remembered.
+	kindEnds = 8
+	// probeDelay is how long a worker is out before one task is tried again.
+	probeDelay = 30 * time.Second
+	// maxOutPart is the part of the workers that may be out at once, as a divisor.
+	maxOutPart = 5
+)
+
+// health is a worker's own success rate.
+type health struct {
+	good, blame float64 // decaying counts
+	out         bool
+	probing     bool // back in for one restartable task at a time
+	probes      pauser
+}
+
+// kindEnd is how the last task of a kind ended on one worker.
+type kindEnd struct {
+	worker *worker
+	failed bool
+}
+
+// observeEnd learns from the end of an attempt.
+func (c *Core) observeEnd(a *attempt, end End) {
+	if end != EndDone && end != EndFailed {
+		return
+	}
+	est := a.job.est
+	failed := end == EndFailed
+	if est != nil {
+		if !failed {
+			est.observeRunTime(c.now.Sub(a.started))
+		}
+		est.observeEnd(a.worker, failed)
+	}
+	c.judge(a.worker, est, failed)
+}
+
+// observeEnd remembers the last end on each worker, so that one worker that
+// fails everything quickly counts once.
+func (e *estimate) observeEnd(w *worker, failed bool) {
+	if i := slices.IndexFunc(e.ends, func(k kindEnd) bool { return k.worker == w }); i >= 0 {
+		e.ends[i].failed = failed
+		return
+	}
+	if len(e.ends) == kindEnds {
+		copy(e.ends, e.ends[1:])
+		e.ends = e.ends[:kindEnds-1]
+	}
+	e.ends = append(e.ends, kindEnd{w, failed})
+}
+
+// failsElsewhere returns the part of the other workers on which the kind
+// failed last.
+func (e *estimate) failsElsewhere(w *worker) float64 {
+	failed, others := 0, 0
+	for _, k := range e.ends {
+		if k.worker == w {
+			continue
+		}
+		others++
+		if k.failed {
+			failed++
+		}
+	}
+	if others == 0 {
+		return 1 - unknownKindBlame
+	}
+	return float64(failed) / float64(others)
+}
+
+// judge counts an end for or against the worker.
+func (c *Core) judge(w *worker, est *estimate, failed bool) {
+	h := &w.health
+	if !failed {
+		h.good = h.good*healthDecay + 1
+		h.blame *= healthDecay
+		if h.probing {
+			c.probed(w)
+		}
+		return
+	}
+	blame := unknownKindBlame
+	if est != nil {
+		blame = 1 - est.failsElsewhere(w)
+	}
+	h.good *= healthDecay
+	h.blame = h.blame*healthDecay + blame
+	if h.probing && blame >= unknownKindBlame {
+		c.takeOut(w, "the task that probed the worker failed")
+		return
+	}
+	if h.blame >= minBlame && h.blame >= blamePart*(h.good+h.blame) {
+		c.takeOut(w, "tasks fail on this worker that run elsewhere")
+	}
+}
+
+// takeOut keeps work off a worker that fails what it starts, unless so many
+// are out already that the workers can hardly be to blame.
+func (c *Core) takeOut(w *worker, reason string) {
+	h := &w.health
+	if h.out || (!h.probing && c.suspects >= 1+len(c.byPos)/maxOutPart) {
+		return
+	}
+	if !h.probing {
+		c.suspects++
+	}
+	h.out, h.probing = true, false
+	c.dropHoldsOn(w)
+	c.timers.push(c.now.Add(h.probes.next(c.now, probeDelay)), timerWorker, w, nil, nil)
+	c.decide(SuspectWorker{Worker: w.spec.ID, Out: true, Reason: reason})
+}
+
+// probed ends the probe of a worker that ran a task well.
+func (c *Core) probed(w *worker) {
+	w.health.probing = false
+	w.health.blame = 0
+	c.suspects--
+	c.grew(w)
+}
+
+// workerTimer ends a pause, or begins the probe of a worker that is out.
+func (c *Core) workerTimer(w *worker) {
+	h := &w.health
+	if h.out && !c.now.Before(h.probes.last.Add(probeDelay)) {
+		h.out, h.probing = false, true
+		c.decide(SuspectWorker{Worker: w.spec.ID, Reason: "one task at a time probes the worker"})
+	}
+	c.grew(w)
+}
