--- /dev/null
+++ b/internal/journal/load.go
@@ -0,0 +1,99 @@
+package journal
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/platform"
+)
+
+// pageRows is how many rows one read of the journal asks for.
+const pageRows = 500
+
+// Loaded is a shard's durable state as read back.
+type Loaded struct {
+	State *State
+	Last  Seq // newest row; 0: none
+	// Snapshot is the newest snapshot; its Object is empty if there is none.
+	Snapshot SnapshotRow
+	Rows     int // read beyond the snapshot
+}
+
+// Load reads the newest snapshot and the rows after it. The caller has taken
+// the shard before, so that no older owner can append or truncate meanwhile.
+func Load(ctx context.Context, table platform.Table, objects platform.ObjectStore, shard string) (*Loaded, error) {
+	l := &Loaded{State: NewState()}
+	if err := l.readSnapshot(ctx, table, objects, shard); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	l.Last = Seq(l.Snapshot.GetCovers())
+	for {
+		rows, err := table.Range(ctx, rowPrefix(shard), RowKey(shard, l.Last), pageRows)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		for _, row := range rows {
+			if err := l.apply(shard, row); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
+		if len(rows) == 0 {
+			return l, nil
+		}
+	}
+}
+
+func (l *Loaded) readSnapshot(ctx context.Context, table platform.Table, objects platform.ObjectStore, shard string) error {
+	row, err := table.Get(ctx, SnapshotKey(shard))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := decode(row.Value, &l.Snapshot); err != nil {
+		return trace.Wrap(err, "snapshot row of %s", shard)
+	}
+	data, err := objects.Get(ctx, l.Snapshot.GetObject())
+	if errors.Is(err, platform.ErrNotFound) {
+		return trace.Wrap(ErrCorrupt, "snapshot %s is missing", l.Snapshot.GetObject())
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(l.useSnapshot(data))
+}
+
+func (l *Loaded) useSnapshot(data []byte) error {
+	var s Snapshot
+	if err := decode(data, &s); err != nil {
+		return trace.Wrap(err, "snapshot %s", l.Snapshot.GetObject())
+	}
+	if s.GetCovers() != l.Snapshot.GetCovers() {
+		return trace.Wrap(ErrCorrupt, "snapshot %s covers %d, its row says %d",
+			l.Snapshot.GetObject(), s.GetCovers(), l.Snapshot.GetCovers())
+	}
+	state, err := stateOf(&s)
+	l.State = state
+	return trace.Wrap(err)
+}
+
+func (l *Loaded) apply(shard string, row platform.Row) error {
+	if want := RowKey(shard, l.Last+1); row.Key != want {
+		return trace.Wrap(ErrCorrupt, "row %s is missing, found %s", want, row.Key)
+	}
+	var b Batch
+	if err := decode(row.Value, &b); err != nil {
+		return trace.Wrap(err, "row %s", row.Key)
+	}
+	for _, r := range b.GetRecords() {
+		if err := l.State.Apply(r); err != nil {
+			return trace.Wrap(err, "row %s", row.Key)
+		}
+	}
+	l.Last++
+	l.Rows++
+	return nil
+}
--- /dev/null
+++ b/internal/journal/state.go
@@ -0,0 +1,214 @@
+package journal
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
+)
+
+// EndNotStarted is the end of an attempt that provably never started.
+const EndNotStarted = "not_started"
+
+// endFailed equals sched.EndFailed, which counts against the restart limit.
+const endFailed = "failed"
+
+// State is everything durable about a shard's jobs.
+type State struct {
+	Jobs map[model.JobID]*Job
+}
+
+// Job is an accepted job and what is known of it.
+type Job struct {
+	Spec           model.Job
+	IdempotencyRow string // key of the table row; empty: none
+	Cancelled      bool
+	Ended          *JobEnded // nil while the job is not over
+	Tasks          map[int]*Task
+}
+
+// Task is the newest attempt of one task of a job. Tasks that never started are
+// not kept.
+type Task struct {
+	Attempt    int
+	Worker     string
+	Started    time.Time
+	End        string // sched.End or EndNotStarted; empty: may be running
+	Checkpoint string
+	Result     []byte
+	Error      string
+	Failures   int // attempts that ended in the task's own error
+}
+
+// NewState returns an empty state.
+func NewState() *State { return &State{Jobs: map[model.JobID]*Job{}} }
+
+// Apply changes the state by one record. ErrCorrupt if the record contradicts
+// the state, ErrUnknownFormat if its kind is unknown.
+func (s *State) Apply(r *Record) error {
+	switch k := r.GetKind().(type) {
+	case *Record_JobAccepted:
+		return s.accept(k.JobAccepted)
+	case *Record_JobCancelled:
+		return s.change(k.JobCancelled.GetJobId(), func(j *Job) { j.Cancelled = true })
+	case *Record_JobEnded:
+		return s.change(k.JobEnded.GetJobId(), func(j *Job) { j.Ended = k.JobEnded })
+	case *Record_JobForgotten:
+		return s.forget(model.JobID(k.JobForgotten.GetJobId()))
+	case *Record_TaskStarted:
+		return s.startTask(k.TaskStarted)
+	case *Record_TaskEnded:
+		return s.endTask(k.TaskEnded)
+	}
+	return trace.Wrap(ErrUnknownFormat, "record kind")
+}
+
+func (s *State) accept(r *JobAccepted) error {
+	spec := r.GetJob().Model()
+	if _, ok := s.Jobs[spec.ID]; ok {
+		return trace.Wrap(ErrCorrupt, "job %s is accepted twice", spec.ID)
+	}
+	if spec.ID == "" || spec.Tasks < 1 {
+		return trace.Wrap(ErrCorrupt, "accepted job %q has %d tasks", spec.ID, spec.Tasks)
+	}
+	s.Jobs[spec.ID] = &Job{Spec: spec, IdempotencyRow: r.GetIdempotencyRow(), Tasks: map[int]*Task{}}
+	return nil
+}
+
+func (s *State) forget(id model.JobID) error {
+	j, ok := s.Jobs[id]
+	if !ok || j.Ended == nil {
+		return trace.Wrap(ErrCorrupt, "forgotten job %s is unknown or not over", id)
+	}
+	delete(s.Jobs, id)
+	return nil
+}
+
+func (s *State) change(id string, f func(*Job)) error {
+	j, ok := s.Jobs[model.JobID(id)]
+	if !ok {
+		return trace.Wrap(ErrCorrupt, "record of unknown job %s", id)
+	}
+	f(j)
+	return nil
+}
+
+func (s *State) startTask(r *TaskStarted) error {
+	j, ok := s.Jobs[model.JobID(r.GetJobId())]
+	if !ok || int(r.GetIndex()) >= j.Spec.Tasks || r.GetIndex() < 0 {
+		return trace.Wrap(ErrCorrupt, "started task %s/%d is unknown", r.GetJobId(), r.GetIndex())
+	}
+	t := j.task(int(r.GetIndex()))
+	if int(r.GetAttempt()) <= t.Attempt {
+		return trace.Wrap(ErrCorrupt, "task %s/%d: attempt %d started after %d",
+			r.GetJobId(), r.GetIndex(), r.GetAttempt(), t.Attempt)
+	}
+	t.Attempt = int(r.GetAttempt())
+	t.Worker = r.GetWorker()
+	t.Started = time.Unix(0, r.GetStartedNs())
+	t.End = ""
+	return nil
+}
+
+// endTask also accepts an attempt without a start record: an idempotent one
+// that ended before its start was written.
+func (s *State) endTask(r *TaskEnded) error {
+	j, ok := s.Jobs[model.JobID(r.GetJobId())]
+	if !ok || int(r.GetIndex()) >= j.Spec.Tasks || r.GetIndex() < 0 {
+		return trace.Wrap(ErrCorrupt, "ended task %s/%d is unknown", r.GetJobId(), r.GetIndex())
+	}
+	t := j.task(int(r.GetIndex()))
+	if int(r.GetAttempt()) < t.Attempt {
+		return trace.Wrap(ErrCorrupt, "task %s/%d: attempt %d ended after %d started",
+			r.GetJobId(), r.GetIndex(), r.GetAttempt(), t.Attempt)
+	}
+	t.Attempt = int(r.GetAttempt())
+	t.End = r.GetEnd()
+	t.Result = r.GetResult()
+	t.Error = r.GetError()
+	if r.GetCheckpoint() != "" {
+		t.Checkpoint = r.GetCheckpoint()
+	}
+	if t.End == endFailed {
+		t.Failures++
+	}
+	return nil
+}
+
+func (j *Job) task(index int) *Task {
+	t, ok := j.Tasks[index]
+	if !ok {
+		t = &Task{}
+		j.Tasks[index] = t
+	}
+	return t
+}
+
+// snapshot returns the state in stored form, in job order.
+func (s *State) snapshot(covers Seq) *Snapshot {
+	out := &Snapshot{Covers: int64(covers)}
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		out.Jobs = append(out.Jobs, s.Jobs[id].stored())
+	}
+	return out
+}
+
+func (j *Job) stored() *JobState {
+	out := &JobState{
+		Job:            rpc.FromJob(j.Spec),
+		IdempotencyRow: j.IdempotencyRow,
+		Cancelled:      j.Cancelled,
+		Ended:          j.Ended,
+	}
+	for _, i := range slices.Sorted(maps.Keys(j.Tasks)) {
+		out.Tasks = append(out.Tasks, j.Tasks[i].stored(i))
+	}
+	return out
+}
+
+func (t *Task) stored(index int) *TaskState {
+	return &TaskState{
+		Index:      int32(index),
+		Attempt:    int32(t.Attempt),
+		Worker:     t.Worker,
+		StartedNs:  t.Started.UnixNano(),
+		End:        t.End,
+		Checkpoint: t.Checkpoint,
+		Result:     t.Result,
+		Error:      t.Error,
+		Failures:   int32(t.Failures),
+	}
+}
+
+func stateOf(snapshot *Snapshot) (*State, error) {
+	s := NewState()
+	for _, stored := range snapshot.GetJobs() {
+		if err := s.accept(&JobAccepted{Job: stored.GetJob(), IdempotencyRow: stored.GetIdempotencyRow()}); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		j := s.Jobs[model.JobID(stored.GetJob().GetId())]
+		j.Cancelled = stored.GetCancelled()
+		j.Ended = stored.GetEnded()
+		for _, t := range stored.GetTasks() {
+			j.Tasks[int(t.GetIndex())] = taskOf(t)
+		}
+	}
+	return s, nil
+}
+
+func taskOf(t *TaskState) *Task {
+	return &Task{
+		Attempt:    int(t.GetAttempt()),
+		Worker:     t.GetWorker(),
+		Started:    time.Unix(0, t.GetStartedNs()),
+		End:        t.GetEnd(),
+		Checkpoint: t.GetCheckpoint(),
+		Result:     t.GetResult(),
+		Error:      t.GetError(),
+		Failures:   int(t.GetFailures()),
+	}
+}
--- /dev/null
+++ b/internal/journal/writer.go
@@ -0,0 +1,257 @@
+package journal
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/platform"
+	"cuminloft/internal/worker"
+)
+
+// settleRetry is the time between tries to settle a lost answer.
+const settleRetry = 100 * time.Millisecond
+
+// Entry is what must become durable together: records, and the idempotency row
+// of an accepted job.
+type Entry struct {
+	Records []*Record
+	// Idempotency is the row that must be absent before; nil: none.
+	Idempotency *Idempotency
+	// Delete names a row that is deleted with the entry; empty: none.
+	Delete string
+}
+
+// Idempotency claims a caller's key for a job.
+type Idempotency struct {
+	Row   string
+	Value *IdempotencyRow
+}
+
+// ClaimedError tells that the idempotency key of an entry names an earlier job.
+// Nothing of the batch was written.
+type ClaimedError struct {
+	Entry int // index in the batch
+	First *IdempotencyRow
+}
+
+// Error names the earlier job.
+func (e *ClaimedError) Error() string {
+	return "idempotency key names job " + e.First.GetJobId()
+}
+
+// Owned names the owner row as its owner wrote it.
+type Owned struct {
+	Shard   string
+	Fence   worker.Fence
+	Version int64 // of the row OwnerKey(Shard)
+}
+
+// Guard is the condition that this owner still owns the shard.
+func (o Owned) Guard() platform.Write {
+	return platform.Write{Key: OwnerKey(o.Shard), IfVersion: o.Version, CheckOnly: true}
+}
+
+// Writer appends rows to a shard's journal. One goroutine uses it.
+type Writer struct {
+	table platform.Table
+	owned Owned
+	state *State // as durable
+	last  Seq
+	size  int // bytes written since the newest snapshot
+	rows  int // since the newest snapshot
+	snap  SnapshotRow
+}
+
+// NewWriter returns a writer that continues after what was loaded. It takes
+// l.State over.
+func NewWriter(table platform.Table, owned Owned, l *Loaded) *Writer {
+	return &Writer{
+		table: table, owned: owned, state: l.State, last: l.Last, rows: l.Rows,
+		snap: SnapshotRow{Object: l.Snapshot.GetObject(), Covers: l.Snapshot.GetCovers()},
+	}
+}
+
+// Write appends one row with all entries. Errors:
+//   - platform.ErrUnavailable: nothing was written;
+//   - *ClaimedError: nothing was written; write again without that entry;
+//   - ErrDeposed, ErrCorrupt: the shard is lost;
+//   - the context's: it is not known whether the row was written.
+//
+// Once an answer was lost, the same row is written again until it is known
+// what became of it: the batch is never given up, because a write that is
+// still under way may land later.
+func (w *Writer) Write(ctx context.Context, entries []Entry) error {
+	row, err := w.newRow(entries)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	inDoubt := false
+	for {
+		_, err := w.table.Apply(ctx, row.writes)
+		switch {
+		case err == nil:
+			return trace.Wrap(w.committed(row))
+		case errors.Is(err, platform.ErrConflict):
+			err = w.settle(ctx, row, entries)
+		case errors.Is(err, platform.ErrUnavailable) && !inDoubt:
+			return trace.Wrap(err)
+		default:
+			inDoubt = true
+			err = errUnsettled
+		}
+		if !errors.Is(err, errUnsettled) {
+			return err
+		}
+		if err := sleep(ctx, settleRetry); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// errUnsettled tells that the row must be written again.
+var errUnsettled = errors.New("write is not settled")
+
+type newRow struct {
+	key     string
+	nonce   string
+	records []*Record
+	size    int
+	writes  []platform.Write
+}
+
+func (w *Writer) newRow(entries []Entry) (*newRow, error) {
+	row := &newRow{key: RowKey(w.owned.Shard, w.last+1), nonce: rand.Text()}
+	row.writes = []platform.Write{w.owned.Guard()}
+	for _, e := range entries {
+		row.records = append(row.records, e.Records...)
+		extra, err := e.writes()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		row.writes = append(row.writes, extra...)
+	}
+	value, err := encode(&Batch{
+		Nonce:     row.nonce,
+		Fence:     int64(w.owned.Fence),
+		WrittenNs: time.Now().UnixNano(),
+		Records:   row.records,
+	})
+	row.size = len(value)
+	row.writes = append(row.writes, platform.Write{Key: row.key, Value: value, IfVersion: platform.MustBeAbsent})
+	return row, trace.Wrap(err)
+}
+
+func (e Entry) writes() ([]platform.Write, error) {
+	var out []platform.Write
+	if e.Delete != "" {
+		out = append(out, platform.Write{Key: e.Delete, Delete: true, IfVersion: platform.AnyVersion})
+	}
+	if e.Idempotency == nil {
+		return out, nil
+	}
+	value, err := encode(e.Idempotency.Value)
+	return append(out, platform.Write{Key: e.Idempotency.Row, Value: value, IfVersion: platform.MustBeAbsent}), trace.Wrap(err)
+}
+
+func (w *Writer) committed(row *newRow) error {
+	w.last++
+	w.rows++
+	w.size += row.size
+	for _, r := range row.records {
+		if err := w.state.Apply(r); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// settle finds the cause of a conflict. The own row comes first: a conflict may
+// come from an earlier try of the same write that took effect.
+func (w *Writer) settle(ctx context.Context, row *newRow, entries []Entry) error {
+	mine, err := w.isMine(ctx, row)
+	if err != nil {
+		return err
+	}
+	if mine {
+		return trace.Wrap(w.committed(row))
+	}
+	if err := w.checkOwner(ctx); err != nil {
+		return err
+	}
+	return w.findClaim(ctx, entries)
+}
+
+// isMine reports whether the row is in the table with this writer's nonce.
+func (w *Writer) isMine(ctx context.Context, row *newRow) (bool, error) {
+	found, err := w.table.Get(ctx, row.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, errUnsettled
+	}
+	var b Batch
+	if err := decode(found.Value, &b); err != nil {
+		return false, trace.Wrap(err, "row %s", row.key)
+	}
+	if b.GetNonce() == row.nonce {
+		return true, nil
+	}
+	return false, trace.Wrap(ErrDeposed, "row %s was written under fence %d", row.key, b.GetFence())
+}
+
+func (w *Writer) checkOwner(ctx context.Context) error {
+	found, err := w.table.Get(ctx, OwnerKey(w.owned.Shard))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errUnsettled
+	}
+	if found.Version != w.owned.Version {
+		return trace.Wrap(ErrDeposed, "owner row has version %d, not %d", found.Version, w.owned.Version)
+	}
+	return nil
+}
+
+func (w *Writer) findClaim(ctx context.Context, entries []Entry) error {
+	for i, e := range entries {
+		if e.Idempotency == nil {
+			continue
+		}
+		first, err := ReadIdempotency(ctx, w.table, e.Idempotency.Row)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if errors.Is(err, ErrCorrupt) || errors.Is(err, ErrUnknownFormat) {
+			return trace.Wrap(err)
+		}
+		if err != nil {
+			return errUnsettled
+		}
+		return &ClaimedError{Entry: i, First: first}
+	}
+	return errUnsettled
+}
+
+// ReadIdempotency returns the job that a caller's key names, or ErrNotFound.
+func ReadIdempotency(ctx context.Context, table platform.Table, row string) (*IdempotencyRow, error) {
+	found, err := table.Get(ctx, row)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	first := &IdempotencyRow{}
+	return first, trace.Wrap(decode(found.Value, first), "row %s", row)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
