--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -16,8 +16,9 @@
 	"cuminloft/internal/model"
 )
 
-// Errors of a worker. Every error but ErrAmbiguous proves that the command had
-// no effect.
+// Errors of a worker. ErrAmbiguous, ErrTruncated and ErrForeignAnswer leave open
+// whether the command took effect; every other error proves that it did not.
+// ErrDuplicate says so of the repeated command only: the first one did.
 var (
 	ErrFenced        = errors.New("fence is lower than the worker's")
 	ErrWindowPassed  = errors.New("start window has passed on the worker's clock")
