Add the HTTP adapters of platform and workers, and serve the stand-ins

One conformance suite runs against the stand-ins in memory and over HTTP. A call of which nothing was sent is ErrUnavailable or ErrUnreachable; whatever was sent and not answered is ErrAmbiguous.

--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,160 @@
+// Package httpjson makes JSON calls over HTTP and tells apart calls that were
+// never sent from calls whose answer was lost. The platform's and the workers'
+// adapters are built on it.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of the default client.
+const (
+	DialTimeout   = time.Second      // to open a connection
+	IdleTimeout   = 90 * time.Second // of an unused connection
+	MaxIdle       = 64               // unused connections per server
+	MaxReplyBytes = 64 << 20         // of a JSON reply
+	maxErrorBytes = 4 << 10          // of an error's body that is read
+)
+
+// TransportError is a call that got no HTTP answer.
+type TransportError struct {
+	Sent bool // false: no byte of the request left, so it had no effect
+	Err  error
+}
+
+// Error describes the failure.
+func (e *TransportError) Error() string {
+	if e.Sent {
+		return "answer lost: " + e.Err.Error()
+	}
+	return "not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *TransportError) Unwrap() error { return e.Err }
+
+// StatusError is an HTTP answer that is not a success. Its JSON form is the body
+// of error answers.
+type StatusError struct {
+	Status  int    `json:"-"`
+	Code    string `json:"code"` // stable and machine-readable
+	Message string `json:"message"`
+	Key     string `json:"key,omitempty"` // what the error is about
+}
+
+// Error returns the status, code and message.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d, code %q: %s", e.Status, e.Code, e.Message)
+}
+
+// NewClient returns a client that fails fast on hosts that cannot be reached and
+// keeps connections for reuse. It has no overall timeout; callers set deadlines.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: DialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: MaxIdle,
+		IdleConnTimeout:     IdleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// Send sends req and returns the answer if it is a success. Otherwise the error
+// is a *TransportError or a *StatusError and the answer's body is closed.
+func Send(c *http.Client, req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		// A new connection is only tried if nothing went out over the last one.
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, &TransportError{Sent: connected.Load(), Err: err}
+	}
+	if resp.StatusCode < http.StatusBadRequest {
+		return resp, nil
+	}
+	return nil, readError(resp)
+}
+
+// Call sends in as JSON (nil: no body) and decodes the answer into out (nil: the
+// body is dropped).
+func Call(ctx context.Context, c *http.Client, method, url string, in, out any) error {
+	req, err := newRequest(ctx, method, url, in)
+	if err != nil {
+		return &TransportError{Err: err}
+	}
+	resp, err := Send(c, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	if err == nil && len(data) > MaxReplyBytes {
+		err = errors.New("reply is too long")
+	}
+	if err == nil && out != nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	return nil
+}
+
+// newRequest returns a request with in as its JSON body.
+func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	if in == nil {
+		return http.NewRequestWithContext(ctx, method, url, nil)
+	}
+	data, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+// readError reads and closes an answer that is not a success.
+func readError(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	e := &StatusError{Status: resp.StatusCode}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	if json.Unmarshal(data, e) != nil {
+		e.Message = string(data)
+	}
+	return e
+}
+
+// WriteJSON answers a request with v.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The answer has begun, so an error can only break the connection.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// WriteError answers a request with e.
+func WriteError(w http.ResponseWriter, e *StatusError) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(e)
+}
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -18,7 +18,6 @@
 	left     time.Duration
 	percent  int // of full speed
 	saved    string
-	acked    bool
 	reported worker.TaskReport // usage of the last heartbeat
 }
 
