--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -221,22 +221,13 @@
 	c.refresh(w)
 }
 
-// dropHoldsOutOfService gives up the holds in AZs that are out of service.
-func (c *Core) dropHoldsOutOfService() {
-	for _, w := range c.byPos {
-		if c.outOfService[w.spec.AZ] {
-			c.dropHoldsOn(w)
-		}
-	}
-}
-
 // stopGang stops the other tasks of a gang, so that it starts again as a whole.
 func (c *Core) stopGang(j *job, reason string) {
 	if j.spec.Policy != model.PolicyGang || j.cancelled {
 		return
 	}
 	for i := range j.tasks {
-		if a := j.tasks[i].running; a != nil {
+		if a := j.tasks[i].running; a != nil && a.worker.state != WorkerGone {
 			c.stop(a, reason)
 		}
 	}
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -45,7 +45,7 @@
 }
 
 // begin starts the next ready task of j on w.
-func (c *Core) begin(j *job, w *worker, reason string) *attempt {
+func (c *Core) begin(j *job, w *worker, reason string) {
 	i := j.takeReady()
 	tk := &j.tasks[i]
 	c.countReady(j, -1)
@@ -59,7 +59,6 @@
 		Task: a.id(), Attempt: a.number, Worker: w.spec.ID,
 		Size: a.size.resources(), Checkpoint: tk.checkpoint, Reason: reason,
 	})
-	return a
 }
 
 // attach counts the room that a takes.
@@ -156,7 +155,6 @@
 	if a == nil {
 		return
 	}
-	a.job.wasStarted = true
 	c.observeEnd(a, ev.End)
 	c.end(a, ev.End, ev.Checkpoint)
 }
@@ -164,13 +162,14 @@
 func (c *Core) end(a *attempt, end End, checkpoint string) {
 	j := a.job
 	tk := &j.tasks[a.index]
+	j.wasStarted = true
 	if checkpoint != "" {
 		tk.checkpoint = checkpoint
 	}
 	c.detach(a)
 	switch end {
 	case EndDone:
-		if j.spec.Policy == model.PolicyService && !j.cancelled {
+		if j.lane == laneService && j.restartable() && !j.cancelled {
 			c.restart(j, a.index)
 			return
 		}
@@ -257,9 +256,17 @@
 	case taskDone:
 		j.done++
 	}
+	if c.gangBroken(j) {
+		c.withdraw(j, "", "a task of the gang failed for good")
+	}
 	c.finishIfOver(j)
 }
 
+// gangBroken reports whether a gang can never be whole again.
+func (c *Core) gangBroken(j *job) bool {
+	return j.spec.Policy == model.PolicyGang && j.restartable() && j.failed+j.abandoned > 0
+}
+
 // finishIfOver ends a job all of whose tasks are over.
 func (c *Core) finishIfOver(j *job) {
 	if j.over || j.unsettled > 0 || j.running > 0 {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -102,7 +102,7 @@
 func (c *Core) pick(k tier) *team {
 	var best *team
 	for _, t := range c.active[k] {
-		if t.tried[k] == c.pass || !(c.passAll || c.roomGrew || t.dirty) {
+		if t.tried[k] == c.pass || (!c.passAll && !c.roomGrew && !t.dirty) {
 			continue
 		}
 		if best == nil || t.before(best) {
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -123,7 +123,7 @@
 		c.suspects++
 	}
 	h.out, h.probing = true, false
-	c.dropHoldsOn(w)
+	c.refresh(w)
 	c.timers.push(c.now.Add(h.probes.next(c.now, probeDelay)), timerWorker, w, nil, nil)
 	c.decide(SuspectWorker{Worker: w.spec.ID, Out: true, Reason: reason})
 }
--- a/internal/sched/vec.go
+++ b/internal/sched/vec.go
@@ -78,10 +78,11 @@
 	return v[0] <= o[0] && v[1] <= o[1] && v[2] <= o[2] && v[3] <= o[3] && v[4] <= o[4]
 }
 
-// fitsWith reports whether v plus used is at most limit in every component.
+// fitsWith reports whether v plus used is at most limit in every component,
+// also in those of which v takes nothing.
 func (v *vec) fitsWith(used, limit *vec) bool {
 	for i := range v {
-		if v[i] > 0 && v[i] > limit[i]-used[i] {
+		if v[i] > limit[i]-used[i] {
 			return false
 		}
 	}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -67,13 +67,23 @@
 	return free
 }
 
+// keepsHolds reports whether the room held on w is still there and may be used.
+func (c *Core) keepsHolds(w *worker) bool {
+	free := w.free()
+	nothing := vec{}
+	return c.usable(w) && !w.health.probing && nothing.fits(&free)
+}
+
 // refresh brings the room index up to date with w.
 func (c *Core) refresh(w *worker) {
 	if w.pos < 0 {
 		return
 	}
+	if w.held != (vec{}) && !c.keepsHolds(w) {
+		c.dropHoldsOn(w)
+	}
 	free := blockedRoom()
-	if c.usable(w) && !(w.health.probing && len(w.attempts) > 0) {
+	if c.usable(w) && (!w.health.probing || len(w.attempts) == 0) {
 		free = w.free()
 	}
 	c.index.set(w.pos, free)
@@ -118,9 +128,6 @@
 	if ev.State == WorkerGone {
 		c.lapseAll(w)
 	}
-	if ev.State != WorkerReady {
-		c.dropHoldsOn(w)
-	}
 	c.grew(w)
 }
 
@@ -203,6 +210,5 @@
 		c.countCapacity(w, +1)
 		c.grew(w)
 	}
-	c.dropHoldsOutOfService()
 	c.passAll = true
 }
