--- /dev/null
+++ b/internal/door/answer.go
@@ -0,0 +1,164 @@
+package door
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/timeline"
+	"cuminloft/internal/worker"
+)
+
+// answer is an attempt's own answer. Head is its checked beginning; rest is nil
+// if head is all of it.
+type answer struct {
+	attempt *attempt
+	failed  bool
+	length  int64
+	head    []byte
+	rest    io.ReadCloser
+	cancel  context.CancelFunc // ends the attempt's connection
+	// released is true if the owner was told of the end already.
+	released bool
+}
+
+// readAnswer reads the beginning of an answer, and all of a small one, before
+// the caller gets a status: what is cut up to here can still be settled.
+func (d *Door) readAnswer(req *request, a *attempt, got *worker.Answer, cancel context.CancelFunc) (*answer, error) {
+	if got.Length < 0 {
+		_ = got.Body.Close()
+		return nil, d.dropTruncated(req, a, errors.New("no declared length"))
+	}
+	ans := &answer{attempt: a, failed: got.Failed, length: got.Length, cancel: cancel}
+	ans.head = make([]byte, min(got.Length, d.limits.WholeAnswer))
+	if _, err := io.ReadFull(got.Body, ans.head); err != nil {
+		_ = got.Body.Close()
+		return nil, d.dropTruncated(req, a, err)
+	}
+	if got.Length > int64(len(ans.head)) {
+		ans.rest = got.Body
+		return ans, nil
+	}
+	defer cancel()
+	defer func() { _ = got.Body.Close() }()
+	if err := requireEOF(got.Body); err != nil {
+		return nil, d.dropTruncated(req, a, err)
+	}
+	return ans, nil
+}
+
+func (d *Door) dropTruncated(req *request, a *attempt, err error) error {
+	countTruncated.Add(1)
+	d.record(req, timeline.KindAnswerDropped, a.ticket.GetWorker(), "not whole")
+	return fmt.Errorf("%w: %w", worker.ErrTruncated, err)
+}
+
+// requireEOF reports an answer that is longer than declared.
+func requireEOF(r io.Reader) error {
+	var one [1]byte
+	n, err := r.Read(one[:])
+	if n > 0 {
+		return errors.New("answer is longer than declared")
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+func (a *answer) outcome() api.Outcome {
+	if a.failed {
+		return api.OutcomeFailed
+	}
+	return api.OutcomeDone
+}
+
+// status is the HTTP status of the outcome.
+func (a *answer) status() int {
+	if a.failed {
+		return http.StatusBadGateway
+	}
+	return http.StatusOK
+}
+
+// deliver sends an answer to the caller. A large answer that breaks off on the
+// way cuts the connection, so that the caller sees that it is not whole.
+func (d *Door) deliver(w http.ResponseWriter, req *request, ans *answer) {
+	h := w.Header()
+	h.Set(api.HeaderOutcome, string(ans.outcome()))
+	h.Set(api.HeaderAttempt, strconv.Itoa(ans.attempt.id.Number))
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.FormatInt(ans.length, 10))
+	if ans.rest == nil {
+		d.finished(req, ans)
+		w.WriteHeader(ans.status())
+		_, _ = w.Write(ans.head)
+		return
+	}
+	defer ans.cancel()
+	defer func() { _ = ans.rest.Close() }()
+	w.WriteHeader(ans.status())
+	if err := d.stream(w, ans); err != nil {
+		d.brokeOff(req, ans, err)
+		panic(http.ErrAbortHandler)
+	}
+	d.finished(req, ans)
+}
+
+// stream copies a large answer piece by piece; the caller's speed holds the
+// worker back, within the time limit for each piece.
+func (d *Door) stream(w http.ResponseWriter, ans *answer) error {
+	out := &progressWriter{out: w, control: http.NewResponseController(w), timeout: d.limits.ProgressTimeout}
+	n, err := io.Copy(onlyWriter{out}, io.MultiReader(bytes.NewReader(ans.head), ans.rest))
+	if err == nil && n != ans.length {
+		err = worker.ErrTruncated
+	}
+	return err
+}
+
+// finished tells the owner that the attempt has ended with its answer.
+func (d *Door) finished(req *request, ans *answer) {
+	if !ans.released {
+		d.releaseEnded(ans.attempt, endOf(ans.outcome()))
+	}
+	if ans.failed {
+		countFailed.Add(1)
+	} else {
+		countDone.Add(1)
+	}
+	d.recordEnd(req, ans.attempt.ticket.GetWorker(), string(ans.outcome()))
+}
+
+// brokeOff ends an attempt whose answer could not be passed on whole.
+func (d *Door) brokeOff(req *request, ans *answer, err error) {
+	countCut.Add(1)
+	if errors.Is(err, worker.ErrTruncated) {
+		countTruncated.Add(1)
+	}
+	ans.cancel()
+	d.recordEnd(req, ans.attempt.ticket.GetWorker(), "cut: "+err.Error())
+	d.background(func(ctx context.Context) { d.settleAndRelease(ctx, req, ans.attempt) })
+}
+
+// onlyWriter hides the ReadFrom of a connection, which would skip the deadlines.
+type onlyWriter struct{ io.Writer }
+
+// progressWriter gives the caller a time limit to take each piece.
+type progressWriter struct {
+	out     io.Writer
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+// Write extends the connection's write deadline and writes.
+func (w *progressWriter) Write(p []byte) (int, error) {
+	// Connections of tests may not support deadlines; theirs are unbounded.
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	return w.out.Write(p)
+}
--- /dev/null
+++ b/internal/door/attempt.go
@@ -0,0 +1,143 @@
+package door
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/member"
+	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/timeline"
+	"cuminloft/internal/worker"
+)
+
+// attempt is one try to run a direct request on one worker.
+type attempt struct {
+	shard  member.ShardRef
+	ticket *rpc.Ticket
+	client worker.Client
+	id     worker.Attempt
+	sent   time.Time
+}
+
+func (r *request) taskID() model.TaskID { return model.TaskID{Job: r.job.ID} }
+
+// newAttempt checks a ticket against what was asked for; a ticket for something
+// else is given back unused.
+func (d *Door) newAttempt(req *request, shard member.ShardRef, t *rpc.Ticket) (*attempt, *Error, disposition) {
+	a := &attempt{
+		shard:  shard,
+		ticket: t,
+		id:     worker.Attempt{Task: req.taskID(), Number: int(req.attempts)},
+	}
+	if t.GetTask() != a.id.Task.String() || t.GetAttempt() != req.attempts {
+		countForeign.Add(1)
+		return nil, neverSent(http.StatusServiceUnavailable, api.CodeNoShard, "the owner answered for another request").
+			retryAfter(retrySoon), reroute
+	}
+	a.client = d.opts.Connect(t.GetWorker(), t.GetWorkerAddr())
+	return a, nil, final
+}
+
+func (a *attempt) fence() worker.Fence { return worker.Fence(a.ticket.GetFence()) }
+
+func (a *attempt) start(req *request) worker.Start {
+	return worker.Start{
+		Attempt:   a.id,
+		Fence:     a.fence(),
+		StartBy:   a.ticket.GetStartBy(),
+		Lease:     time.Duration(a.ticket.GetLeaseNs()),
+		Resources: a.ticket.GetSize().Model(),
+		Direct:    true,
+		Team:      a.ticket.GetTeam(),
+		RunTime:   req.job.Task.RunTime,
+	}
+}
+
+// ending is what became of an attempt.
+type ending struct {
+	answer *answer // the attempt's own answer; nil if there is none
+	err    *Error  // otherwise
+	// ended is true if the attempt provably does not run (any more).
+	ended bool
+}
+
+// try sends one attempt and finds out what became of it.
+func (d *Door) try(ctx context.Context, req *request, a *attempt) ending {
+	in, err := req.body.open()
+	if err != nil {
+		d.giveBackUnused(a, "")
+		return ending{err: notRun(req.proof, http.StatusServiceUnavailable, api.CodeNoWorker,
+			"the body is too large to be kept for another attempt").retryAfter(retrySoon), ended: true}
+	}
+	defer func() { _ = in.Close() }()
+	runCtx, cancel := d.runContext(ctx, req)
+	countAttempts.Add(1)
+	a.sent = time.Now()
+	d.record(req, timeline.KindRequestSent, a.ticket.GetWorker(), "")
+	got, err := a.client.Run(runCtx, a.start(req), in)
+	if err == nil {
+		got, err = d.checkEcho(req, a, got)
+	}
+	var ans *answer
+	if err == nil {
+		ans, err = d.readAnswer(req, a, got, cancel)
+	}
+	if err == nil {
+		return ending{answer: ans, ended: true}
+	}
+	cancel()
+	if proof, fault := proofOf(err); proof != "" {
+		return d.notStarted(req, a, proof, fault, err)
+	}
+	return d.settle(ctx, req, a)
+}
+
+// runContext bounds an attempt. A caller that goes away ends idempotent work;
+// other work is left to run to its end, because it can never be repeated.
+func (d *Door) runContext(ctx context.Context, req *request) (context.Context, context.CancelFunc) {
+	if !req.job.Task.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, req.runDeadline(d.limits))
+}
+
+// checkEcho drops an answer to another attempt.
+func (d *Door) checkEcho(req *request, a *attempt, got *worker.Answer) (*worker.Answer, error) {
+	if got.Attempt == a.id {
+		return got, nil
+	}
+	_ = got.Body.Close()
+	countForeign.Add(1)
+	d.record(req, timeline.KindAnswerDropped, a.ticket.GetWorker(), "belongs to "+got.Attempt.Task.String())
+	return nil, worker.ErrForeignAnswer
+}
+
+// notStarted ends an attempt that the worker provably never ran.
+func (d *Door) notStarted(req *request, a *attempt, proof Proof, fault bool, err error) ending {
+	req.proof = req.proof.weaker(proof)
+	reason := ""
+	if fault {
+		reason = a.ticket.GetWorker() + ": " + refusalClause(err)
+		req.avoid = append(req.avoid, a.ticket.GetWorker())
+	}
+	d.giveBackUnused(a, reason)
+	return ending{
+		err: notRun(req.proof, http.StatusServiceUnavailable, api.CodeNoWorker, "no worker started the request: "+refusalClause(err)).
+			retryAfter(retrySoon),
+		ended: true,
+	}
+}
+
+// refusalClause returns the stable part of a worker's error.
+func refusalClause(err error) string {
+	for _, r := range startRefusals {
+		if errors.Is(err, r.err) {
+			return r.err.Error()
+		}
+	}
+	return "unsettled"
+}
--- /dev/null
+++ b/internal/door/body.go
@@ -0,0 +1,147 @@
+package door
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"cuminloft/api"
+)
+
+// errBodyConsumed means that a body was partly read by an earlier attempt and
+// was too large to be kept.
+var errBodyConsumed = errors.New("body was consumed by an earlier attempt")
+
+// body is a caller's body. A small one is kept whole and can be sent again; a
+// larger one streams, and can be sent again only while no attempt has read past
+// the kept beginning.
+type body struct {
+	kept []byte
+	rest io.Reader // nil if kept is the whole body
+
+	mu      sync.Mutex
+	reader  *bodyReader // of the attempt that may read now
+	touched bool        // rest was read from
+}
+
+// readBody reads the beginning of the caller's body, before room is reserved
+// for it: a slow caller must not hold a worker's room.
+func readBody(w http.ResponseWriter, r *http.Request, l Limits) (*body, *Error) {
+	if r.ContentLength > l.MaxBody {
+		return nil, bodyTooLarge()
+	}
+	in := &progressReader{
+		in:      http.MaxBytesReader(w, r.Body, l.MaxBody),
+		control: http.NewResponseController(w),
+		timeout: l.ProgressTimeout,
+	}
+	kept, err := io.ReadAll(io.LimitReader(in, l.KeptBody))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	if r.ContentLength == int64(len(kept)) || int64(len(kept)) < l.KeptBody {
+		return &body{kept: kept}, nil
+	}
+	return &body{kept: kept, rest: in}, nil
+}
+
+func bodyTooLarge() *Error {
+	return neverSent(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body is larger than this entry host takes")
+}
+
+func bodyError(err error) *Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return bodyTooLarge()
+	}
+	return invalid("body", "the body ended early: "+err.Error())
+}
+
+// resendable reports whether another attempt can send the body.
+func (b *body) resendable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.touched
+}
+
+// open returns the body for one attempt. Readers of earlier attempts fail from
+// now on, so that a transport that still holds one cannot take bytes from this
+// attempt.
+func (b *body) open() (io.ReadCloser, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.touched {
+		return nil, errBodyConsumed
+	}
+	b.reader = &bodyReader{body: b, kept: bytes.NewReader(b.kept)}
+	return b.reader, nil
+}
+
+// bodyReader reads a body for one attempt.
+type bodyReader struct {
+	body *body
+	kept *bytes.Reader
+}
+
+// Read reads the kept beginning and then the caller's connection.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.kept.Len() == 0 && r.body.rest != nil {
+		return r.readRest(p)
+	}
+	if !r.current() {
+		return 0, io.ErrClosedPipe
+	}
+	return r.kept.Read(p)
+}
+
+// readRest holds no lock while it reads, because the caller may be slow and
+// Close must not wait for it.
+func (r *bodyReader) readRest(p []byte) (int, error) {
+	if !r.claimRest() {
+		return 0, io.ErrClosedPipe
+	}
+	return r.body.rest.Read(p)
+}
+
+func (r *bodyReader) claimRest() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.body.reader != r {
+		return false
+	}
+	r.body.touched = true
+	return true
+}
+
+func (r *bodyReader) current() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	return r.body.reader == r
+}
+
+// Close ends the attempt's right to read.
+func (r *bodyReader) Close() error {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.body.reader == r {
+		r.body.reader = nil
+	}
+	return nil
+}
+
+// progressReader gives the caller a time limit for each piece of a body.
+type progressReader struct {
+	in      io.Reader
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+// Read extends the connection's read deadline and reads.
+func (r *progressReader) Read(p []byte) (int, error) {
+	// Connections of tests may not support deadlines; theirs are unbounded.
+	_ = r.control.SetReadDeadline(time.Now().Add(r.timeout))
+	return r.in.Read(p)
+}
--- /dev/null
+++ b/internal/door/direct.go
@@ -0,0 +1,164 @@
+package door
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/timeline"
+)
+
+// handleRun serves POST /v1/run/{queue}.
+func (d *Door) handleRun(w http.ResponseWriter, r *http.Request) {
+	countRequests.Add(1)
+	id := newID()
+	w.Header().Set(api.HeaderRequestID, id)
+	req, refusal := d.readRequest(r, id)
+	if refusal != nil {
+		d.refuse(w, nil, refusal)
+		return
+	}
+	d.record(req, timeline.KindRequestReceived, req.job.Queue, "")
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	if refusal := d.admission.enter(ctx, req.who.team, req.share); refusal != nil {
+		d.refuse(w, req, refusal)
+		return
+	}
+	gaugeInFlight.Add(1)
+	admitted := time.Now()
+	defer func() {
+		gaugeInFlight.Add(-1)
+		d.admission.leave(req.who.team, time.Since(admitted))
+	}()
+	if req.body, refusal = readBody(w, r, d.limits); refusal != nil {
+		d.refuse(w, req, refusal)
+		return
+	}
+	ans, refusal := d.serve(ctx, req)
+	if refusal != nil {
+		d.refuse(w, req, refusal)
+		return
+	}
+	d.deliver(w, req, ans)
+}
+
+// serve runs the request, on several workers if need be, until it has an answer
+// or a final error.
+func (d *Door) serve(ctx context.Context, req *request) (*answer, *Error) {
+	d.budgets.earn(req.who.team)
+	for sends := 1; ; sends++ {
+		a, refusal := d.reserve(ctx, req)
+		if refusal != nil {
+			return req.final(refusal)
+		}
+		end := d.try(ctx, req, a)
+		if end.answer != nil && !d.triesFailedAgain(ctx, req, end.answer, sends) {
+			return end.answer, nil
+		}
+		if end.answer == nil && !d.mayRetry(ctx, req, end, sends) {
+			return req.final(end.err)
+		}
+		d.record(req, timeline.KindRequestRetried, a.ticket.GetWorker(), "")
+		if !sleep(ctx, d.backoff(sends)) {
+			return req.final(pastDeadline())
+		}
+	}
+}
+
+// final returns the truth about a request that is given up: what an earlier
+// attempt did outweighs why the last one was refused.
+func (r *request) final(last *Error) (*answer, *Error) {
+	if r.failed != nil {
+		return r.failed, nil
+	}
+	if r.ran != nil {
+		return nil, r.ran
+	}
+	if last.Outcome == api.OutcomeNotRun {
+		last.Proof = r.proof.weaker(last.Proof)
+	}
+	return nil, last
+}
+
+// mayRetry reports whether an attempt without an answer may be followed by
+// another, and takes the retry from the budget. Only what provably did not start
+// is sent again, or idempotent work whose attempt provably runs no more.
+func (d *Door) mayRetry(ctx context.Context, req *request, end ending, sends int) bool {
+	harmless := end.err.Outcome == api.OutcomeNotRun || (req.job.Task.Idempotent && end.ended)
+	return harmless && d.roomForRetry(ctx, req, sends)
+}
+
+// triesFailedAgain reports whether an idempotent request whose task reported an
+// error is tried on another worker; the first failure is kept as the answer in
+// case the other gives none.
+func (d *Door) triesFailedAgain(ctx context.Context, req *request, ans *answer, sends int) bool {
+	if !ans.failed || ans.rest != nil || !req.job.Task.Idempotent || req.failed != nil {
+		return false
+	}
+	if !d.roomForRetry(ctx, req, sends) {
+		return false
+	}
+	req.failed = ans
+	req.avoid = append(req.avoid, ans.attempt.ticket.GetWorker())
+	d.releaseEnded(ans.attempt, endOf(ans.outcome()))
+	ans.released = true
+	return true
+}
+
+func (d *Door) roomForRetry(ctx context.Context, req *request, sends int) bool {
+	return sends < d.limits.MaxAttempts &&
+		ctx.Err() == nil &&
+		time.Now().Before(req.runDeadline(d.limits)) &&
+		req.body.resendable() &&
+		d.takeRetry(req.who.team)
+}
+
+// backoff is the jittered pause after the given number of sends.
+func (d *Door) backoff(sends int) time.Duration {
+	longest := d.limits.RetryBackoff << (sends - 1)
+	return longest/2 + rand.N(longest/2+1)
+}
+
+// refuse sends a final error. req is nil if the request could not be read.
+func (d *Door) refuse(w http.ResponseWriter, req *request, e *Error) {
+	switch e.Outcome {
+	case api.OutcomeNotRun:
+		countNotRun.Add(1)
+	case api.OutcomeFailed:
+		countFailed.Add(1)
+	default:
+		countUnknown.Add(1)
+	}
+	if req != nil {
+		d.recordEnd(req, "", string(e.Outcome)+" "+string(e.Code)+" "+string(e.Proof))
+	}
+	writeError(w, e)
+}
+
+// record puts an event of the request on the time line.
+func (d *Door) record(req *request, kind timeline.Kind, target, detail string) {
+	d.rec.Record(timeline.Event{
+		Kind:    kind,
+		Request: req.id,
+		Job:     string(req.job.ID),
+		Team:    req.who.team,
+		Target:  target,
+		Detail:  detail,
+	})
+}
+
+// recordEnd puts the request's final answer on the time line.
+func (d *Door) recordEnd(req *request, target, detail string) {
+	d.rec.Record(timeline.Event{
+		Kind:     timeline.KindRequestAnswered,
+		Request:  req.id,
+		Job:      string(req.job.ID),
+		Team:     req.who.team,
+		Target:   target,
+		Detail:   detail,
+		Duration: time.Since(req.received),
+	})
+}
--- /dev/null
+++ b/internal/door/operator.go
@@ -0,0 +1,235 @@
+package door
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+
+	"cuminloft/api"
+)
+
+// Operator does what operators ask for. Its methods may return an *api.Error,
+// which is passed on as it is; other errors are answered as unavailable.
+type Operator interface {
+	Apply(ctx context.Context, r api.ApplyRequest) (api.ApplyReply, error)
+	// Config returns a version; zero is the accepted one.
+	Config(ctx context.Context, version int64) (api.ConfigReply, error)
+	History(ctx context.Context) (api.HistoryReply, error)
+	Diff(ctx context.Context, from, to int64) (api.DiffReply, error)
+	Status(ctx context.Context) (api.StatusReply, error)
+	Timeline(ctx context.Context, q api.TimelineQuery) (api.TimelineReply, error)
+	// Ready returns nil if this entry host can serve requests.
+	Ready() error
+}
+
+func (d *Door) operatorRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/config", d.operator(d.handleApply))
+	mux.HandleFunc("GET /v1/config", d.operator(d.handleConfig))
+	mux.HandleFunc("GET /v1/config/history", d.operator(d.handleHistory))
+	mux.HandleFunc("GET /v1/config/diff", d.operator(d.handleDiff))
+	mux.HandleFunc("GET /v1/status", d.operator(d.handleStatus))
+	mux.HandleFunc("GET /v1/timeline", d.operator(d.handleTimeline))
+	mux.HandleFunc("GET /debug/vars", d.operator(handleVars))
+	mux.HandleFunc("GET /healthz", handleHealth)
+	mux.HandleFunc("GET /readyz", d.handleReady)
+}
+
+// operatorHandler answers an operator's request or returns why not.
+type operatorHandler func(w http.ResponseWriter, r *http.Request) error
+
+func (d *Door) operator(next operatorHandler) http.HandlerFunc {
+	return d.tracked(func(w http.ResponseWriter, r *http.Request) {
+		if !d.isOperator(r) {
+			writeError(w, operatorError(http.StatusUnauthorized, api.CodeUnauthorized, "operator key missing or wrong"))
+			return
+		}
+		if err := next(w, r); err != nil {
+			writeOperatorError(w, err)
+		}
+	})
+}
+
+func operatorError(status int, code api.Code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message}
+}
+
+// isOperator compares against every operator key, so that a wrong key costs the
+// same as a right one.
+func (d *Door) isOperator(r *http.Request) bool {
+	sum := sha256.Sum256([]byte(bearer(r)))
+	got := []byte(hex.EncodeToString(sum[:]))
+	found := 0
+	for _, want := range d.opts.OperatorKeys {
+		found |= subtle.ConstantTimeCompare(got, []byte(want))
+	}
+	return found == 1
+}
+
+func writeOperatorError(w http.ResponseWriter, err error) {
+	var own *Error
+	if errors.As(err, &own) {
+		writeError(w, own)
+		return
+	}
+	var e *api.Error
+	if !errors.As(err, &e) {
+		writeError(w, operatorError(http.StatusServiceUnavailable, api.CodeUnavailable, err.Error()))
+		return
+	}
+	status := e.Status
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	if e.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter()))
+	}
+	writeJSON(w, status, e)
+}
+
+func (d *Door) handleApply(w http.ResponseWriter, r *http.Request) error {
+	var req api.ApplyRequest
+	if refusal := decodeBody(w, r, d.limits.MaxConfig, &req); refusal != nil {
+		return asPlain(refusal)
+	}
+	reply, err := d.opts.Operator.Apply(r.Context(), req)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, applyStatus(reply.State), reply)
+	return nil
+}
+
+func applyStatus(s api.ApplyState) int {
+	switch s {
+	case api.ApplyStaged:
+		return http.StatusAccepted
+	case api.ApplyConflict:
+		return http.StatusConflict
+	case api.ApplyRefused:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusOK
+}
+
+func (d *Door) handleConfig(w http.ResponseWriter, r *http.Request) error {
+	version, err := queryInt(r, "version")
+	if err != nil {
+		return err
+	}
+	return reply(w)(d.opts.Operator.Config(r.Context(), version))
+}
+
+func (d *Door) handleHistory(w http.ResponseWriter, r *http.Request) error {
+	return reply(w)(d.opts.Operator.History(r.Context()))
+}
+
+func (d *Door) handleDiff(w http.ResponseWriter, r *http.Request) error {
+	from, err := queryInt(r, "from")
+	if err != nil {
+		return err
+	}
+	to, err := queryInt(r, "to")
+	if err != nil {
+		return err
+	}
+	return reply(w)(d.opts.Operator.Diff(r.Context(), from, to))
+}
+
+func (d *Door) handleStatus(w http.ResponseWriter, r *http.Request) error {
+	return reply(w)(d.opts.Operator.Status(r.Context()))
+}
+
+func (d *Door) handleTimeline(w http.ResponseWriter, r *http.Request) error {
+	limit, err := queryInt(r, "limit")
+	if err != nil {
+		return err
+	}
+	q := r.URL.Query()
+	return reply(w)(d.opts.Operator.Timeline(r.Context(), api.TimelineQuery{
+		Request: q.Get("request"),
+		Job:     q.Get("job"),
+		Team:    q.Get("team"),
+		Host:    q.Get("host"),
+		AZ:      q.Get("az"),
+		Limit:   int(limit),
+	}))
+}
+
+func handleVars(w http.ResponseWriter, r *http.Request) error {
+	expvar.Handler().ServeHTTP(w, r)
+	return nil
+}
+
+func handleHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// handleReady tells the balancer whether to send requests here.
+func (d *Door) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if d.isDraining() {
+		writeError(w, refuseDraining())
+		return
+	}
+	if err := d.opts.Operator.Ready(); err != nil {
+		writeError(w, operatorError(http.StatusServiceUnavailable, api.CodeUnavailable, err.Error()))
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// reply returns a function that sends a value, or passes its error on.
+func reply(w http.ResponseWriter) func(v any, err error) error {
+	return func(v any, err error) error {
+		if err != nil {
+			return err
+		}
+		writeJSON(w, http.StatusOK, v)
+		return nil
+	}
+}
+
+func queryInt(r *http.Request, name string) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, invalid(name, "want a natural number, got "+strconv.Quote(text))
+	}
+	return n, nil
+}
+
+// decodeBody reads one JSON value of at most limit bytes. Unknown fields and
+// trailing data are errors.
+func decodeBody(w http.ResponseWriter, r *http.Request, limit int64, v any) *Error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil {
+		err = requireEnd(dec)
+	}
+	if err == nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return neverSent(http.StatusRequestEntityTooLarge, api.CodeTooLarge,
+			"the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	return invalid("body", err.Error())
+}
+
+func requireEnd(dec *json.Decoder) error {
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/door/refusal.go
@@ -0,0 +1,74 @@
+package door
+
+import (
+	"net/http"
+
+	"cuminloft/api"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/sched"
+)
+
+// disposition is what the door does after an owner's refusal.
+type disposition int
+
+const (
+	// final: no other shard would decide otherwise.
+	final disposition = iota
+	// reroute: this shard cannot decide now; another may.
+	reroute
+	// loaded: this shard is full; trying another costs a retry from the budget.
+	loaded
+)
+
+// refusalRule tells how an owner's refusal is answered.
+type refusalRule struct {
+	status      int
+	disposition disposition
+}
+
+// refusalRules covers the codes of owners and of the decision core.
+var refusalRules = map[rpc.RefusalCode]refusalRule{
+	rpc.CodeNotOwner:         {http.StatusServiceUnavailable, reroute},
+	rpc.CodeNotReady:         {http.StatusServiceUnavailable, reroute},
+	rpc.CodeTableUnreachable: {http.StatusServiceUnavailable, reroute},
+	rpc.CodeConfigStale:      {http.StatusServiceUnavailable, reroute},
+	rpc.CodeAZOut:            {http.StatusServiceUnavailable, reroute},
+	rpc.CodeJournalFull:      {http.StatusServiceUnavailable, loaded},
+	rpc.CodeNoRoom:           {http.StatusTooManyRequests, loaded},
+	rpc.CodeLimit:            {http.StatusTooManyRequests, loaded},
+	rpc.CodeUnauthenticated:  {http.StatusUnauthorized, final},
+	rpc.CodeForbidden:        {http.StatusForbidden, final},
+	rpc.CodeUnknownQueue:     {http.StatusNotFound, final},
+	rpc.CodeNotFound:         {http.StatusNotFound, final},
+	rpc.CodeInvalid:          {http.StatusBadRequest, final},
+
+	rpc.RefusalCode(sched.RefusedQueueFull):   {http.StatusTooManyRequests, loaded},
+	rpc.RefusalCode(sched.RefusedDeadline):    {http.StatusTooManyRequests, loaded},
+	rpc.RefusalCode(sched.RefusedTooLarge):    {http.StatusUnprocessableEntity, reroute},
+	rpc.RefusalCode(sched.RefusedGangTooBig):  {http.StatusUnprocessableEntity, final},
+	rpc.RefusalCode(sched.RefusedOverLimit):   {http.StatusUnprocessableEntity, final},
+	rpc.RefusalCode(sched.RefusedUnknownTeam): {http.StatusForbidden, final},
+	rpc.RefusalCode(sched.RefusedCancelled):   {http.StatusConflict, final},
+}
+
+// fromOwner turns an owner's error into the answer that the caller gets if
+// nothing else is tried, and says what may be tried. It is for calls that start
+// nothing; their loss proves that nothing ran.
+func fromOwner(err error) (*Error, disposition) {
+	refusal, ok := rpc.RefusalFromTwirp(err)
+	if !ok {
+		return neverSent(http.StatusServiceUnavailable, api.CodeNoShard, "the shard's owner did not answer").
+			retryAfter(retryTakeover), reroute
+	}
+	rule, known := refusalRules[refusal.Code]
+	if !known {
+		rule = refusalRule{http.StatusServiceUnavailable, final}
+	}
+	e := neverSent(rule.status, api.Code(refusal.Code), refusal.Reason).
+		field(refusal.Field).
+		retryAfter(refusal.RetryAfter)
+	if rule.status == http.StatusServiceUnavailable || rule.status == http.StatusTooManyRequests {
+		e.RetryAfter = max(e.RetryAfter, retrySoon)
+	}
+	return e, rule.disposition
+}
--- /dev/null
+++ b/internal/door/release.go
@@ -0,0 +1,102 @@
+package door
+
+import (
+	"context"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/member"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/sched"
+	"cuminloft/internal/worker"
+)
+
+// endNotStarted is ReleaseRequest.end of a ticket whose attempt never ran.
+const endNotStarted = "not_started"
+
+const (
+	releaseTimeout = 5 * time.Second       // of all tries together
+	releasePause   = 50 * time.Millisecond // between tries; doubles
+	releaseTries   = 4
+)
+
+func endOf(o api.Outcome) sched.End {
+	if o == api.OutcomeFailed {
+		return sched.EndFailed
+	}
+	return sched.EndDone
+}
+
+func endOfState(s worker.TaskState) sched.End {
+	switch s {
+	case worker.TaskDone:
+		return sched.EndDone
+	case worker.TaskStopped:
+		return sched.EndStopped
+	case worker.TaskLapsed:
+		return sched.EndLapsed
+	}
+	return sched.EndFailed
+}
+
+// releaseEnded tells the owner how the ticket's attempt ended.
+func (d *Door) releaseEnded(a *attempt, end sched.End) {
+	d.release(a.shard, &rpc.ReleaseRequest{
+		Shard:   a.shard.Name,
+		Task:    a.id.Task.String(),
+		Attempt: int32(a.id.Number),
+		End:     string(end),
+	})
+}
+
+// giveBackUnused returns a ticket whose attempt never ran. A reason that is not
+// empty blames the worker.
+func (d *Door) giveBackUnused(a *attempt, reason string) {
+	d.release(a.shard, &rpc.ReleaseRequest{
+		Shard:       a.shard.Name,
+		Task:        a.id.Task.String(),
+		Attempt:     int32(a.id.Number),
+		End:         endNotStarted,
+		Reason:      reason,
+		WorkerFault: reason != "",
+	})
+}
+
+// release delivers the message in the background; the caller does not wait for
+// it. If it is lost, the owner learns of the end from the worker's inventory.
+func (d *Door) release(shard member.ShardRef, r *rpc.ReleaseRequest) {
+	d.background(func(ctx context.Context) {
+		pause := releasePause
+		for range releaseTries {
+			if d.tryRelease(ctx, shard, r) {
+				return
+			}
+			if !sleep(ctx, pause) {
+				break
+			}
+			pause *= 2
+		}
+		countReleaseErr.Add(1)
+	})
+}
+
+func (d *Door) tryRelease(ctx context.Context, shard member.ShardRef, r *rpc.ReleaseRequest) bool {
+	owner := shard.Owner
+	if s, ok := d.opts.Directory.Shard(shard.Name); ok && s.Owner != nil {
+		owner = s.Owner
+	}
+	_, err := owner.Release(ctx, r)
+	return err == nil
+}
+
+// background runs f after the answer; Drain waits for it. It is called only
+// while a request is open.
+func (d *Door) background(f func(ctx context.Context)) {
+	d.open.Add(1)
+	go func() {
+		defer d.open.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		f(ctx)
+	}()
+}
--- /dev/null
+++ b/internal/door/reserve.go
@@ -0,0 +1,101 @@
+package door
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/member"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/timeline"
+)
+
+// reserve gets a ticket for the request's next attempt from a shard. Nothing is
+// sent to a worker, so its refusals prove that nothing ran.
+func (d *Door) reserve(ctx context.Context, req *request) (*attempt, *Error) {
+	var last *Error
+	for {
+		c, refusal := d.configuration(ctx)
+		if refusal != nil {
+			return nil, refusal
+		}
+		shard, ok := d.router.choose(c, req.job.Task.Resources, req.shards)
+		if !ok {
+			return nil, orNoShard(last)
+		}
+		a, refusal, next := d.reserveOn(ctx, req, shard)
+		if a != nil {
+			return a, nil
+		}
+		req.shards[shard.Name] = true
+		last = refusal
+		if !d.mayTryElsewhere(ctx, req, next) {
+			return nil, last
+		}
+	}
+}
+
+func orNoShard(last *Error) *Error {
+	if last != nil {
+		return last
+	}
+	return neverSent(http.StatusServiceUnavailable, api.CodeNoShard, "no shard has a ready owner now").
+		retryAfter(retryTakeover)
+}
+
+// mayTryElsewhere reports whether a refusal by one shard allows to ask another.
+// Rerouting is bounded by the number of shards; asking around because a shard is
+// full would multiply the load and comes out of the retry budget.
+func (d *Door) mayTryElsewhere(ctx context.Context, req *request, next disposition) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch next {
+	case reroute:
+		return true
+	case loaded:
+		return d.takeRetry(req.who.team)
+	}
+	return false
+}
+
+// reserveOn asks one shard for a ticket.
+func (d *Door) reserveOn(ctx context.Context, req *request, shard member.ShardRef) (*attempt, *Error, disposition) {
+	wait := time.Until(req.runDeadline(d.limits))
+	if wait <= 0 {
+		return nil, pastDeadline(), final
+	}
+	req.attempts++
+	d.router.noteSent(shard)
+	d.record(req, timeline.KindRequestRouted, shard.Name, "")
+	ticket, err := shard.Owner.Reserve(ctx, req.reserveRequest(shard.Name, wait))
+	if err == nil {
+		return d.newAttempt(req, shard, ticket)
+	}
+	if _, refused := rpc.RefusalFromTwirp(err); !refused {
+		// The ticket may have been granted and its answer lost.
+		d.release(shard, &rpc.ReleaseRequest{
+			Shard: shard.Name, Task: req.taskID().String(), Attempt: req.attempts, End: endNotStarted,
+		})
+	}
+	if ctx.Err() != nil {
+		return nil, pastDeadline(), final
+	}
+	refusal, next := fromOwner(err)
+	return nil, refusal, next
+}
+
+func pastDeadline() *Error {
+	return overloaded(api.CodeDeadline, "no worker had room before the deadline", retrySoon)
+}
+
+// takeRetry takes one retry from the budgets of the team and the process.
+func (d *Door) takeRetry(team string) bool {
+	if !d.budgets.take(team, time.Now()) {
+		countNoBudget.Add(1)
+		return false
+	}
+	countRetries.Add(1)
+	return true
+}
--- /dev/null
+++ b/internal/door/route.go
@@ -0,0 +1,129 @@
+package door
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/member"
+	"cuminloft/internal/model"
+)
+
+// router chooses the shard that a request is tried on.
+type router struct {
+	directory member.Directory
+	az        string // of this entry host
+
+	mu sync.Mutex
+	// since counts what this process has sent to a shard since the digest that
+	// was taken at sentSince.digest; digests alone would send a burst to one shard.
+	since map[string]sentSince
+}
+
+// sentSince is the number of requests sent after one digest of a shard.
+type sentSince struct {
+	digest int64 // ShardDigest.taken_ns
+	count  int64
+}
+
+func newRouter(d member.Directory, az string) *router {
+	return &router{directory: d, az: az, since: make(map[string]sentSince)}
+}
+
+// choose returns a shard for a task of the given size that is not in tried:
+// one of the own AZ if it has room, else the less loaded of two random ones.
+// It returns false if no shard with a ready owner is left.
+func (r *router) choose(c *config.Config, size model.Resources, tried map[string]bool) (member.ShardRef, bool) {
+	var near, all []member.ShardRef
+	for _, s := range r.directory.Shards() {
+		if tried[s.Name] || !usable(c, s) {
+			continue
+		}
+		all = append(all, s)
+		if s.AZ == r.az && r.hasRoom(s, size) {
+			near = append(near, s)
+		}
+	}
+	if len(near) > 0 {
+		return r.lessLoaded(near), true
+	}
+	if len(all) > 0 {
+		return r.lessLoaded(all), true
+	}
+	return member.ShardRef{}, false
+}
+
+// usable reports whether work may be sent to a shard at all.
+func usable(c *config.Config, s member.ShardRef) bool {
+	if s.Owner == nil || (s.Digest != nil && !s.Digest.GetReady()) {
+		return false
+	}
+	for _, az := range c.AZs {
+		if az.Name == s.AZ {
+			return az.InService
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether the shard's digest shows room for the task. A shard
+// without a digest is tried.
+func (r *router) hasRoom(s member.ShardRef, size model.Resources) bool {
+	if s.Digest == nil {
+		return true
+	}
+	queued := s.Digest.GetDirectPending() + r.sent(s)
+	used := s.Digest.GetUsed().Model().Add(size.Scale(queued + 1))
+	return used.Fits(s.Digest.GetCapacity().Model())
+}
+
+// lessLoaded returns the less loaded of two random shards.
+func (r *router) lessLoaded(shards []member.ShardRef) member.ShardRef {
+	i := rand.IntN(len(shards))
+	if len(shards) == 1 {
+		return shards[i]
+	}
+	j := rand.IntN(len(shards) - 1)
+	if j >= i {
+		j++
+	}
+	if r.load(shards[j]) < r.load(shards[i]) {
+		return shards[j]
+	}
+	return shards[i]
+}
+
+// load is the shard's used share plus what waits, in units of its slots.
+func (r *router) load(s member.ShardRef) float64 {
+	if s.Digest == nil {
+		return 0
+	}
+	capacity := s.Digest.GetCapacity().Model()
+	waiting := float64(s.Digest.GetDirectPending() + r.sent(s))
+	return s.Digest.GetUsed().Model().DominantShare(capacity) + waiting/float64(max(capacity.Slots, 1))
+}
+
+// noteSent records that a request was sent to the shard.
+func (r *router) noteSent(s member.ShardRef) {
+	if s.Digest == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.since[s.Name]
+	if n.digest != s.Digest.GetTakenNs() {
+		n = sentSince{digest: s.Digest.GetTakenNs()}
+	}
+	n.count++
+	r.since[s.Name] = n
+}
+
+func (r *router) sent(s member.ShardRef) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.since[s.Name]
+	if n.digest != s.Digest.GetTakenNs() {
+		return 0
+	}
+	return n.count
+}
--- /dev/null
+++ b/internal/door/settle.go
@@ -0,0 +1,145 @@
+package door
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/sched"
+	"cuminloft/internal/timeline"
+	"cuminloft/internal/worker"
+)
+
+// Settling asks a worker again and again; these are the pauses between.
+const (
+	settlePause    = 5 * time.Millisecond
+	settlePauseMax = 200 * time.Millisecond
+)
+
+// settle finds out what became of an attempt whose answer is lost, for as long
+// as the caller's deadline allows.
+func (d *Door) settle(ctx context.Context, req *request, a *attempt) ending {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), d.settleDeadline(req))
+	defer cancel()
+	end := d.settleAndRelease(ctx, req, a)
+	if end.err.Outcome != api.OutcomeNotRun {
+		req.ran = end.err
+	}
+	return end
+}
+
+func (d *Door) settleDeadline(req *request) time.Time {
+	limit := time.Now().Add(d.limits.SettleTimeout)
+	if req.deadline.Before(limit) {
+		return req.deadline
+	}
+	return limit
+}
+
+// settleAndRelease settles an attempt and releases its ticket if it has ended.
+// The ticket of an attempt that may still run is kept: the owner counts its room
+// until the worker's inventory shows the end.
+func (d *Door) settleAndRelease(ctx context.Context, req *request, a *attempt) ending {
+	report, err := d.finalState(ctx, req, a)
+	if err != nil {
+		return ending{err: unsettled(api.CodeUnsettled, "the worker cannot be asked what became of the request").
+			retryAfter(max(time.Duration(a.ticket.GetLeaseNs()), retryTakeover))}
+	}
+	countSettled.Add(1)
+	d.record(req, timeline.KindRequestSettled, a.ticket.GetWorker(), string(report.State))
+	switch report.State {
+	case worker.TaskNeverSeen:
+		return d.notStarted(req, a, ProofSettled, true, worker.ErrVoided)
+	case worker.TaskRunning:
+		return ending{err: unsettled(api.CodeStillRunning, "the request was still running when its deadline passed").
+			retryAfter(retryTakeover)}
+	case worker.TaskFailed:
+		d.releaseEnded(a, sched.EndFailed)
+		return ending{err: taskFailed(report.Error), ended: true}
+	}
+	d.releaseEnded(a, endOfState(report.State))
+	req.avoid = append(req.avoid, a.ticket.GetWorker())
+	return ending{err: unsettled(api.CodeAnswerLost, "the request ran, but its answer is lost (worker says "+string(report.State)+")").
+		retryAfter(retrySoon), ended: true}
+}
+
+// unsettled returns the final answer to a request that may have run.
+func unsettled(code api.Code, message string) *Error {
+	return &Error{
+		Status:  http.StatusGatewayTimeout,
+		Outcome: api.OutcomeUnknown,
+		Code:    code,
+		Message: message,
+		Remedy:  "repeat the request only if it may run twice",
+	}
+}
+
+func taskFailed(message string) *Error {
+	return &Error{
+		Status:  http.StatusBadGateway,
+		Outcome: api.OutcomeFailed,
+		Code:    api.CodeTaskFailed,
+		Message: message,
+	}
+}
+
+// finalState asks the worker for the attempt's state until it is known. An
+// idempotent attempt that still runs is stopped first, so that it never runs in
+// two places when it is tried again.
+func (d *Door) finalState(ctx context.Context, req *request, a *attempt) (worker.TaskReport, error) {
+	pause := settlePause
+	for {
+		report, err := a.client.Settle(ctx, d.newestFence(a), a.id)
+		if err == nil && report.Attempt != a.id {
+			countForeign.Add(1)
+			err = worker.ErrForeignAnswer
+		}
+		if err == nil && (report.State.Ended() || !req.job.Task.Idempotent) {
+			return report, nil
+		}
+		if errors.Is(err, worker.ErrUnknownTask) {
+			return worker.TaskReport{}, err // has ended and was forgotten
+		}
+		if err == nil {
+			_ = a.client.Stop(ctx, d.newestFence(a), a.id)
+		}
+		if !sleep(ctx, pause) {
+			return report, lastState(report, err)
+		}
+		pause = min(2*pause, settlePauseMax)
+	}
+}
+
+// lastState keeps what was known when the time was over.
+func lastState(report worker.TaskReport, err error) error {
+	if err == nil && report.State == worker.TaskRunning {
+		return nil
+	}
+	if err == nil {
+		return context.DeadlineExceeded
+	}
+	return err
+}
+
+// newestFence is the ticket's fence, or the shard's if its owner has changed.
+func (d *Door) newestFence(a *attempt) worker.Fence {
+	fence := a.fence()
+	if s, ok := d.opts.Directory.Shard(a.shard.Name); ok && s.Digest != nil {
+		fence = max(fence, worker.Fence(s.Digest.GetFence()))
+	}
+	return fence
+}
+
+// sleep waits for the duration; it returns false if the context ended first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -13,6 +13,7 @@
 	KindRequestReceived Kind = "request.received"
 	KindRequestRouted   Kind = "request.routed"
 	KindRequestSent     Kind = "request.sent"
+	KindRequestSettled  Kind = "request.settled" // a lost answer's truth was found
 	KindRequestRetried  Kind = "request.retried"
 	KindRequestAnswered Kind = "request.answered"
 	KindAnswerDropped   Kind = "answer.dropped" // late, crossed, truncated
