--- /dev/null
+++ b/api/client_operate.go
@@ -0,0 +1,93 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// Apply applies a whole configuration. A refusal, a conflict and a version that
+// is staged only are replies, not errors.
+func (c *Client) Apply(ctx context.Context, r ApplyRequest) (ApplyReply, error) {
+	var out ApplyReply
+	body, err := json.Marshal(r)
+	if err != nil {
+		return out, err
+	}
+	what := &call{method: http.MethodPost, path: "/v1/config", header: jsonHeader(), body: body}
+	resp, err := c.doAny(ctx, what)
+	if err != nil {
+		return out, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return out, connectionError(what, err)
+	}
+	return out, nil
+}
+
+// doAny is do, but passes the statuses of refused applies on.
+func (c *Client) doAny(ctx context.Context, what *call) (*http.Response, error) {
+	what.accept = []int{http.StatusConflict, http.StatusUnprocessableEntity}
+	return c.do(ctx, what)
+}
+
+// Config returns a version of the configuration; zero is the accepted one.
+func (c *Client) Config(ctx context.Context, version int64) (ConfigReply, error) {
+	var out ConfigReply
+	err := c.decode(ctx, &call{method: http.MethodGet, path: "/v1/config", query: versions("version", version)}, &out)
+	return out, err
+}
+
+// History returns the versions of the configuration, newest first.
+func (c *Client) History(ctx context.Context) (HistoryReply, error) {
+	var out HistoryReply
+	err := c.decode(ctx, &call{method: http.MethodGet, path: "/v1/config/history"}, &out)
+	return out, err
+}
+
+// Diff returns the difference between two versions.
+func (c *Client) Diff(ctx context.Context, from, to int64) (DiffReply, error) {
+	query := versions("from", from)
+	query.Set("to", strconv.FormatInt(to, 10))
+	var out DiffReply
+	err := c.decode(ctx, &call{method: http.MethodGet, path: "/v1/config/diff", query: query}, &out)
+	return out, err
+}
+
+func versions(name string, version int64) url.Values {
+	return url.Values{name: {strconv.FormatInt(version, 10)}}
+}
+
+// Status returns the state of the cell as the asked entry host sees it.
+func (c *Client) Status(ctx context.Context) (StatusReply, error) {
+	var out StatusReply
+	err := c.decode(ctx, &call{method: http.MethodGet, path: "/v1/status"}, &out)
+	return out, err
+}
+
+// Timeline returns the merged events of all entry hosts.
+func (c *Client) Timeline(ctx context.Context, q TimelineQuery) (TimelineReply, error) {
+	query := url.Values{}
+	setQuery(query, "request", q.Request)
+	setQuery(query, "job", q.Job)
+	setQuery(query, "team", q.Team)
+	setQuery(query, "host", q.Host)
+	setQuery(query, "az", q.AZ)
+	if q.Limit > 0 {
+		query.Set("limit", strconv.Itoa(q.Limit))
+	}
+	var out TimelineReply
+	err := c.decode(ctx, &call{method: http.MethodGet, path: "/v1/timeline", query: query}, &out)
+	return out, err
+}
+
+// AsError returns the interface's error in err, if there is one.
+func AsError(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
