shared: settings: dial_from, the address that outgoing connections leave from

The failure harness cuts single links between processes on one machine: its forwarders tell an entry host by the loopback address it dials from.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -59,8 +59,15 @@
 
 // NewClient returns a client that fails fast on hosts that cannot be reached and
 // keeps connections for reuse. It has no overall timeout; callers set deadlines.
-func NewClient() *http.Client {
+func NewClient() *http.Client { return NewClientFrom("") }
+
+// NewClientFrom returns a client as NewClient does, whose connections leave from
+// the local IP address ip; an empty ip leaves the choice to the system.
+func NewClientFrom(ip string) *http.Client {
 	dialer := &net.Dialer{Timeout: DialTimeout}
+	if local := net.ParseIP(ip); local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: MaxIdle,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,9 @@
 	RPCListen string `json:"rpc_listen"`
 	// RPCAdvertise is the host:port that other entry hosts dial; default RPCListen.
 	RPCAdvertise string `json:"rpc_advertise,omitempty"`
+	// DialFrom is the IP address that outgoing connections leave from; default:
+	// the system's choice.
+	DialFrom string `json:"dial_from,omitempty"`
 	// Platform is the base URL of the platform's table, object store and host list.
 	Platform string `json:"platform"`
 	// Peers are RPC addresses of other entry hosts, used until the table or
@@ -151,6 +154,9 @@
 	c.address("listen", s.Listen, true)
 	c.address("rpc_listen", s.RPCListen, true)
 	c.address("rpc_advertise", s.RPCAdvertise, false)
+	if s.DialFrom != "" && net.ParseIP(s.DialFrom) == nil {
+		c.add("dial_from", codeInvalid, fmt.Sprintf("%q is not an IP address", s.DialFrom), "for example 127.0.0.1")
+	}
 	for i, addr := range s.Peers {
 		c.address(fmt.Sprintf("peers[%d]", i), addr, true)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,6 +35,7 @@
 		{"no port", `"127.0.0.1:7101"`, `"127.0.0.1"`, "listen"},
 		{"platform without scheme", `"http://127.0.0.1:7000"`, `"127.0.0.1:7000"`, "platform"},
 		{"negative limit", `"host"`, `"limits": {"max_connections": -1}, "host"`, "limits.max_connections"},
+		{"name for an IP", `"host"`, `"dial_from": "entry-1", "host"`, "dial_from"},
 		{"unknown level", `"host"`, `"log": {"level": "loud"}, "host"`, "log.level"},
 		{"short hash", `"host"`, `"operator_keys": [{"id": "ops", "sha256": "12"}], "host"`, "operator_keys[0].sha256"},
 		{"unknown field", `"host"`, `"hots": 1, "host"`, "hots"},
