--- /dev/null
+++ b/internal/harness/harness_test.go
@@ -0,0 +1,85 @@
+package harness
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+var (
+	schedules = flag.Int("schedules", 0, "seeded schedules of faults to run against real processes; 0: none")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first schedule")
+	parallel  = flag.Int("clusters", 3, "schedules that run at once")
+	keep      = flag.String("keep", "", "directory for the logs of runs with violations")
+)
+
+// binary is the real binary, built once for all tests.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "cuminloft-harness")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "cuminloft")
+	out, err := exec.Command("go", "build", "-o", path, "cuminloft/cmd/cuminloft").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+// workDir returns a directory for one run's settings and logs.
+func workDir(t *testing.T, name string) string {
+	if *keep == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(*keep, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// TestSchedules runs seeded schedules of faults. Each seed is a fresh cell of
+// separate processes.
+func TestSchedules(t *testing.T) {
+	if *schedules == 0 {
+		t.Skip("run with -schedules N")
+	}
+	path, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := make(chan int, *parallel)
+	for i := range *parallel {
+		blocks <- 100 + i
+	}
+	var wg sync.WaitGroup
+	for i := range *schedules {
+		block := <-blocks
+		seed := *firstSeed + uint64(i)
+		wg.Go(func() {
+			defer func() { blocks <- block }()
+			playSeed(t, path, block, seed)
+		})
+	}
+	wg.Wait()
+}
+
+// playSeed runs one schedule and reports its violations.
+func playSeed(t *testing.T, path string, block int, seed uint64) {
+	report, err := Play(context.Background(), workDir(t, fmt.Sprintf("seed-%d", seed)), path, block, seed)
+	if err != nil {
+		t.Errorf("seed %d: %v; steps %v", seed, err, report.Steps)
+		return
+	}
+	t.Logf("seed %d: %d operations %v, %d jobs, %d starts, %d violations; %v",
+		seed, report.Operations, report.Outcomes, report.Jobs, report.Starts, len(report.Violations), report.Steps)
+	for _, v := range report.Violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+}
--- /dev/null
+++ b/internal/harness/play.go
@@ -0,0 +1,171 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Settings of one schedule's run.
+const (
+	callersPerCluster = 6
+	playWorkersPerAZ  = 3
+	// warmUp is how long callers run before the first fault.
+	warmUp = 500 * time.Millisecond
+	// settleTimeout is how long jobs may take to end once every fault is mended.
+	settleTimeout = 60 * time.Second
+)
+
+// Report is what came of one schedule.
+type Report struct {
+	Seed       uint64
+	Steps      []string // as they happened
+	Operations int
+	Outcomes   map[string]int // operations by outcome, "no answer" included
+	Jobs       int
+	Starts     int
+	Violations []Violation
+}
+
+// Play runs the schedule of a seed on a fresh cluster under dir and checks it.
+// An error means that the run itself could not be made.
+func Play(ctx context.Context, dir, binary string, block int, seed uint64) (Report, error) {
+	report := Report{Seed: seed, Outcomes: map[string]int{}}
+	c, err := NewCluster(dir, binary, block, playWorkersPerAZ)
+	if err != nil {
+		return report, err
+	}
+	defer c.Close()
+	if err := c.Start(ctx); err != nil {
+		return report, fmt.Errorf("start: %w", err)
+	}
+	log := &Log{}
+	callers := StartCallers(c, log, callersPerCluster, seed)
+	time.Sleep(warmUp)
+	report.Steps, err = playSteps(ctx, c, log, seed)
+	callers.Stop()
+	if err != nil {
+		return report, err
+	}
+	settle, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	Finals(settle, c, log)
+	history, err := c.History(ctx, log)
+	if err != nil {
+		return report, err
+	}
+	report.fill(history)
+	if len(report.Violations) > 0 {
+		err = c.save(history, report)
+	}
+	return report, err
+}
+
+// playSteps plays a seed's faults and operators, mends everything, and returns
+// what was done.
+func playSteps(ctx context.Context, c *Cluster, log *Log, seed uint64) ([]string, error) {
+	var (
+		mu    sync.Mutex
+		notes []string
+		first error
+		wg    sync.WaitGroup
+	)
+	start := time.Now()
+	note := func(s string) {
+		mu.Lock()
+		defer mu.Unlock()
+		notes = append(notes, fmt.Sprintf("%.1fs %s", time.Since(start).Seconds(), s))
+	}
+	for _, step := range Schedule(seed) {
+		wg.Go(func() {
+			if err := step.Play(ctx, c, start, note); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				first = err
+			}
+		})
+	}
+	operate, stop := context.WithCancel(ctx)
+	var operators sync.WaitGroup
+	operators.Go(func() { Operators(operate, c, log, seed) })
+	wg.Wait()
+	stop()
+	operators.Wait()
+	c.Net.HealAll()
+	if first != nil {
+		return notes, first
+	}
+	return notes, Restore(ctx, c, log)
+}
+
+// History collects the records of everything that ran.
+func (c *Cluster) History(ctx context.Context, log *Log) (History, error) {
+	h := History{Config: c.Config, Log: log}
+	var err error
+	if h.Runs, err = c.Runs(ctx); err != nil {
+		return h, err
+	}
+	h.End = time.Now()
+	h.Table, err = c.TableLog(ctx)
+	return h, err
+}
+
+func (r *Report) fill(h History) {
+	r.Operations = len(h.Log.Ops)
+	r.Jobs = len(h.Log.Finals)
+	r.Starts = len(h.Runs)
+	r.Violations = Check(h)
+	for _, op := range h.Log.Ops {
+		r.Outcomes[describe(op)]++
+	}
+}
+
+// describe names how a call ended.
+func describe(op Op) string {
+	switch {
+	case op.Status == 0:
+		return "no answer"
+	case op.Job != "":
+		return "accepted"
+	case op.Outcome == "":
+		return fmt.Sprintf("status %d %s", op.Status, op.Code)
+	}
+	return string(op.Outcome)
+}
+
+// save writes a history with violations and the merged time line beside the
+// processes' logs.
+func (c *Cluster) save(h History, r Report) error {
+	timeline, err := c.Timeline()
+	if err != nil {
+		timeline = []byte(err.Error())
+	}
+	if err := os.WriteFile(filepath.Join(c.dir, "timeline.json"), timeline, 0o600); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(struct {
+		Report  Report
+		Ops     []Op
+		Applied []Applied
+		Finals  map[string]Final
+		History any
+	}{r, h.Log.Ops, h.Log.Applied, h.Log.Finals, h.Runs}, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(c.dir, "history.json"), data, 0o600)
+}
+
+// Timeline returns the time line of all processes as the product tells it; it
+// helps to find causes and is never checked.
+func (c *Cluster) Timeline() ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	var raw json.RawMessage
+	err := c.operate(ctx, c.Hosts[0], "GET", "/v1/timeline?limit=100000", nil, &raw)
+	return raw, err
+}
