--- a/internal/harness/check.go
+++ b/internal/harness/check.go
@@ -298,7 +298,8 @@
 			continue
 		}
 		first, taken := winners[a.Version]
-		if taken && !(slices.Equal(first.Out, a.Out) && slices.Equal(first.Withdrawn, a.Withdrawn)) {
+		unlike := !slices.Equal(first.Out, a.Out) || !slices.Equal(first.Withdrawn, a.Withdrawn)
+		if taken && unlike {
 			found = append(found, Violation{"operator race", fmt.Sprintf("version %d was won twice", a.Version)})
 		}
 		winners[a.Version] = a
--- a/internal/harness/check_test.go
+++ b/internal/harness/check_test.go
@@ -34,9 +34,9 @@
 	return worker.Attempt{Task: model.TaskID{Job: model.JobID(job)}, Number: n}
 }
 
-// op is an answered direct request.
-func op(tag string, outcome model.Outcome, sent float64) Op {
-	return Op{Tag: tag, Direct: true, Tasks: 1, Outcome: outcome, Whole: true, Key: KeyID(TeamProofs, 1), Sent: at(sent), Answered: at(sent + 1)}
+// op is an answered direct request with the tag a.
+func op(outcome model.Outcome, sent float64) Op {
+	return Op{Tag: "a", Direct: true, Tasks: 1, Outcome: outcome, Whole: true, Key: KeyID(TeamProofs, 1), Sent: at(sent), Answered: at(sent + 1)}
 }
 
 func TestCheckFindsEachViolation(t *testing.T) {
@@ -65,15 +65,15 @@
 		rows []string // values of configKey
 		want string   // the promise; empty: no violation
 	}{
-		{name: "healthy", log: &Log{Ops: []Op{op("a", "done", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1)}},
+		{name: "healthy", log: &Log{Ops: []Op{op("done", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1)}},
 		{name: "two places", runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 2), run("a", w1, AZs[1], 1, 3)}, want: "one place"},
 		{name: "one after the other", runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1), run("a", w1, AZs[1], 1, 3)}},
 		{name: "worker too full", runs: sameWorker, want: "room"},
 		{name: "team over its limit", runs: many(41, AZs[0]), want: "limit"},
 		{name: "team at its limit", runs: many(40, AZs[0])},
-		{name: "twice", log: &Log{Ops: []Op{op("a", "done", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1), run("a", w0, AZs[0], 2, 3)}, want: "at most once"},
-		{name: "not run but ran", log: &Log{Ops: []Op{op("a", "not_run", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1)}, want: "not run"},
-		{name: "done but never ran", log: &Log{Ops: []Op{op("a", "done", 0)}}, want: "answer"},
+		{name: "twice", log: &Log{Ops: []Op{op("done", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1), run("a", w0, AZs[0], 2, 3)}, want: "at most once"},
+		{name: "not run but ran", log: &Log{Ops: []Op{op("not_run", 0)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1)}, want: "not run"},
+		{name: "done but never ran", log: &Log{Ops: []Op{op("done", 0)}}, want: "answer"},
 		{name: "foreign answer", log: &Log{Ops: []Op{{Tag: "a", Direct: true, Outcome: "done"}}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 0, 1)}, want: "answer"},
 		{name: "job lost", log: &Log{Ops: []Op{job}}, want: "job lost"},
 		{name: "job stuck", log: &Log{Ops: []Op{job}, Finals: map[string]Final{"job-1": {Known: true}}}, want: "job stuck"},
@@ -81,7 +81,7 @@
 		{name: "start in an AZ that is out", log: &Log{Applied: []Applied{accepted(2, 0, []string{AZs[0]}, nil)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 6, 7)}, want: "AZ out"},
 		{name: "start within the grace", log: &Log{Applied: []Applied{accepted(2, 0, []string{AZs[0]}, nil)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 4, 7)}},
 		{name: "start when it is back", log: &Log{Applied: []Applied{accepted(2, 0, []string{AZs[0]}, nil), accepted(3, 5, nil, nil)}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 6, 7)}},
-		{name: "withdrawn key", log: &Log{Ops: []Op{op("a", "done", 6)}, Applied: []Applied{accepted(2, 0, nil, []string{KeyID(TeamProofs, 1)})}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 6, 7)}, want: "withdrawn key"},
+		{name: "withdrawn key", log: &Log{Ops: []Op{op("done", 6)}, Applied: []Applied{accepted(2, 0, nil, []string{KeyID(TeamProofs, 1)})}}, runs: []standin.RecordEntry{run("a", w0, AZs[0], 6, 7)}, want: "withdrawn key"},
 		{name: "config reverts", rows: []string{`1`, `3`, `2`}, want: "config"},
 		{name: "config grows", rows: []string{`1`, `{"version":2}`, `3`}},
 		{name: "two winners", log: &Log{Applied: []Applied{accepted(2, 0, nil, nil), accepted(2, 0, []string{AZs[0]}, nil)}}, want: "operator race"},
