--- a/internal/journal/load.go
+++ b/internal/journal/load.go
@@ -23,6 +23,7 @@
 
 // Load reads the newest snapshot and the rows after it. The caller has taken
 // the shard before, so that no older owner can append or truncate meanwhile.
+// Reads are repeated until the platform answers or the context ends.
 func Load(ctx context.Context, table platform.Table, objects platform.ObjectStore, shard string) (*Loaded, error) {
 	l := &Loaded{State: NewState()}
 	if err := l.readSnapshot(ctx, table, objects, shard); err != nil {
@@ -30,7 +31,9 @@
 	}
 	l.Last = Seq(l.Snapshot.GetCovers())
 	for {
-		rows, err := table.Range(ctx, rowPrefix(shard), RowKey(shard, l.Last), pageRows)
+		rows, err := persist(ctx, func() ([]platform.Row, error) {
+			return table.Range(ctx, rowPrefix(shard), RowKey(shard, l.Last), pageRows)
+		})
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -46,7 +49,7 @@
 }
 
 func (l *Loaded) readSnapshot(ctx context.Context, table platform.Table, objects platform.ObjectStore, shard string) error {
-	row, err := table.Get(ctx, SnapshotKey(shard))
+	row, err := getRow(ctx, table, SnapshotKey(shard))
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
@@ -56,7 +59,7 @@
 	if err := decode(row.Value, &l.Snapshot); err != nil {
 		return trace.Wrap(err, "snapshot row of %s", shard)
 	}
-	data, err := objects.Get(ctx, l.Snapshot.GetObject())
+	data, err := persist(ctx, func() ([]byte, error) { return objects.Get(ctx, l.Snapshot.GetObject()) })
 	if errors.Is(err, platform.ErrNotFound) {
 		return trace.Wrap(ErrCorrupt, "snapshot %s is missing", l.Snapshot.GetObject())
 	}
@@ -97,3 +100,21 @@
 	l.Rows++
 	return nil
 }
+
+// persist repeats a read until the platform answers or the context ends. Each
+// read is repeated alone: whole sequences might never succeed at once.
+func persist[T any](ctx context.Context, read func() (T, error)) (T, error) {
+	for {
+		v, err := read()
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return v, err
+		}
+		if ended := sleep(ctx, settleRetry); ended != nil {
+			return v, trace.Wrap(ended)
+		}
+	}
+}
+
+func getRow(ctx context.Context, table platform.Table, key string) (platform.Row, error) {
+	return persist(ctx, func() (platform.Row, error) { return table.Get(ctx, key) })
+}
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -31,14 +31,13 @@
 	last  SnapshotRow
 }
 
-// PrepareSnapshot encodes the durable state and resets SnapshotDue. The result
-// is stored by Save, which may run beside further writes.
+// PrepareSnapshot encodes the durable state. The result is stored by Save, which
+// may run beside further writes.
 func (w *Writer) PrepareSnapshot() (*PreparedSnapshot, error) {
 	data, err := encode(w.state.snapshot(w.last))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	w.rows, w.size = 0, 0
 	return &PreparedSnapshot{
 		owned: w.owned,
 		data:  data,
@@ -51,8 +50,10 @@
 	}, nil
 }
 
-// Saved tells the writer which snapshot is the newest now.
+// Saved tells the writer that p is the newest snapshot now.
 func (w *Writer) Saved(p *PreparedSnapshot) {
+	w.rows = int(int64(w.last) - p.next.GetCovers())
+	w.size = 0
 	w.snap = SnapshotRow{Object: p.next.GetObject(), Covers: p.next.GetCovers()}
 }
 
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -36,6 +36,7 @@
 type Task struct {
 	Attempt    int
 	Worker     string
+	Boot       string // of the worker at the start
 	Started    time.Time
 	End        string // sched.End or EndNotStarted; empty: may be running
 	Checkpoint string
@@ -109,6 +110,7 @@
 	}
 	t.Attempt = int(r.GetAttempt())
 	t.Worker = r.GetWorker()
+	t.Boot = r.GetBoot()
 	t.Started = time.Unix(0, r.GetStartedNs())
 	t.End = ""
 	return nil
@@ -175,6 +177,7 @@
 		Index:      int32(index),
 		Attempt:    int32(t.Attempt),
 		Worker:     t.Worker,
+		Boot:       t.Boot,
 		StartedNs:  t.Started.UnixNano(),
 		End:        t.End,
 		Checkpoint: t.Checkpoint,
@@ -204,6 +207,7 @@
 	return &Task{
 		Attempt:    int(t.GetAttempt()),
 		Worker:     t.GetWorker(),
+		Boot:       t.GetBoot(),
 		Started:    time.Unix(0, t.GetStartedNs()),
 		End:        t.GetEnd(),
 		Checkpoint: t.GetCheckpoint(),
@@ -212,3 +216,18 @@
 		Failures:   int(t.GetFailures()),
 	}
 }
+
+// Clone returns a copy that shares no changeable part with s.
+func (s *State) Clone() *State {
+	out := &State{Jobs: make(map[model.JobID]*Job, len(s.Jobs))}
+	for id, j := range s.Jobs {
+		c := *j
+		c.Tasks = make(map[int]*Task, len(j.Tasks))
+		for i, t := range j.Tasks {
+			copied := *t
+			c.Tasks[i] = &copied
+		}
+		out.Jobs[id] = &c
+	}
+	return out
+}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -187,12 +187,12 @@
 
 // isMine reports whether the row is in the table with this writer's nonce.
 func (w *Writer) isMine(ctx context.Context, row *newRow) (bool, error) {
-	found, err := w.table.Get(ctx, row.key)
+	found, err := getRow(ctx, w.table, row.key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
-		return false, errUnsettled
+		return false, err
 	}
 	var b Batch
 	if err := decode(found.Value, &b); err != nil {
@@ -205,9 +205,9 @@
 }
 
 func (w *Writer) checkOwner(ctx context.Context) error {
-	found, err := w.table.Get(ctx, OwnerKey(w.owned.Shard))
+	found, err := getRow(ctx, w.table, OwnerKey(w.owned.Shard))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return errUnsettled
+		return err
 	}
 	if found.Version != w.owned.Version {
 		return trace.Wrap(ErrDeposed, "owner row has version %d, not %d", found.Version, w.owned.Version)
@@ -224,20 +224,18 @@
 		if errors.Is(err, platform.ErrNotFound) {
 			continue
 		}
-		if errors.Is(err, ErrCorrupt) || errors.Is(err, ErrUnknownFormat) {
-			return trace.Wrap(err)
-		}
 		if err != nil {
-			return errUnsettled
+			return trace.Wrap(err)
 		}
 		return &ClaimedError{Entry: i, First: first}
 	}
 	return errUnsettled
 }
 
-// ReadIdempotency returns the job that a caller's key names, or ErrNotFound.
+// ReadIdempotency returns the job that a caller's key names, or ErrNotFound. The
+// read is repeated until the platform answers or the context ends.
 func ReadIdempotency(ctx context.Context, table platform.Table, row string) (*IdempotencyRow, error) {
-	found, err := table.Get(ctx, row)
+	found, err := getRow(ctx, table, row)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
@@ -50,64 +53,96 @@
 
 // Owner owns one shard for as long as Run runs.
 type Owner struct {
-	opts Options
-	held held
+	opts    Options
+	inbox   chan message
+	serving atomic.Bool // requests are taken
+	digest  atomic.Pointer[rpc.ShardDigest]
+	done    chan struct{} // closed when Run returns
 }
 
 var _ rpc.Shard = (*Owner)(nil)
 
 // New returns an owner that does nothing yet.
-func New(opts Options) *Owner { return &Owner{opts: opts} }
+func New(opts Options) *Owner {
+	if opts.Recorder == nil {
+		opts.Recorder = timeline.Discard{}
+	}
+	o := &Owner{opts: opts, inbox: make(chan message, inboxSize), done: make(chan struct{})}
+	o.digest.Store(&rpc.ShardDigest{Shard: opts.Shard, Az: opts.AZ, Owner: opts.Self.GetHost()})
+	return o
+}
 
 // Run takes the shard, recovers its state, and serves until ctx ends, when it
 // hands over and returns nil, or until the shard is lost (ErrLost). It returns
 // journal.ErrCorrupt or journal.ErrUnknownFormat if the state cannot be read.
+// Run is called once.
 func (o *Owner) Run(ctx context.Context) error {
-	h, err := take(ctx, o.opts.Table, o.opts.Shard, o.opts.Self)
+	defer close(o.done)
+	defer o.serving.Store(false)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	l, err := o.takeOver(ctx, work, &wg)
 	if err != nil {
-		return trace.Wrap(err)
+		return o.taken(err)
 	}
-	o.held = h
-	<-ctx.Done()
-	return trace.Wrap(release(context.WithoutCancel(ctx), o.opts.Table, o.opts.Shard, h))
-}
-
-// Digest returns the shard's load.
-func (o *Owner) Digest() *rpc.ShardDigest {
-	return &rpc.ShardDigest{Shard: o.opts.Shard, Az: o.opts.AZ, Owner: o.opts.Self.GetHost()}
-}
-
-// Submit accepts a job.
-func (o *Owner) Submit(context.Context, *rpc.SubmitRequest) (*rpc.SubmitReply, error) {
-	return nil, notReady().ToTwirp()
+	o.serving.Store(true)
+	if err := l.run(ctx); err != nil {
+		l.record(timeline.Event{Kind: timeline.KindShardLost, Target: o.opts.Shard, Detail: err.Error()})
+		return o.taken(err)
+	}
+	o.serving.Store(false)
+	return trace.Wrap(l.handOver())
 }
 
-// GetJob returns a job's state.
-func (o *Owner) GetJob(context.Context, *rpc.GetJobRequest) (*rpc.JobStatus, error) {
-	return nil, notReady().ToTwirp()
+// taken turns the journal's error for a lost shard into this package's.
+func (o *Owner) taken(err error) error {
+	if errors.Is(err, journalDeposed) {
+		return trace.Wrap(ErrLost, "%v", err)
+	}
+	return trace.Wrap(err)
 }
 
-// ListJobs returns jobs in order of their ids.
-func (o *Owner) ListJobs(context.Context, *rpc.ListJobsRequest) (*rpc.ListJobsReply, error) {
-	return nil, notReady().ToTwirp()
-}
+// Digest returns the shard's load. It is shared and must not be changed.
+func (o *Owner) Digest() *rpc.ShardDigest { return o.digest.Load() }
 
-// CancelJob withdraws a job.
-func (o *Owner) CancelJob(context.Context, *rpc.CancelJobRequest) (*rpc.JobStatus, error) {
-	return nil, notReady().ToTwirp()
+// post hands a message to the event loop from one of its goroutines.
+func (o *Owner) post(ctx context.Context, m message) {
+	select {
+	case o.inbox <- m:
+	case <-ctx.Done():
+	}
 }
 
-// Reserve returns a ticket for a direct request.
-func (o *Owner) Reserve(context.Context, *rpc.ReserveRequest) (*rpc.Ticket, error) {
-	return nil, notReady().ToTwirp()
+// ask hands a request to the event loop and waits for its reply. After an
+// error other than a refusal the request may have taken effect.
+func ask[T any](ctx context.Context, o *Owner, m message, reply <-chan answer[T]) (T, error) {
+	var zero T
+	if !o.serving.Load() {
+		return zero, notReady()
+	}
+	select {
+	case o.inbox <- m:
+	case <-ctx.Done():
+		return zero, notReady()
+	case <-o.done:
+		return zero, notReady()
+	}
+	select {
+	case a := <-reply:
+		return a.value, a.err
+	case <-ctx.Done():
+		return zero, trace.Wrap(ctx.Err())
+	case <-o.done:
+		return zero, trace.Wrap(ErrLost)
+	}
 }
 
-// Release frees a ticket's room.
-func (o *Owner) Release(context.Context, *rpc.ReleaseRequest) (*rpc.ReleaseReply, error) {
-	return nil, notReady().ToTwirp()
+// answer is the event loop's reply to a request.
+type answer[T any] struct {
+	value T
+	err   error
 }
 
-// GiveBack returns a part of a team's grant.
-func (o *Owner) GiveBack(context.Context, *rpc.GiveBackRequest) (*rpc.GiveBackReply, error) {
-	return &rpc.GiveBackReply{}, nil
-}
+func newReply[T any]() chan answer[T] { return make(chan answer[T], 1) }
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,201 @@
+package owner
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+)
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		req := r.job(3, false, 10*time.Second)
+		reply, err := o.Submit(t.Context(), req)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetState(), "ended")
+		is.Equal(s.GetOutcome(), "done")
+		is.Equal(len(r.records()), 3)
+	})
+}
+
+func TestRepeatedSubmissionNamesTheFirstJob(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		first := r.job(1, true, time.Second)
+		first.IdempotencyKey = "bottling of 4 December"
+		a, err := o.Submit(t.Context(), first)
+		is.NoErr(err)
+		again := r.job(1, true, time.Second)
+		again.IdempotencyKey = first.GetIdempotencyKey()
+		b, err := o.Submit(t.Context(), again)
+		is.NoErr(err)
+		is.Equal(b.GetJobId(), a.GetJobId())
+		is.True(b.GetRepeated())
+	})
+}
+
+// With every second answer lost, each job is still accepted and run once.
+func TestLostTableAnswers(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.table.Set(standin.FaultSet{LoseEvery: 2})
+		o := r.start(t.Context())
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			_, err := o.Submit(t.Context(), r.job(1, false, time.Second))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Minute)
+		is.Equal(len(r.records()), 10)
+	})
+}
+
+func TestSubmitIsRefusedWithoutTheTable(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		r.table.Set(standin.FaultSet{Down: true})
+		_, err := o.Submit(t.Context(), r.job(1, true, time.Second))
+		refusal, ok := rpc.RefusalFromTwirp(err)
+		is.True(ok) // proves that the job was not accepted
+		is.Equal(refusal.Code, rpc.CodeTableUnreachable)
+		is.True(refusal.RetryAfter > 0)
+		r.table.Set(standin.FaultSet{})
+		time.Sleep(10 * time.Second)
+		_, err = o.Submit(t.Context(), r.job(1, true, time.Second))
+		is.NoErr(err)
+	})
+}
+
+// A killed owner's successor lets everything run on and starts the rest.
+func TestTakeoverAfterKill(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		first := r.start(t.Context())
+		time.Sleep(time.Second)
+		var ids []string
+		for i := range 12 {
+			reply, err := first.Submit(t.Context(), r.job(1, i%2 == 0, 20*time.Second))
+			is.NoErr(err)
+			ids = append(ids, reply.GetJobId())
+		}
+		time.Sleep(time.Second)
+		first.kill()
+		second := r.start(t.Context())
+		time.Sleep(2 * time.Second)
+		is.True(second.Digest().GetReady())
+		time.Sleep(2 * time.Minute)
+		for _, id := range ids {
+			s, err := second.status(id)
+			is.NoErr(err)
+			is.Equal(s.GetOutcome(), "done")
+		}
+		is.Equal(len(r.records()), 12) // each ran once
+	})
+}
+
+// A successor on the same fenced workers makes the first owner stop.
+func TestDeposedOwnerStops(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		first := r.start(t.Context())
+		time.Sleep(time.Second)
+		r.start(t.Context())
+		time.Sleep(3 * time.Second)
+		select {
+		case err := <-first.ended:
+			is.True(errors.Is(err, ErrLost))
+			first.ended <- err
+		default:
+			t.Fatal("the first owner still runs")
+		}
+	})
+}
+
+func TestHandOverReleasesTheShard(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		first := r.start(t.Context())
+		time.Sleep(time.Second)
+		reply, err := first.Submit(t.Context(), r.job(1, true, 10*time.Second))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		first.stop()
+		err = <-first.ended
+		is.NoErr(err)
+		first.ended <- err
+		row, err := ReadOwnership(t.Context(), r.table, testShard)
+		is.NoErr(err)
+		is.True(row.Released)
+		second := r.start(t.Context())
+		time.Sleep(time.Minute)
+		s, err := second.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+		is.Equal(len(r.records()), 1)
+	})
+}
+
+func TestDirectRequestTakesRoomUntilRelease(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		ticket, err := o.Reserve(t.Context(), r.slip())
+		is.NoErr(err)
+		is.Equal(o.used(), int64(1000))
+		_, err = o.Release(t.Context(), &rpc.ReleaseRequest{Task: ticket.GetTask(), Attempt: ticket.GetAttempt(), End: "done"})
+		is.NoErr(err)
+		is.Equal(o.used(), int64(0))
+	})
+}
+
+// A door that dies with a ticket in its hand takes no room for long.
+func TestUnusedTicketExpires(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		_, err := o.Reserve(t.Context(), r.slip())
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		is.Equal(o.used(), int64(0))
+	})
+}
+
+func (o *testOwner) used() int64 {
+	time.Sleep(2 * housekeeping)
+	synctest.Wait()
+	return o.Digest().GetUsed().GetMilliCores()
+}
+
+func (r *rig) slip() *rpc.ReserveRequest {
+	j := r.job(1, false, time.Second).GetJob()
+	j.Queue = "slips"
+	return &rpc.ReserveRequest{
+		Shard: testShard, Job: j, Attempt: 1, WaitNs: int64(5 * time.Second),
+		Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+	}
+}
+
+func (r *rig) records() []standin.RecordEntry {
+	var all []standin.RecordEntry
+	for _, w := range r.workers {
+		all = append(all, w.Record()...)
+	}
+	return all
+}
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -60,6 +60,8 @@
 type held struct {
 	Ownership
 	version int64
+	// clean is true if the former owner handed over, or there was none.
+	clean bool
 }
 
 // take makes self the owner with the fence raised by one. It returns ErrLost if
@@ -77,7 +79,9 @@
 		Fence:       last.Fence + 1,
 		Nonce:       rand.Text(),
 	}
-	return replaceOwnership(ctx, table, shard, next, version)
+	h, err := replaceOwnership(ctx, table, shard, next, version)
+	h.clean = last.Released || version == platform.MustBeAbsent
+	return h, err
 }
 
 // release marks the row so that a successor takes the shard at once. The fence
@@ -99,7 +103,7 @@
 	for {
 		versions, err := table.Apply(ctx, []platform.Write{write})
 		if err == nil {
-			return held{next, versions[0]}, nil
+			return held{Ownership: next, version: versions[0]}, nil
 		}
 		if errors.Is(err, platform.ErrConflict) {
 			return settleOwnership(ctx, table, shard, next)
@@ -115,7 +119,7 @@
 	for {
 		now, version, err := readOwnership(ctx, table, shard)
 		if err == nil && now.Nonce == want.Nonce {
-			return held{now, version}, nil
+			return held{Ownership: now, version: version}, nil
 		}
 		if err == nil {
 			return held{}, trace.Wrap(ErrLost, "%s took shard %s with fence %d", now.Host, shard, now.Fence)
--- /dev/null
+++ b/internal/owner/rig_test.go
@@ -0,0 +1,151 @@
+package owner
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/configsync"
+	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+	"cuminloft/internal/worker"
+)
+
+const (
+	testShard = "keller-0"
+	testKey   = "secret of the planner"
+)
+
+// rig is a shard's platform and workers, and the owners that compete for it.
+type rig struct {
+	table   *standin.Table
+	objects *standin.Objects
+	workers map[string]*standin.Worker
+	cfg     *config.Config
+	owners  []*testOwner
+	jobs    int
+}
+
+// testOwner is one entry host's owner, with links of its own that can be cut.
+type testOwner struct {
+	*Owner
+	toTable standin.Cut
+	toWork  map[string]*standin.Cut
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func newRig(workers int) *rig {
+	r := &rig{table: standin.NewTable(), objects: standin.NewObjects(), workers: map[string]*standin.Worker{}}
+	r.cfg = &config.Config{
+		Cell: "holunderhof",
+		AZs:  []config.AZ{{Name: "keller", InService: true}},
+		Organisations: []config.Organisation{{Name: "cellar", Share: 1, Teams: []config.Team{
+			{Name: "planner", Share: 1, Keys: []config.Key{{ID: "k1", SHA256: hashOf(testKey)}}},
+		}}},
+		Queues: []config.Queue{
+			{Name: "blends", Policy: model.PolicyBatch},
+			{Name: "slips", Policy: model.PolicyDirect},
+		},
+	}
+	for i := range workers {
+		spec := model.WorkerSpec{
+			ID: fmt.Sprintf("w%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), AZ: "keller", Rack: "r0", Connections: 8,
+			Capacity: model.Resources{MilliCores: 4000, MemoryMB: 8000, Slots: 4},
+		}
+		r.cfg.Workers = append(r.cfg.Workers, spec)
+		r.workers[spec.ID] = standin.NewWorker(spec, standin.Options{ClockOffset: time.Duration(i) * time.Hour})
+	}
+	return r
+}
+
+// start runs a new owner on another host.
+func (r *rig) start(ctx context.Context) *testOwner {
+	o := &testOwner{toWork: map[string]*standin.Cut{}, ended: make(chan error, 1)}
+	for id := range r.workers {
+		o.toWork[id] = &standin.Cut{}
+	}
+	host := fmt.Sprintf("host%d", len(r.owners))
+	o.Owner = New(Options{
+		Shard: testShard, AZ: "keller", Self: &rpc.Member{Host: host, Incarnation: host},
+		Table: o.toTable.Table(r.table), Objects: o.toTable.Objects(r.objects),
+		Connect: func(s model.WorkerSpec) worker.Client { return o.toWork[s.ID].Worker(r.workers[s.ID]) },
+		View:    configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
+	})
+	ctx, o.stop = context.WithCancel(ctx)
+	r.owners = append(r.owners, o)
+	go func() { o.ended <- o.Run(ctx) }()
+	return o
+}
+
+// kill cuts an owner off from everything for ever, as a killed process is, and
+// lets its goroutines end.
+func (o *testOwner) kill() {
+	o.isolate(true)
+	o.stop()
+}
+
+func (o *testOwner) isolate(cut bool) {
+	o.toTable.Set(cut)
+	for _, c := range o.toWork {
+		c.Set(cut)
+	}
+}
+
+func (r *rig) job(tasks int, idempotent bool, run time.Duration) *rpc.SubmitRequest {
+	r.jobs++
+	payload, err := json.Marshal(standin.Orders{RunMillis: run.Milliseconds()})
+	if err != nil {
+		panic(err)
+	}
+	return &rpc.SubmitRequest{
+		Shard:      testShard,
+		Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+		Job: rpc.FromJob(model.Job{
+			ID: model.JobID(fmt.Sprintf("%032x", r.jobs)), Queue: "blends", Tasks: tasks, Submitted: time.Now(),
+			Task: model.TaskSpec{
+				Resources: model.Resources{MilliCores: 1000, MemoryMB: 1000}, Idempotent: idempotent, Payload: payload,
+			},
+		}),
+	}
+}
+
+func (o *testOwner) status(id string) (*rpc.JobStatus, error) {
+	return o.GetJob(context.Background(), &rpc.GetJobRequest{
+		Shard: testShard, JobId: id, Credential: &rpc.Credential{KeySha256: hashOf(testKey)}, Explain: true,
+	})
+}
+
+// inBubble runs f with a rig under synthetic time and ends all owners after it.
+func inBubble(t *testing.T, workers int, f func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(workers)
+		f(t, r)
+		r.endAll()
+	})
+}
+
+// endAll heals every fault and stops every owner.
+func (r *rig) endAll() {
+	r.table.Set(standin.FaultSet{})
+	for _, o := range r.owners {
+		o.isolate(false)
+		o.stop()
+		<-o.ended
+	}
+}
--- /dev/null
+++ b/internal/owner/settle.go
@@ -0,0 +1,88 @@
+package owner
+
+import (
+	"context"
+
+	"cuminloft/internal/sched"
+	"cuminloft/internal/worker"
+)
+
+// settledMessage tells what a worker says of an attempt whose fate was not
+// known, and the worker's boot after it said so.
+type settledMessage struct {
+	attempt *attempt
+	report  worker.TaskReport
+	boot    string
+}
+
+// settle asks the worker what became of an attempt, until it answers. A worker
+// that has restarted has forgotten what it ran, so the boot is read after the
+// answer: only the boot of the start can prove that an attempt was never seen.
+func (l *loop) settle(a *attempt) {
+	k, ok := l.workers[a.worker]
+	if !ok {
+		return
+	}
+	a.phase = phaseSettling
+	client, fence := k.client, l.held.Fence
+	l.spawn(func(ctx context.Context) {
+		for {
+			m, err := askState(ctx, client, fence, a)
+			if err == nil {
+				l.post(ctx, m)
+				return
+			}
+			if pause(ctx, fenceRetry) != nil {
+				return
+			}
+		}
+	})
+}
+
+func askState(ctx context.Context, client worker.Client, fence worker.Fence, a *attempt) (settledMessage, error) {
+	m := settledMessage{attempt: a}
+	err := command(ctx, func(ctx context.Context) (err error) {
+		m.report, err = client.Settle(ctx, fence, a.id)
+		return err
+	})
+	if err != nil {
+		return m, err
+	}
+	err = command(ctx, func(ctx context.Context) error {
+		reply, err := client.Heartbeat(ctx, worker.Heartbeat{Fence: fence})
+		m.boot = reply.Boot
+		return err
+	})
+	return m, err
+}
+
+func (m settledMessage) handle(l *loop) {
+	a := m.attempt
+	if l.attempts[a.id] != a || a.phase != phaseSettling {
+		return
+	}
+	switch {
+	case m.report.State == worker.TaskRunning:
+		l.confirm(a)
+	case m.report.State != worker.TaskNeverSeen:
+		l.endAttempt(a, endOf(a.job, m.report.State), m.report)
+	case a.direct(), m.boot == a.boot:
+		l.refuseStart(a, "the worker never saw the start", false)
+	default:
+		l.endAttempt(a, endOf(a.job, worker.TaskLapsed), worker.TaskReport{Error: "the worker restarted"})
+	}
+}
+
+// missing handles an attempt that the worker's inventory does not list.
+func (l *loop) missing(a *attempt, boot string) {
+	switch {
+	case a.phase != phaseRunning:
+		// A command is under way, or the end is being written.
+	case a.direct(), a.job.Task.Idempotent:
+		l.endAttempt(a, sched.EndLapsed, worker.TaskReport{Error: "the worker does not know the attempt"})
+	case boot != a.boot:
+		l.endAttempt(a, sched.EndAbandoned, worker.TaskReport{Error: "the worker restarted"})
+	default:
+		l.settle(a)
+	}
+}
--- /dev/null
+++ b/internal/owner/start.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/model"
+	"cuminloft/internal/sched"
+	"cuminloft/internal/timeline"
+	"cuminloft/internal/worker"
+)
+
+// startTask carries out the core's decision to start an attempt.
+func (l *loop) startTask(d sched.StartTask) {
+	id := worker.Attempt{Task: d.Task, Number: d.Attempt}
+	if r, ok := l.direct[d.Task.Job]; ok {
+		l.grantTicket(r, id, d)
+		return
+	}
+	j, ok := l.state.Jobs[d.Task.Job]
+	if !ok || l.draining {
+		// Never sent: the successor starts it.
+		l.feed(sched.StartRefused{Task: d.Task, Attempt: d.Attempt, Reason: "shard is handed over"})
+		return
+	}
+	a := &attempt{
+		id: id, job: &j.Spec, worker: d.Worker, phase: phaseHeld,
+		size: d.Size, restore: d.Checkpoint, checkpoint: d.Checkpoint,
+	}
+	l.track(a)
+	l.dispatch(a)
+}
+
+// dispatch sends a held attempt on its way if it may start now.
+func (l *loop) dispatch(a *attempt) {
+	k, ok := l.workers[a.worker]
+	if !ok || !k.reached {
+		l.refuseStart(a, "worker cannot be reached", true)
+		return
+	}
+	if !l.mayDispatch(a) {
+		return
+	}
+	a.boot = k.boot
+	if a.job.Task.Idempotent {
+		l.append(func() { a.recorded = true }, false, startRecord(a))
+		l.sendStart(a)
+		return
+	}
+	// Not idempotent: the record must be durable before the command is sent, so
+	// that no successor starts the task a second time.
+	a.phase = phaseRecording
+	l.append(func() {
+		a.recorded = true
+		l.recordedStart(a)
+	}, true, startRecord(a))
+}
+
+// mayDispatch reports whether journaled work may be started now. Without the
+// table only restartable work is, and only within the solo window; after a
+// takeover, work that the former owner may have started unrecorded waits for
+// the workers.
+func (l *loop) mayDispatch(a *attempt) bool {
+	if l.queue.full() || time.Now().After(l.soloUntil()) {
+		return false
+	}
+	if !a.job.Task.Idempotent {
+		return !l.tableDown
+	}
+	return !l.inherited[a.id.Task.Job]
+}
+
+// releaseHeld tries the held attempts again.
+func (l *loop) releaseHeld() {
+	for _, a := range l.attempts {
+		if a.phase == phaseHeld && !l.draining {
+			l.dispatch(a)
+		}
+	}
+}
+
+// recordedStart sends the start whose record is durable, unless it is not
+// wanted any more.
+func (l *loop) recordedStart(a *attempt) {
+	if a.stopped || l.draining {
+		l.refuseStart(a, "not wanted any more", false)
+		return
+	}
+	l.sendStart(a)
+}
+
+// sendStart sends the start command once.
+func (l *loop) sendStart(a *attempt) {
+	k, ok := l.workers[a.worker]
+	if !ok || !k.reached || k.boot != a.boot {
+		l.refuseStart(a, "worker was lost before the start", true)
+		return
+	}
+	a.phase = phaseSending
+	l.sends++
+	counters.Add("starts", 1)
+	s := worker.Start{
+		Attempt: a.id, Fence: l.held.Fence, StartBy: k.clock + int64(l.startWindow()),
+		Lease: l.lease(), Resources: a.size, Team: a.job.Team,
+		RunTime: a.job.Task.RunTime, Payload: a.job.Task.Payload, Restore: a.restore,
+	}
+	solo, client, job := l.soloUntil(), k.client, a.job
+	l.spawn(func(ctx context.Context) {
+		err := l.allowStart(ctx, job, a.worker, solo)
+		if err == nil {
+			err = command(ctx, func(ctx context.Context) error { return client.Start(ctx, s) })
+		}
+		l.post(ctx, startedMessage{a, err})
+	})
+}
+
+// errNotAllowed proves that a start was not sent, because the configuration or
+// the solo window forbids it.
+type errNotAllowed struct{ reason string }
+
+// Error returns the reason.
+func (e *errNotAllowed) Error() string { return e.reason }
+
+// allowStart checks the configuration in force right before a start is sent.
+func (l *loop) allowStart(ctx context.Context, job *model.Job, target string, solo time.Time) error {
+	if err := l.opts.View.Fresh(ctx); err != nil {
+		return &errNotAllowed{"configuration is stale"}
+	}
+	cfg, _ := l.opts.View.Effective()
+	if reason := forbidden(cfg, job, l.opts.Shard, l.opts.AZ, target); reason != "" {
+		return &errNotAllowed{reason}
+	}
+	if time.Now().After(solo) {
+		return &errNotAllowed{"the table was not reached for the solo window"}
+	}
+	return nil
+}
+
+// forbidden returns why the configuration does not let a job's task start on a
+// worker, or an empty string.
+func forbidden(cfg *config.Config, job *model.Job, shard, az, target string) string {
+	if cfg == nil {
+		return "no configuration"
+	}
+	if _, ok := cfg.Team(job.Team); !ok {
+		return "its team is no longer configured"
+	}
+	if q, ok := cfg.Queue(job.Queue); !ok || !q.Allows(job.Team) {
+		return "its team may no longer use the queue"
+	}
+	if zone, ok := cfg.AZ(az); !ok || !zone.InService {
+		return "the AZ is out of service"
+	}
+	if s, ok := cfg.ShardOfWorker(target); !ok || s.Name != shard {
+		return "the worker is no longer in the shard"
+	}
+	return ""
+}
+
+// startedMessage tells how a start command ended.
+type startedMessage struct {
+	attempt *attempt
+	err     error
+}
+
+func (m startedMessage) handle(l *loop) {
+	l.sends--
+	a := m.attempt
+	if a.phase != phaseSending {
+		return // its worker has reported it already
+	}
+	var notAllowed *errNotAllowed
+	switch {
+	case m.err == nil, errors.Is(m.err, worker.ErrDuplicate):
+		l.record(timeline.Event{Kind: timeline.KindTaskStarted, Job: string(a.id.Task.Job), Team: a.job.Team, Target: a.worker})
+		l.confirm(a)
+	case errors.As(m.err, &notAllowed):
+		l.refuseStart(a, m.err.Error(), false)
+	case errors.Is(m.err, worker.ErrAmbiguous):
+		l.settle(a)
+	default:
+		l.refuseStart(a, m.err.Error(), true)
+	}
+}
+
+// preempt carries out the core's decision to take room back.
+func (l *loop) preempt(d sched.PreemptTask) {
+	a, ok := l.attempts[worker.Attempt{Task: d.Task, Number: d.Attempt}]
+	if !ok {
+		return
+	}
+	l.record(timeline.Event{
+		Kind: timeline.KindTaskPreempted, Job: string(d.Task.Job), Team: a.job.Team,
+		Target: a.worker, Detail: string(d.Step) + ": " + d.Reason,
+	})
+	switch d.Step {
+	case sched.PreemptThrottle:
+		l.throttle(a)
+	case sched.PreemptCheckpoint:
+		l.checkpoint(a)
+	case sched.PreemptStop:
+		l.stop(a)
+	}
+}
+
+// stop ends an attempt; one that was not sent yet is taken back.
+func (l *loop) stop(a *attempt) {
+	a.stopped = true
+	switch a.phase {
+	case phaseHeld:
+		l.refuseStart(a, "not wanted any more", false)
+	case phaseRunning, phaseTicket, phaseSettling:
+		l.commandWorker(a, func(ctx context.Context, c worker.Client) error {
+			return c.Stop(ctx, l.held.Fence, a.id)
+		})
+	case phaseRecording, phaseSending, phaseEnded:
+		// Followed up when the record is durable or the answer is in.
+	}
+}
+
+func (l *loop) throttle(a *attempt) {
+	l.commandWorker(a, func(ctx context.Context, c worker.Client) error {
+		return c.Throttle(ctx, l.held.Fence, a.id, throttlePercent)
+	})
+}
+
+// checkpointMessage tells the name of a checkpoint.
+type checkpointMessage struct {
+	attempt *attempt
+	name    string
+}
+
+func (m checkpointMessage) handle(l *loop) {
+	if m.name != "" {
+		m.attempt.checkpoint = m.name
+	}
+	l.stop(m.attempt)
+}
+
+// checkpoint saves progress and then stops the attempt.
+func (l *loop) checkpoint(a *attempt) {
+	k, ok := l.workers[a.worker]
+	if !ok || a.phase != phaseRunning {
+		l.stop(a)
+		return
+	}
+	client, fence := k.client, l.held.Fence
+	l.spawn(func(ctx context.Context) {
+		var name string
+		_ = command(ctx, func(ctx context.Context) (err error) {
+			name, err = client.Checkpoint(ctx, fence, a.id)
+			return err
+		})
+		l.post(ctx, checkpointMessage{a, name})
+	})
+}
+
+// commandWorker repeats an idempotent command until the worker has answered.
+func (l *loop) commandWorker(a *attempt, f func(context.Context, worker.Client) error) {
+	k, ok := l.workers[a.worker]
+	if !ok {
+		return
+	}
+	client := k.client
+	l.spawn(func(ctx context.Context) {
+		for range stopTries {
+			err := command(ctx, func(ctx context.Context) error { return f(ctx, client) })
+			if err == nil || errors.Is(err, worker.ErrUnknownTask) || errors.Is(err, worker.ErrFenced) {
+				return
+			}
+			if pause(ctx, fenceRetry) != nil {
+				return
+			}
+		}
+	})
+}
+
+// command bounds one call to a worker.
+func command(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return f(ctx)
+}
