--- /dev/null
+++ b/internal/harness/capacity_test.go
@@ -0,0 +1,159 @@
+package harness
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/config"
+	"cuminloft/internal/model"
+)
+
+var (
+	workersPerAZ = flag.Int("workers-per-az", 17, "size of the cell of -measure capacity")
+	busy         = flag.Bool("busy", false, "measure capacity with running tasks and starts in proportion to the target")
+	window       = flag.Duration("window", 30*time.Second, "length of a capacity measurement")
+)
+
+// The target size, to which a smaller cell's load is in proportion.
+const (
+	targetWorkers = 930
+	targetRunning = 7000
+	targetStarts  = 300 // a second
+)
+
+// targetTeams is the number of teams at the target size.
+const targetTeams = 140
+
+// targetTeamsAndLimits fills the cell up to the target's number of teams and
+// lifts the limit of the team that the load runs for.
+func targetTeamsAndLimits(cfg *config.Config) {
+	for i := range cfg.Organisations {
+		cfg.Organisations[i].Teams[0].Limit = model.Resources{}
+	}
+	for i := len(cfg.Organisations); i < targetTeams; i++ {
+		team := organisation(fmt.Sprintf("team-%03d", i))
+		team.Teams[0].Limit.Slots = slotsPerWorker
+		cfg.Organisations = append(cfg.Organisations, team)
+	}
+}
+
+// hostUse is what one entry host used in a window.
+type hostUse struct {
+	cores, residentMB, bytesPerSecond float64
+}
+
+// TestMeasureCapacity measures what a cell of one size costs each entry host and
+// the platform.
+func TestMeasureCapacity(t *testing.T) {
+	c := measuring(t, "capacity", 125, *workersPerAZ, targetTeamsAndLimits)
+	workers := len(c.Config.Workers)
+	stop := make(chan struct{})
+	if *busy {
+		load(t, c, workers, stop)
+	}
+	time.Sleep(10 * time.Second)
+	uses, reads, writes, put := useOf(t, c)
+	close(stop)
+	for i, u := range uses {
+		t.Logf("%d workers, %s (%s): %.2f%% of a core, %.1f MB, %.1f KB/s control", workers,
+			c.Hosts[i].ID, c.Hosts[i].AZ, u.cores*100, u.residentMB, u.bytesPerSecond/1024)
+	}
+	t.Logf("%d workers, platform: %.1f table reads/s, %.1f transactions/s, %.1f KB/s written", workers, reads, writes, put/1024)
+}
+
+// useOf measures the hosts and the platform over the window.
+func useOf(t *testing.T, c *Cluster) (uses []hostUse, reads, writes, put float64) {
+	before := snapshot(t, c)
+	time.Sleep(*window)
+	after := snapshot(t, c)
+	seconds := after.at.Sub(before.at).Seconds()
+	for i := range c.Hosts {
+		uses = append(uses, hostUse{
+			cores:          (after.usage[i].CPU - before.usage[i].CPU).Seconds() / seconds,
+			residentMB:     float64(after.usage[i].Resident) / (1 << 20),
+			bytesPerSecond: float64(after.bytes[i]-before.bytes[i]) / seconds,
+		})
+	}
+	a, b := after.table, before.table
+	return uses, float64(a.Reads-b.Reads) / seconds, float64(a.Writes-b.Writes) / seconds, float64(a.BytesPut-b.BytesPut) / seconds
+}
+
+// tableUse is what the platform's table has served.
+type tableUse struct{ Reads, Writes, BytesPut int64 }
+
+// reading is all counters at one moment.
+type reading struct {
+	at    time.Time
+	usage []Usage
+	bytes []int64 // sent and received by each host over the forwarders
+	table tableUse
+}
+
+func snapshot(t *testing.T, c *Cluster) reading {
+	s, err := c.Stats(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := reading{at: time.Now(), table: tableUse{s.Table.Reads, s.Table.Writes, s.Table.BytesPut}}
+	nodes := []string{platformNode}
+	for _, h := range c.Hosts {
+		nodes = append(nodes, h.ID)
+	}
+	for _, w := range c.Config.Workers {
+		nodes = append(nodes, w.ID)
+	}
+	for _, h := range c.Hosts {
+		u, err := h.Usage()
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := int64(0)
+		for _, n := range nodes {
+			sum += c.Net.Bytes(h.ID, n) + c.Net.Bytes(n, h.ID)
+		}
+		r.usage = append(r.usage, u)
+		r.bytes = append(r.bytes, sum)
+	}
+	return r
+}
+
+// load keeps tasks running and starting in proportion to the target, by batch
+// jobs, until stop is closed.
+func load(t *testing.T, c *Cluster, workers int, stop <-chan struct{}) {
+	running := targetRunning * workers / targetWorkers
+	starts := max(targetStarts*workers/targetWorkers, 1)
+	const tasksPerJob = 10
+	// Short tasks live for a tenth of the slots' turnover, long ones for the
+	// whole measurement.
+	submit := func(tag string, tasks, millis int) {
+		body := api.Submission{
+			Queue: "season", Tasks: tasks, Idempotent: true, IdempotencyKey: tag,
+			Resources: model.Resources{MilliCores: 100, MemoryMB: 64, Slots: 1},
+			RunTime:   api.Duration(time.Duration(millis) * time.Millisecond),
+			Payload:   orders(tag, millis),
+		}
+		h := c.Hosts[len(tag)%len(c.Hosts)]
+		if err := c.submit(t.Context(), h, KeyID(TeamSeason, 0), body); err != nil {
+			t.Logf("submit %s: %v", tag, err)
+		}
+	}
+	for i := 0; i < running-starts; i += 100 {
+		submit(fmt.Sprintf("long-%d%s", i, strings.Repeat("x", i/100%8)), min(100, running-starts-i), 3_600_000)
+	}
+	go func() {
+		ticker := time.NewTicker(time.Second * tasksPerJob / time.Duration(max(starts, tasksPerJob)))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				go submit(fmt.Sprintf("short-%d%s", n, strings.Repeat("x", n%8)), min(tasksPerJob, starts), 900)
+			}
+		}
+	}()
+}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -290,6 +290,11 @@
 	return reply, err
 }
 
+// submit submits a job with a team's key.
+func (c *Cluster) submit(ctx context.Context, h *Host, key string, s api.Submission) error {
+	return httpjson.Call(ctx, c.keyed(Secret(key)), http.MethodPost, "http://"+h.Addr+"/v1/jobs", s, nil)
+}
+
 // operate makes one call with the operator's key.
 func (c *Cluster) operate(ctx context.Context, h *Host, method, path string, in, out any) error {
 	return httpjson.Call(ctx, c.keyed(OperatorKey), method, "http://"+h.Addr+path, in, out)
