shared: worker: a settled report names the worker's boot

never_seen from another boot than the one that the attempt was sent to proves nothing; the door has no other way to see the boot. The harness restarts workers.

--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"cuminloft/internal/standin"
@@ -34,6 +35,7 @@
 		{"worker crosses answers", workerFault(standin.FaultSet{CrossEvery: 3})},
 		{"worker cuts answers", workerFault(standin.FaultSet{TruncateEvery: 3})},
 		{"worker fails everything", workerFault(standin.FaultSet{FailEverything: true})},
+		{"worker restarts", restartWorker},
 		{"worker late", workerFault(standin.FaultSet{LateMillis: 1200})},
 		{"rolling replacement", replaceHost},
 	}
@@ -126,6 +128,11 @@
 	}
 }
 
+func restartWorker(ctx context.Context, c *Cluster, r *rand.Rand) (string, func(context.Context) error, error) {
+	id := c.Config.Workers[r.IntN(len(c.Config.Workers))].ID
+	return id, nothing, c.control(ctx, http.MethodPost, c.workerAddrs[id], standin.PathRestart, nil, nil)
+}
+
 // Step is one fault of a schedule.
 type Step struct {
 	Fault Fault
--- a/internal/standin/conformance_test.go
+++ b/internal/standin/conformance_test.go
@@ -167,6 +167,7 @@
 		report, err := c.Settle(ctx, 4, unseen)
 		is.NoErr(err)
 		is.Equal(report.State, worker.TaskNeverSeen)
+		is.Equal(report.Boot, inv.Boot)
 		s.Attempt, s.Fence = unseen, 4
 		is.True(errors.Is(c.Start(ctx, s), worker.ErrVoided))
 
--- a/internal/standin/worker_client.go
+++ b/internal/standin/worker_client.go
@@ -226,10 +226,11 @@
 		a := w.attempts[id]
 		if a == nil {
 			w.voided[id] = true
-			report = worker.TaskReport{Attempt: id, State: worker.TaskNeverSeen}
+			report = worker.TaskReport{Attempt: id, State: worker.TaskNeverSeen, Boot: w.boot()}
 			return nil
 		}
 		report = a.report(now, w.options.UsageLag)
+		report.Boot = w.boot()
 		return nil
 	})
 	return report, err
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -87,6 +87,9 @@
 	Ran     time.Duration   `json:"ran"`             // so far
 	Saved   string          `json:"saved,omitempty"` // last checkpoint
 	Result  []byte          `json:"result,omitempty"`
+	// Boot is the worker's boot at the time of the report; set by Settle. An
+	// attempt that was sent to another boot is not proved never to have run.
+	Boot string `json:"boot,omitempty"`
 }
 
 // Inventory is everything a worker says of itself.
