shared: the ticket carries the worker's boot

Cause: a direct request whose answer is lost is settled by the door. A worker that has restarted since the ticket has forgotten what it ran and says never seen; a request that is not idempotent would be sent again and run twice. Ruled out: a fence check alone, because the restarted worker takes the same fence again.

Change: Ticket.boot, set from the attempt's boot by the owner.

--- a/internal/owner/reserve.go
+++ b/internal/owner/reserve.go
@@ -141,6 +141,7 @@
 		LeaseNs:    int64(l.lease()),
 		Size:       rpc.FromResources(a.size),
 		Team:       a.job.Team,
+		Boot:       a.boot,
 	}, nil)
 }
 
