shared: config.View gains Refresh, for new owners

A new owner that acts on a configuration polled before its takeover was written may miss a version that was accepted because the shard had no owner. Fresh does not help: it is content with a poll of the last 3 s.

--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -19,6 +19,11 @@
 	// Fresh returns nil if the configuration may be acted on now. It polls the
 	// table first if the last successful poll is older than FreshFor.
 	Fresh(ctx context.Context) error
+	// Refresh polls the table with a poll that begins after the call. A new
+	// owner of a shard calls it after its takeover is written and before it
+	// starts work: only then does it know every version that was staged, and
+	// perhaps accepted, while the shard had no owner.
+	Refresh(ctx context.Context) error
 	// Changed returns a channel that is closed at the next change of Effective.
 	Changed() <-chan struct{}
 }
--- a/internal/configsync/static.go
+++ b/internal/configsync/static.go
@@ -27,5 +27,8 @@
 // Fresh always allows to act.
 func (v *staticView) Fresh(context.Context) error { return nil }
 
+// Refresh has nothing to read.
+func (v *staticView) Refresh(context.Context) error { return nil }
+
 // Changed returns a channel that is never closed.
 func (v *staticView) Changed() <-chan struct{} { return v.never }
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -346,9 +346,7 @@
 	return nil
 }
 
-// Refresh polls the table with a poll that begins after the call. A new owner
-// of a shard calls it after its takeover is written and before it starts work,
-// so that it obeys every version that was staged while the shard had no owner.
+// Refresh implements config.View.
 func (s *Sync) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
