shared: sched: a negative grant component means that nothing of it is held

A shard may hold slots but no accelerators of a team's limit. With zero as unlimited that had no form: zero would have allowed all accelerators, None would have stopped work that needs none.

--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -118,7 +118,7 @@
 // GrantChanged sets how much of its upper limit a team may run on this shard.
 type GrantChanged struct {
 	Team  string
-	Grant model.Resources // zero components are unlimited
+	Grant model.Resources // zero components are unlimited, negative ones granted nothing
 	// None is true if the shard holds no grant at all: nothing may start.
 	None bool
 }
--- a/internal/sched/vec.go
+++ b/internal/sched/vec.go
@@ -27,12 +27,16 @@
 	return vec{r.MilliCores, r.MemoryMB, r.Accelerators, r.Slots, int64(connections)}
 }
 
-// limitVec turns an upper limit, whose zero components are unlimited, to a vec.
+// limitVec turns an upper limit or grant to a vec. Zero components are
+// unlimited; of negative ones nothing may be used.
 func limitVec(r model.Resources) vec {
 	v := newVec(r, 0)
 	for i := range v {
-		if v[i] == 0 {
+		switch {
+		case v[i] == 0:
 			v[i] = unlimited
+		case v[i] < 0:
+			v[i] = 0
 		}
 	}
 	return v
