owner: run the grant holder under the ownership, refresh after a takeover

- A new owner polls the configuration after its takeover is written.
Waiting for any configuration was not enough: a version accepted because the shard had no owner could be missed for up to FreshFor.
- Use answers the holder from the event loop, with the lowered amounts in force.
GiveBack took the use from the digest, which is up to its interval old, so that the core could start work on what was given away.
- The loop takes the channels of View and Grants before it reads the state; a change between the two was missed until the next one.

--- /dev/null
+++ b/internal/owner/grants.go
@@ -0,0 +1,78 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"cuminloft/internal/grant"
+	"cuminloft/internal/journal"
+	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/timeline"
+)
+
+// Grants holds the shard's parts of the teams' upper limits; *grant.Holder is
+// one.
+type Grants interface {
+	// Run inherits the shard's parts and serves until ctx ends or the owner row
+	// has another version.
+	Run(ctx context.Context, core grant.Core, ownerKey string, ownerVersion int64) error
+	// Held returns the shard's grant of the team, and false if it holds none.
+	// Zero components are unlimited.
+	Held(team string) (model.Resources, bool)
+	// Want asks for room for the given total use. It returns at once; Changed
+	// tells when there is more.
+	Want(team string, total model.Resources)
+	// GiveBack returns what was given back of want.
+	GiveBack(ctx context.Context, team string, want model.Resources) (model.Resources, error)
+	// Changed returns a channel that is closed at the next change of any grant.
+	Changed() <-chan struct{}
+}
+
+var _ grant.Core = (*Owner)(nil)
+
+// runGrants runs the holder of the shard's grants for as long as the ownership.
+func (l *loop) runGrants(ctx context.Context) {
+	err := l.opts.Grants.Run(ctx, l.Owner, journal.OwnerKey(l.opts.Shard), l.held.version)
+	if err != nil && ctx.Err() == nil {
+		counters.Add("grant_failures", 1)
+		l.record(timeline.Event{Kind: timeline.KindGrantMoved, Target: l.opts.Shard, Detail: "grants ended: " + err.Error()})
+	}
+}
+
+// useMessage asks what the teams use under the grants in force.
+type useMessage struct {
+	reply chan answer[[]grant.TeamUse]
+}
+
+// Use implements grant.Core.
+func (o *Owner) Use(ctx context.Context) ([]grant.TeamUse, error) {
+	m := &useMessage{reply: make(chan answer[[]grant.TeamUse], 1)}
+	return ask(ctx, o, m, m.reply)
+}
+
+func (m *useMessage) handle(l *loop) {
+	if !l.isReady(time.Now()) {
+		m.reply <- answer[[]grant.TeamUse]{nil, notReady()}
+		return
+	}
+	l.applyConfig()
+	l.applyGrants()
+	var uses []grant.TeamUse
+	for _, u := range l.core.TeamUsage() {
+		uses = append(uses, grant.TeamUse{Team: u.Team, Used: u.Used, Pending: u.Pending})
+	}
+	m.reply <- answer[[]grant.TeamUse]{uses, nil}
+}
+
+// GiveBack returns a part of a team's grant.
+func (o *Owner) GiveBack(ctx context.Context, r *rpc.GiveBackRequest) (*rpc.GiveBackReply, error) {
+	if o.opts.Grants == nil {
+		return &rpc.GiveBackReply{}, nil
+	}
+	given, err := o.opts.Grants.GiveBack(ctx, r.GetTeam(), r.GetWant().Model())
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return &rpc.GiveBackReply{Given: rpc.FromResources(given)}, nil
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -53,6 +53,8 @@
 	confirmBy time.Time // when starts under the older version are void
 	digestAt  time.Time
 	fleetAt   time.Time
+	// grantsSeen announces the next change after the grants in force.
+	grantsSeen <-chan struct{}
 }
 
 // run handles messages until ctx ends or the shard is lost.
@@ -60,6 +62,15 @@
 	timer := time.NewTimer(housekeeping)
 	defer timer.Stop()
 	for l.lost == nil {
+		// The channels are taken before the state that they announce is read, so
+		// that no change is missed between the two.
+		configChanged := l.opts.View.Changed()
+		l.applyConfig()
+		grantsChanged := l.grantsChanged()
+		if grantsChanged != l.grantsSeen {
+			l.grantsSeen = grantsChanged
+			l.applyGrants()
+		}
 		l.settleTurn()
 		timer.Reset(l.sleep())
 		select {
@@ -67,10 +78,8 @@
 			return nil
 		case m := <-l.inbox:
 			m.handle(l)
-		case <-l.opts.View.Changed():
-			l.applyConfig()
-		case <-l.grantsChanged():
-			l.applyGrants()
+		case <-configChanged:
+		case <-grantsChanged:
 		case <-timer.C:
 			l.tick()
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -21,20 +21,6 @@
 	"cuminloft/internal/worker"
 )
 
-// Grants holds the shard's parts of the teams' upper limits.
-type Grants interface {
-	// Held returns the shard's grant of the team, and false if it holds none.
-	// Zero components are unlimited.
-	Held(team string) (model.Resources, bool)
-	// Want asks for room for the given total use. It returns at once; Changed
-	// tells when there is more.
-	Want(team string, total model.Resources)
-	// GiveBack returns up to want of what exceeds used, and what was given.
-	GiveBack(ctx context.Context, team string, used, want model.Resources) (model.Resources, error)
-	// Changed returns a channel that is closed at the next change of any grant.
-	Changed() <-chan struct{}
-}
-
 // Options of an owner.
 type Options struct {
 	Shard    string
--- a/internal/owner/reserve.go
+++ b/internal/owner/reserve.go
@@ -210,21 +210,3 @@
 		}
 	}
 }
-
-// GiveBack returns a part of a team's grant.
-func (o *Owner) GiveBack(ctx context.Context, r *rpc.GiveBackRequest) (*rpc.GiveBackReply, error) {
-	if o.opts.Grants == nil {
-		return &rpc.GiveBackReply{}, nil
-	}
-	var used model.Resources
-	for _, t := range o.Digest().GetTeams() {
-		if t.GetTeam() == r.GetTeam() {
-			used = t.GetUsed().Model()
-		}
-	}
-	given, err := o.opts.Grants.GiveBack(ctx, r.GetTeam(), used, r.GetWant().Model())
-	if err != nil {
-		return nil, wireError(err)
-	}
-	return &rpc.GiveBackReply{Given: rpc.FromResources(given)}, nil
-}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -40,6 +40,9 @@
 	l.restore()
 	l.spawn(func(ctx context.Context) { l.writeJournal(ctx, writer, l.queue.out) })
 	l.spawn(l.signAlive)
+	if o.opts.Grants != nil {
+		l.spawn(l.runGrants)
+	}
 	counters.Add("takeovers", 1)
 	return l, nil
 }
@@ -69,8 +72,14 @@
 	return journal.Owned{Shard: l.opts.Shard, Fence: l.held.Fence, Version: l.held.version}
 }
 
-// awaitConfig waits until the view holds a configuration.
+// awaitConfig waits until the view holds a configuration that was read after
+// the takeover was written.
 func (o *Owner) awaitConfig(ctx context.Context) error {
+	for o.opts.View.Refresh(ctx) != nil {
+		if err := pause(ctx, ownerRowRetry); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	for {
 		changed := o.opts.View.Changed()
 		if cfg, _ := o.opts.View.Effective(); cfg != nil {
