--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -58,6 +58,8 @@
 	cut     bool
 	owned   map[string]*rpc.ShardDigest
 	highest config.Version // accepted version seen so far
+	dieAt   int            // calls until the host dies; 0: it lives
+	dieLate bool           // it dies after the call's effect
 	stop    context.CancelFunc
 }
 
@@ -194,6 +196,22 @@
 	return digests
 }
 
+// die counts a call and kills the host if it is the last one: nothing of the
+// host goes on afterwards.
+func (h *host) die(late bool) {
+	h.mu.Lock()
+	dies := false
+	if h.dieAt > 0 && late == h.dieLate {
+		h.dieAt--
+		dies = h.dieAt == 0
+	}
+	h.mu.Unlock()
+	if dies {
+		h.stop()
+		h.set(false, true)
+	}
+}
+
 // link is the way from one host to another; calls hang while either is stopped.
 type link struct{ from, to *host }
 
@@ -201,11 +219,14 @@
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
+	l.from.die(false)
 	if !l.from.reachable() || !l.to.reachable() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return l.to.Stage(ctx, r)
+	reply, err := l.to.Stage(ctx, r)
+	l.from.die(true)
+	return reply, err
 }
 
 // hostTable is the table as one host reaches it.
@@ -215,6 +236,7 @@
 	if err := pause(ctx, 2*time.Millisecond); err != nil {
 		return err
 	}
+	t.h.die(false)
 	for t.h.stopped() {
 		time.Sleep(10 * time.Millisecond) // like a paused process, past any deadline
 	}
@@ -230,21 +252,27 @@
 	if err := t.admit(ctx); err != nil {
 		return platform.Row{}, err
 	}
-	return t.h.cluster.table.Get(ctx, key)
+	row, err := t.h.cluster.table.Get(ctx, key)
+	t.h.die(true)
+	return row, err
 }
 
 func (t hostTable) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	if err := t.admit(ctx); err != nil {
 		return nil, err
 	}
-	return t.h.cluster.table.Range(ctx, prefix, after, limit)
+	rows, err := t.h.cluster.table.Range(ctx, prefix, after, limit)
+	t.h.die(true)
+	return rows, err
 }
 
 func (t hostTable) Apply(ctx context.Context, writes []platform.Write) ([]int64, error) {
 	if err := t.admit(ctx); err != nil {
 		return nil, err
 	}
-	return t.h.cluster.table.Apply(ctx, writes)
+	versions, err := t.h.cluster.table.Apply(ctx, writes)
+	t.h.die(true)
+	return versions, err
 }
 
 // apply applies testConfig of the next version from host h.
