--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -58,8 +58,9 @@
 	cut     bool
 	owned   map[string]*rpc.ShardDigest
 	highest config.Version // accepted version seen so far
-	dieAt   int            // calls until the host dies; 0: it lives
-	dieLate bool           // it dies after the call's effect
+	dead    bool
+	dieAt   int  // calls until the host dies; 0: it lives
+	dieLate bool // it dies after the call's effect
 	stop    context.CancelFunc
 }
 
@@ -129,6 +130,12 @@
 }
 
 func (h *host) stopped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen || h.dead
+}
+
+func (h *host) frozenOnly() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.frozen
@@ -143,7 +150,7 @@
 func (h *host) reachable() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.frozen && !h.cut
+	return !h.frozen && !h.cut && !h.dead
 }
 
 // takeShard makes h the owner under the fence, as internal/owner does: after
@@ -207,11 +214,17 @@
 	}
 	h.mu.Unlock()
 	if dies {
-		h.stop()
-		h.set(false, true)
+		h.kill()
 	}
 }
 
+func (h *host) kill() {
+	h.stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dead = true
+}
+
 // link is the way from one host to another; calls hang while either is stopped.
 type link struct{ from, to *host }
 
@@ -234,10 +247,10 @@
 
 func (t hostTable) admit(ctx context.Context) error {
 	if err := pause(ctx, 2*time.Millisecond); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	t.h.die(false)
-	for t.h.stopped() {
+	for t.h.frozenOnly() {
 		time.Sleep(10 * time.Millisecond) // like a paused process, past any deadline
 	}
 	for !t.h.reachable() {
@@ -309,11 +322,13 @@
 // checkMonotone fails if a host's accepted version went back.
 func (c *cluster) checkMonotone() {
 	for _, h := range c.hosts {
+		h.mu.Lock()
 		_, v := h.Accepted()
 		if v < h.highest {
 			c.t.Errorf("%s went back from version %d to %d", h.name, h.highest, v)
 		}
 		h.highest = v
+		h.mu.Unlock()
 	}
 }
 
--- a/internal/configsync/race_test.go
+++ b/internal/configsync/race_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"cuminloft/internal/config"
+	"cuminloft/internal/rpc"
 )
 
 // operation is one apply (base is its base version) or read of the history.
@@ -138,9 +139,7 @@
 				short, cancel := context.WithTimeout(ctx, 2*time.Second)
 				_, _ = c.apply(short, applier, 2)
 				cancel()
-				applier.stop()
-				applier.set(false, true)
-				c.hosts = append(c.hosts[:6:6], c.hosts[7])
+				applier.kill()
 				h, err := c.hosts[0].store.heads(ctx)
 				if err != nil {
 					t.Fatal(err)
@@ -163,3 +162,33 @@
 	}
 	t.Logf("%d finished, %d never staged", finished, nothing)
 }
+
+// An owner that was replaced confirms nothing for its successor.
+func TestConfirmationCountsUnderTheCurrentFenceOnly(t *testing.T) {
+	shard := config.Shard{Name: "az0-0", AZ: "az0"}
+	cases := []struct {
+		owner     string
+		fence     int64
+		confirmed int64
+		waits     bool
+	}{
+		{"h1", 2, 7, false},
+		{"h1", 2, 6, true},
+		{"h1", 1, 7, true},
+		{"h1", 3, 7, true},
+		{"h0", 2, 7, true},
+	}
+	for _, c := range cases {
+		d := &driver{
+			staged:    Head{Version: 7},
+			patience:  time.Minute,
+			watched:   []ShardState{{Shard: shard.Name, Owner: "h1", Fence: 2}},
+			silent:    map[string]silence{shard.Name: {since: time.Now()}},
+			confirmed: map[string]*rpc.ShardDigest{},
+		}
+		d.take([]*rpc.ShardDigest{{Shard: shard.Name, Owner: c.owner, Fence: c.fence, Confirmed: c.confirmed}})
+		if _, waits := d.waitFor(shard, time.Now()); waits != c.waits {
+			t.Errorf("%+v: waits %v", c, waits)
+		}
+	}
+}
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -116,10 +116,11 @@
 		for _, h := range c.hosts {
 			h.set(false, true)
 		}
+		down := time.Now()
 		if _, err := c.apply(ctx, c.hosts[0], 2); err == nil {
 			t.Fatal("applied without the table")
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(time.Until(down.Add(8 * time.Second)))
 		began := time.Now()
 		if err := c.hosts[0].Fresh(ctx); err != nil || time.Since(began) > 0 {
 			t.Fatalf("within the solo window: %v after %v", err, time.Since(began))
--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -93,6 +93,9 @@
 	limits *limits
 	shards []*shard
 	group  sync.WaitGroup
+	// checked is how much of the table's log check has seen, last its last row.
+	checked int
+	last    Row
 }
 
 // shard is a stand-in of one shard's owner: it starts tasks of one slot as far
@@ -106,12 +109,47 @@
 	used    int64
 	pending int64
 	stop    context.CancelFunc
+	table   *lateTable
+}
+
+// lateTable is the table as one shard reaches it over a slow network.
+type lateTable struct {
+	*standin.Table
+	fleet *fleet
+	mu    sync.Mutex
+	// answer delays the answers of writes; landing delays the writes
+	// themselves, of which the caller learns nothing.
+	answer, landing time.Duration
+}
+
+func (t *lateTable) delay(answer, landing time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answer, t.landing = answer, landing
+}
+
+func (t *lateTable) Apply(ctx context.Context, writes []platform.Write) ([]int64, error) {
+	t.mu.Lock()
+	answer, landing := t.answer, t.landing
+	t.mu.Unlock()
+	if landing > 0 {
+		t.fleet.group.Go(func() {
+			time.Sleep(landing)
+			_, _ = t.Table.Apply(context.Background(), writes)
+		})
+		return nil, platform.ErrAmbiguous
+	}
+	versions, err := t.Table.Apply(ctx, writes)
+	if pause(ctx, answer) != nil {
+		return nil, platform.ErrAmbiguous
+	}
+	return versions, err
 }
 
 func newFleet(ctx context.Context, limit int64) *fleet {
 	f := &fleet{table: standin.NewTable("grant/"), limits: newLimits(limit)}
 	for i := range 3 {
-		f.shards = append(f.shards, &shard{fleet: f, name: fmt.Sprintf("az%d-0", i)})
+		f.shards = append(f.shards, &shard{fleet: f, name: fmt.Sprintf("az%d-0", i), table: &lateTable{Table: f.table, fleet: f}})
 		f.own(ctx, i)
 	}
 	return f
@@ -134,7 +172,7 @@
 			version = versions[0]
 		}
 	}
-	s.Holder = New(Options{Shard: s.name, Table: f.table, Limits: f.limits, Ask: f.ask, Log: logr.Discard()})
+	s.Holder = New(Options{Shard: s.name, Table: s.table, Limits: f.limits, Ask: f.ask, Log: logr.Discard()})
 	ctx, s.stop = context.WithCancel(ctx)
 	holder := s.Holder
 	f.group.Go(func() { _ = holder.Run(ctx, s, key, version) })
@@ -334,6 +372,59 @@
 	})
 }
 
+// A change of the row that began before the limit was lowered, and is answered
+// after it, has seen a sum that no longer holds.
+func TestChangeFromBeforeAFreezeDoesNotLiftIt(t *testing.T) {
+	inFleet(t, func(_ context.Context, f *fleet) {
+		is := is.New(t)
+		f.shards[0].table.delay(3*time.Second, 0)
+		f.shards[0].submit(1)
+		f.live(100 * time.Millisecond)
+		f.shards[1].submit(20)
+		f.live(100 * time.Millisecond)
+		is.Equal(f.row().Sum(), slots(30)) // of which shard 0 does not know yet
+		is.Equal(f.used(), int64(20))
+		f.shards[0].submit(1000)
+		f.shards[1].submit(1000)
+		f.limits.set(15, 15)
+		before := f.used()
+		f.live(3 * time.Second)
+		is.Equal(f.used(), before) // over the limit already
+	})
+}
+
+func failedMoves() string {
+	if n := counters.Get("failed_moves"); n != nil {
+		return n.String()
+	}
+	return ""
+}
+
+// A lowering whose answer was lost may land after the amount is wanted again.
+func TestLateLoweringDoesNotUndercutWhatTheCoreAllows(t *testing.T) {
+	inFleet(t, func(_ context.Context, f *fleet) {
+		f.shards[0].submit(30)
+		f.live(time.Second)
+		f.shards[0].table.delay(0, moveTimeout+3*time.Second)
+		f.shards[0].end(30)
+		for given := failedMoves(); failedMoves() == given; {
+			f.live(10 * time.Millisecond) // until the holder gives up; its writes are on their way
+		}
+		f.shards[0].table.delay(0, 0)
+		f.shards[0].submit(30)
+		f.live(moveTimeout)
+		f.check(t)
+		f.shards[1].submit(30)
+		for range 80 {
+			f.live(100 * time.Millisecond)
+			f.check(t)
+			if f.used() > fleetLimit {
+				t.Fatalf("%d run, the limit is %d", f.used(), fleetLimit)
+			}
+		}
+	})
+}
+
 // TestSumStaysWithinLimit drives three shards through lost answers, outages,
 // replaced owners and changed limits. At every step the cores together allow
 // no more than the row grants, no write raises the sum over the limit, and
@@ -349,6 +440,11 @@
 // noDeadline hides the test's deadline, which a bubble of synctest cannot read.
 type noDeadline struct{ rapid.TB }
 
+type fataler interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 func explore(ctx context.Context, t *rapid.T, f *fleet) {
 	limit := int64(fleetLimit)
 	draw := func(what string, least, most int) int { return rapid.IntRange(least, most).Draw(t, what) }
@@ -393,25 +489,25 @@
 	}
 }
 
-func (f *fleet) check(t *rapid.T) {
-	row := f.row()
-	for _, s := range f.shards {
-		s.mu.Lock()
-		force := s.force
-		s.mu.Unlock()
-		if held := row.Amount(s.name).Slots; force > held {
-			t.Fatalf("%s allows %d, the row grants %d", s.name, force, held)
-		}
-	}
-	var before Row
-	for _, entry := range f.table.Log() {
+func (f *fleet) check(t fataler) {
+	log := f.table.Log()
+	for _, entry := range log[f.checked:] {
 		next, err := decodeRow(entry.Key, entry.Value)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if next.Sum().Slots > before.Sum().Slots && next.Sum().Slots > next.Limit.Slots {
+		if next.Sum().Slots > f.last.Sum().Slots && next.Sum().Slots > next.Limit.Slots {
 			t.Fatalf("a write raised the sum to %d, the limit is %d", next.Sum().Slots, next.Limit.Slots)
 		}
-		before = next
+		f.last = next
+	}
+	f.checked = len(log)
+	for _, s := range f.shards {
+		s.mu.Lock()
+		force := s.force
+		s.mu.Unlock()
+		if held := f.last.Amount(s.name).Slots; force > held {
+			t.Fatalf("%s allows %d, the row grants %d", s.name, force, held)
+		}
 	}
 }
