grant: bound the table's load at the target

Cause: a new load test (16 shards, 140 teams, 300 starts/s, 20 s each) measured 5,589 reads/s and 26 writes/s in its first two minutes, and 8,320 of 36,001 starts waited for a grant. Changes waited for the rate limit between their read and their write and came back with a conflict, each further task asked anew, and teams with little work gave back and took again. Change: the limit is taken before the read; growth takes some slack; what is idle is given back unasked after a minute instead of 5 s, and at once when another shard asks for it.

--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -30,8 +30,11 @@
 const (
 	// reviewInterval separates two looks at what each team uses and needs.
 	reviewInterval = time.Second
-	// IdleAfter is how long an amount stays unused before it is given back.
-	IdleAfter = 5 * time.Second
+	// IdleAfter is how long an amount stays unused before it is given back
+	// unasked. Another shard that needs it asks and gets it at once.
+	IdleAfter = time.Minute
+	// askedIdle is how long an amount must be unused to be given when asked.
+	askedIdle = 5 * time.Second
 	// askInterval is how often at most other shards are asked for one team.
 	askInterval = time.Second
 	// askTimeout bounds one question to another shard.
@@ -42,9 +45,10 @@
 	// DeclareDelay is how long after a limit first became final no amount grows,
 	// so that every shard can record what it runs already.
 	DeclareDelay = 10 * time.Second
-	// WritesPerSecond and writeBurst bound a shard's writes of grant rows.
-	WritesPerSecond = 4
-	writeBurst      = 32
+	// ChangesPerSecond and changeBurst bound a shard's attempts to change grant
+	// rows, each of which is one read and at most one write.
+	ChangesPerSecond = 4
+	changeBurst      = 32
 	// tableTimeout bounds the read of the rows at the start.
 	tableTimeout = 2 * time.Second
 	// moveTimeout bounds one change of a row with all its repeats.
@@ -105,7 +109,7 @@
 	wake    chan struct{} // wants are there
 	mu      sync.Mutex
 	wants   map[string]model.Resources
-	writes  *rate.Limiter
+	changes *rate.Limiter
 	ownerAt platform.Write // condition that the shard is still owned
 
 	// Owned by Run.
@@ -187,12 +191,12 @@
 		opts.Recorder = timeline.Discard{}
 	}
 	h := &Holder{
-		opts:   opts,
-		inbox:  make(chan any, 64),
-		wake:   make(chan struct{}, 1),
-		wants:  map[string]model.Resources{},
-		writes: rate.NewLimiter(WritesPerSecond, writeBurst),
-		teams:  map[string]*team{},
+		opts:    opts,
+		inbox:   make(chan any, 64),
+		wake:    make(chan struct{}, 1),
+		wants:   map[string]model.Resources{},
+		changes: rate.NewLimiter(ChangesPerSecond, changeBurst),
+		teams:   map[string]*team{},
 	}
 	h.public.Store(&public{changed: make(chan struct{})})
 	return h
@@ -312,20 +316,23 @@
 // publish shows the amounts in force to the owner, if any changed.
 func (h *Holder) publish() {
 	now := h.public.Load()
-	next := make(map[string]grant, len(h.teams))
 	same := len(h.teams) == len(now.grants)
 	for name, t := range h.teams {
-		g := grant{amount: t.allowed(), limit: t.limit}
-		next[name] = g
-		same = same && now.grants[name] == g
+		same = same && now.grants[name] == t.grant()
 	}
 	if same {
 		return
 	}
+	next := make(map[string]grant, len(h.teams))
+	for name, t := range h.teams {
+		next[name] = t.grant()
+	}
 	h.public.Store(&public{grants: next, changed: make(chan struct{})})
 	close(now.changed)
 }
 
+func (t *team) grant() grant { return grant{amount: t.allowed(), limit: t.limit} }
+
 // allowed returns the amount in force at the core.
 func (t *team) allowed() model.Resources {
 	switch {
--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -303,7 +303,7 @@
 		is.Equal(f.used(), int64(1))
 		is.Equal(f.row().Amount("az0-0"), slots(10))
 		is.Equal(len(f.table.Log()), 1)
-		f.live(time.Minute)
+		f.live(2 * IdleAfter)
 		is.Equal(f.row().Amount("az0-0"), slots(3)) // needed plus slack
 		is.Equal(len(f.table.Log()), 2)
 		f.shards[0].end(1)
@@ -471,7 +471,13 @@
 			limit = next
 		},
 		"wait": func(*rapid.T) { f.watch(t, time.Duration(draw("millis", 1, 8000))*time.Millisecond, limit) },
-		"":     func(t *rapid.T) { f.check(t) },
+		"idle": func(*rapid.T) {
+			for range 2 + int(IdleAfter/reviewInterval) {
+				f.watch(t, 10*time.Millisecond, limit)
+				time.Sleep(reviewInterval)
+			}
+		},
+		"": func(t *rapid.T) { f.check(t) },
 	})
 }
 
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -106,6 +106,9 @@
 			return Row{}, err
 		}
 	}
+	if err := m.holder.changes.Wait(ctx); err != nil {
+		return Row{}, trace.Wrap(err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	for {
@@ -113,7 +116,7 @@
 		if err == nil || errors.Is(err, ErrNotOwner) || errors.Is(err, ErrCorrupt) {
 			return row, err
 		}
-		if pause(ctx, retryInterval) != nil {
+		if pause(ctx, retryInterval) != nil || m.holder.changes.Wait(ctx) != nil {
 			return Row{}, trace.Wrap(err)
 		}
 	}
@@ -175,9 +178,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := h.writes.Wait(ctx); err != nil {
-		return trace.Wrap(err)
-	}
 	counters.Add("writes", 1)
 	_, err = h.opts.Table.Apply(ctx, []platform.Write{h.ownerAt, {Key: key, Value: value, IfVersion: version}})
 	var conflict *platform.ConflictError
--- a/internal/grant/review.go
+++ b/internal/grant/review.go
@@ -88,27 +88,36 @@
 func (t *team) need(n model.Resources) {
 	now := time.Now()
 	t.want = limitedOnly(n, t.limit).Min(t.limit)
+	if n := len(t.peaks); n > 0 && now.Sub(t.peaks[n-1].at) < reviewInterval/2 {
+		t.peaks[n-1].need = t.peaks[n-1].need.Max(t.want)
+		return
+	}
 	t.peaks = slices.DeleteFunc(t.peaks, func(p peak) bool { return now.Sub(p.at) > IdleAfter })
 	t.peaks = append(t.peaks, peak{at: now, need: t.want})
 }
 
-// needed returns the most that was needed within IdleAfter.
-func (t *team) needed() model.Resources {
+// needed returns the most that was needed within the window, which is at most
+// IdleAfter.
+func (t *team) needed(window time.Duration) model.Resources {
+	now := time.Now()
 	var most model.Resources
 	for _, p := range t.peaks {
-		most = most.Max(p.need)
+		if now.Sub(p.at) <= window {
+			most = most.Max(p.need)
+		}
 	}
 	return most
 }
 
 // grow asks the table for more if the team needs it: at least an even part, so
-// that a first use needs one write only.
+// that a first use needs one write only, and some slack beyond the need, so that
+// not each further task needs one.
 func (h *Holder) grow(ctx context.Context, t *team) {
 	now := time.Now()
 	if t.waits(now) || t.frozen || t.want.Fits(t.allowed()) || now.Before(t.growFrom) {
 		return
 	}
-	goal := t.want.Max(t.even)
+	goal := t.want.Add(t.slack()).Min(t.limit).Max(t.even)
 	if now.Before(t.yield) {
 		goal = t.even
 		if goal.Fits(t.entry) {
@@ -184,7 +193,7 @@
 
 // keep returns what stays when the rest is given back.
 func (t *team) keep() model.Resources {
-	needed := t.needed()
+	needed := t.needed(IdleAfter)
 	if needed.IsZero() {
 		return needed
 	}
@@ -212,7 +221,7 @@
 		g.reply <- model.Resources{}
 		return
 	}
-	keep := t.entry.Min(t.needed())
+	keep := t.entry.Min(t.needed(askedIdle))
 	spare := t.entry.Sub(keep).Min(g.want)
 	if spare != limitedOnly(g.want, t.limit) {
 		t.yield = time.Now().Add(yieldFor)
