--- /dev/null
+++ b/internal/bench/decide/report.go
@@ -0,0 +1,205 @@
+package decide
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/sched"
+)
+
+// Report is everything that one Run measured.
+type Report struct {
+	Options Options
+	Results []Result
+	Cost    []Cost `json:",omitempty"`
+}
+
+// Result is what one scheduler made of the day.
+type Result struct {
+	Scheduler string
+	Waits     []Wait
+	Counts    []Count
+	// Packing is used over usable room of the dominant resource, averaged over
+	// the samples at which work waited.
+	Packing float64
+	// ShareDistance is the average over teams and full samples of the distance
+	// between a team's part of the fleet and its weighted max-min share.
+	ShareDistance float64
+	// ShareMoved is half the sum of the distances over all teams: the part of
+	// the fleet that would have to move to reach every share.
+	ShareMoved   float64
+	WorstTeam    string // largest average distance
+	WorstMiss    float64
+	FullSamples  int
+	AbsenceDone  float64 // work done through the AZ's absence, against the best possible; 0: no absence
+	UsefulCores  float64 // average cores that did work that ended well
+	Overused     float64 // part of the worker-seconds with more memory in use than there is
+	Preemptions  int
+	Suspects     int
+	Cancelled    int
+	Refused      map[sched.RefusalCode]int
+	points       []point
+	teamDistance map[string]float64
+}
+
+// Wait is the time from the arrival of a class's jobs to their first start or
+// their refusal.
+type Wait struct {
+	Class           string
+	Jobs            int64
+	P50, P99, Worst time.Duration
+}
+
+// Run measures the core and the baselines on the same day.
+func Run(o Options) (Report, error) {
+	d, err := newDay(o)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	report := Report{Options: o}
+	contenders := []struct {
+		name  string
+		sched scheduler
+	}{
+		{"core", sched.New("bench", o.Seed)},
+		{"first come first served", newFCFS()},
+		{"strict priority", newPriority()},
+	}
+	for _, c := range contenders {
+		report.Results = append(report.Results, newRunner(d, c.sched).run().result(c.name))
+	}
+	if o.Cost {
+		report.Cost = measureCost(o.Seed)
+	}
+	return report, nil
+}
+
+func (m *measures) result(name string) Result {
+	r := Result{
+		Scheduler: name, Preemptions: m.preempted, Suspects: m.suspects, Cancelled: m.cancelled,
+		Refused: m.refused, points: m.points, FullSamples: m.fullTimes, teamDistance: m.teamMiss,
+	}
+	slices.Sort(m.classes)
+	for _, c := range m.classes {
+		m.countUnstarted(c)
+		h := m.waits[c]
+		r.Waits = append(r.Waits, Wait{c, h.TotalCount(), micros(h.ValueAtQuantile(50)), micros(h.ValueAtQuantile(99)), micros(h.Max())})
+		count := *m.counts[c]
+		count.Unfinished = count.Arrived - count.Done - count.Failed - count.NotRun - count.Unknown
+		r.Counts = append(r.Counts, count)
+	}
+	r.averages(m)
+	return r
+}
+
+// countUnstarted counts jobs that never started as having waited until the
+// day's end, lest a scheduler look good by starving them.
+func (m *measures) countUnstarted(class string) {
+	for _, j := range m.r.jobs {
+		if j.class == class && j.started == 0 {
+			m.recordWait(j)
+		}
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func (r *Result) averages(m *measures) {
+	busy := 0
+	for _, p := range m.points {
+		if p.pending > 0 && p.usable > 0 {
+			busy++
+			r.Packing += p.used / p.usable
+		}
+		if p.distance >= 0 {
+			r.ShareDistance += p.distance / float64(m.fullTimes)
+			r.ShareMoved += p.moved / float64(m.fullTimes)
+		}
+	}
+	r.Packing /= float64(max(busy, 1))
+	for team, miss := range m.teamMiss {
+		miss /= float64(m.fullTimes)
+		if miss > r.WorstMiss || (miss == r.WorstMiss && team < r.WorstTeam) {
+			r.WorstTeam, r.WorstMiss = team, miss
+		}
+	}
+	if m.absence.possible > 0 {
+		r.AbsenceDone = m.absence.done / m.absence.possible
+	}
+	r.Overused = m.overused / float64(len(m.r.day.workers)) / m.r.day.length.Seconds()
+	r.UsefulCores = m.usefulMilliCoreSeconds / 1000 / m.r.day.length.Seconds()
+}
+
+// JSON writes the report for other programs.
+func (r Report) JSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(r))
+}
+
+// Text writes the report as tables.
+func (r Report) Text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	o := r.Options
+	fmt.Fprintf(t, "size %s, user %s, load %.2f, %v, seed %d, faults %v\n\n", o.Size, o.User, o.Load, o.Duration, o.Seed, o.Faults)
+	r.textWaits(t)
+	r.textAverages(t)
+	r.textCounts(t)
+	r.textCost(t)
+	return trace.Wrap(t.Flush())
+}
+
+func (r Report) textWaits(t io.Writer) {
+	fmt.Fprintln(t, "wait\tscheduler\tjobs\tp50\tp99\tworst")
+	for i := range r.Results[0].Waits {
+		for _, res := range r.Results {
+			w := res.Waits[i]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%v\t%v\t%v\n", w.Class, res.Scheduler, w.Jobs, round(w.P50), round(w.P99), round(w.Worst))
+		}
+	}
+}
+
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+
+func (r Report) textAverages(t io.Writer) {
+	fmt.Fprintln(t, "\nscheduler\tpacking\tshare distance\tto be moved\tworst team\tfull samples\tAZ absence\tuseful cores\tover memory\tpreemptions\tsuspects")
+	for _, s := range r.Results {
+		fmt.Fprintf(t, "%s\t%.1f%%\t%.2f%%\t%.1f%%\t%s %.1f%%\t%d\t%.1f%%\t%.1f\t%.2f%%\t%d\t%d\n", s.Scheduler, 100*s.Packing, 100*s.ShareDistance,
+			100*s.ShareMoved, s.WorstTeam, 100*s.WorstMiss, s.FullSamples, 100*s.AbsenceDone, s.UsefulCores, 100*s.Overused, s.Preemptions, s.Suspects)
+	}
+}
+
+func (r Report) textCounts(t io.Writer) {
+	fmt.Fprintln(t, "\nclass\tscheduler\tarrived\tdone\tfailed\tnot run\tunknown\tunfinished")
+	for i := range r.Results[0].Counts {
+		for _, res := range r.Results {
+			c := res.Counts[i]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Class, res.Scheduler, c.Arrived, c.Done, c.Failed, c.NotRun, c.Unknown, c.Unfinished)
+		}
+	}
+	for _, res := range r.Results {
+		var codes []string
+		for code, n := range res.Refused {
+			codes = append(codes, fmt.Sprintf("%s %d", code, n))
+		}
+		slices.Sort(codes)
+		fmt.Fprintf(t, "not run by reason\t%s\t%s\n", res.Scheduler, strings.Join(codes, ", "))
+	}
+}
+
+func (r Report) textCost(t io.Writer) {
+	if len(r.Cost) == 0 {
+		return
+	}
+	fmt.Fprintln(t, "\ncost on one core\tworkers\tstarts\tstarts/s\tp99 per event\tworst per event")
+	for _, c := range r.Cost {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%v\t%v\n", c.Work, c.Workers, c.Starts, c.StartsPerSecond, c.P99, c.Worst)
+	}
+}
--- /dev/null
+++ b/internal/bench/decide/workload.go
@@ -0,0 +1,246 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/model"
+)
+
+// arrival is a job and the truth about it, which no scheduler knows.
+type arrival struct {
+	at      time.Duration // since the day began
+	job     model.Job
+	class   string
+	runTime time.Duration   // of each task
+	usage   model.Resources // measured while a task runs
+	fails   bool            // every task fails, wherever it runs
+}
+
+// class is one kind of work of a user's day.
+type class struct {
+	name       string
+	policy     model.Policy
+	part       float64 // of the jobs that are not direct
+	milliCores int64
+	memoryMB   int64
+	tasks      [2]int
+	runTime    [2]time.Duration
+}
+
+// workClasses returns the classes of work that may wait.
+func workClasses(user string) []class {
+	if user == "himali" {
+		return []class{
+			{"season", model.PolicyBatch, 0.35, 8000, 32_000, [2]int{5, 40}, [2]time.Duration{40 * time.Second, 160 * time.Second}},
+			{"reprint", model.PolicyBatch, 0.60, 4000, 16_000, [2]int{1, 4}, [2]time.Duration{5 * time.Second, 20 * time.Second}},
+			{"imposition", model.PolicyGang, 0.05, 8000, 32_000, [2]int{8, 24}, [2]time.Duration{20 * time.Second, 60 * time.Second}},
+		}
+	}
+	return []class{
+		{"blend", model.PolicyBatch, 0.35, 4000, 16_000, [2]int{1, 20}, [2]time.Duration{20 * time.Second, 90 * time.Second}},
+		{"label", model.PolicyBatch, 0.60, 2000, 8000, [2]int{1, 30}, [2]time.Duration{5 * time.Second, 30 * time.Second}},
+		{"tank plan", model.PolicyGang, 0.05, 4000, 16_000, [2]int{8, 32}, [2]time.Duration{20 * time.Second, 60 * time.Second}},
+	}
+}
+
+// day is everything that happens, known beforehand.
+type day struct {
+	cell     cell
+	config   *config.Config
+	workers  []model.WorkerSpec
+	arrivals []arrival
+	length   time.Duration
+	faults   bool
+	bad      map[string]bool // workers that fail everything for a while
+}
+
+// The times of the faults, in parts of the day's length.
+const (
+	badFrom, badUntil    = 0.15, 0.45
+	cancelAt             = 0.35
+	azLeaves, azReturns  = 0.55, 0.75
+	bigGangAt            = 0.25
+	azGoneAfter          = 60 * time.Second // from taken out of service to unreachable
+	directPeak           = 0.8              // swing of the direct rate around its average
+	directPeaks          = 3                // in the day
+	badWorkerPart        = 50               // one worker in so many
+	failingJobPart       = 0.01
+	urgentPart           = 0.15
+	runTimeError         = 10.0 // declared run times are off by up to this factor
+	sizeError            = 0.35 // standard deviation of the logarithm of used to declared memory
+	directMaxWait        = 10 * time.Second
+	badWorkerFailureTime = 200 * time.Millisecond
+)
+
+type generator struct {
+	rng *rand.Rand
+	day *day
+	n   int
+}
+
+// newDay draws the day from the options' seed.
+func newDay(o Options) (*day, error) {
+	c, err := o.cell()
+	if err != nil {
+		return nil, err
+	}
+	d := &day{cell: c, length: o.Duration, faults: o.Faults, bad: map[string]bool{}}
+	g := &generator{rng: rand.New(rand.NewPCG(o.Seed, 1)), day: d}
+	g.fleet()
+	g.tenants()
+	g.services()
+	g.work(workClasses(o.User), o.Load)
+	g.bigGang()
+	g.direct(o.User)
+	slices.SortStableFunc(d.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return d, nil
+}
+
+func (g *generator) fleet() {
+	c := g.day.cell
+	for i := range c.workers {
+		az := i % c.azs
+		w := model.WorkerSpec{
+			ID: fmt.Sprintf("w%04d", i), AZ: fmt.Sprintf("az%d", az), Connections: c.connections,
+			Rack:     fmt.Sprintf("az%d-r%d", az, i/c.azs/c.rackSize),
+			Capacity: model.Resources{MilliCores: c.milliCores, MemoryMB: c.memoryMB, Slots: c.slots},
+		}
+		if int64(i) < c.accelerators/4 {
+			w.Capacity.Accelerators = 4
+		}
+		g.day.workers = append(g.day.workers, w)
+		g.day.bad[w.ID] = g.day.faults && i%badWorkerPart == 7
+	}
+}
+
+// tenants gives six organisations unlike shares and unlike numbers of teams.
+func (g *generator) tenants() {
+	cfg := &config.Config{Cell: "bench"}
+	for i := range g.day.cell.azs {
+		cfg.AZs = append(cfg.AZs, config.AZ{Name: fmt.Sprintf("az%d", i), InService: true})
+	}
+	shares := []int{4, 3, 2, 1, 1, 1}
+	for i, s := range shares {
+		cfg.Organisations = append(cfg.Organisations, config.Organisation{Name: fmt.Sprintf("org%d", i), Share: s})
+	}
+	for i := range g.day.cell.teams {
+		o := &cfg.Organisations[i%len(shares)]
+		o.Teams = append(o.Teams, config.Team{Name: fmt.Sprintf("team%03d", i), Share: 1 + i/len(shares)%3})
+	}
+	g.day.config = cfg
+}
+
+// team draws a team; demand follows the shares loosely, so that some teams ask
+// for far more than theirs.
+func (g *generator) team() string {
+	n := g.day.cell.teams
+	return fmt.Sprintf("team%03d", int(float64(n)*math.Pow(g.rng.Float64(), 1.5)))
+}
+
+func (g *generator) job(p model.Policy, kind string, tasks int, size model.Resources, declared time.Duration) model.Job {
+	g.n++
+	return model.Job{
+		ID: model.JobID(fmt.Sprintf("j%06d", g.n)), Team: g.team(), Kind: kind, Policy: p, Tasks: tasks,
+		Task: model.TaskSpec{Resources: size, RunTime: declared, Idempotent: true},
+	}
+}
+
+func (g *generator) between(r [2]time.Duration) time.Duration {
+	return r[0] + time.Duration(g.rng.Int64N(int64(r[1]-r[0])))
+}
+
+// wrong returns the truth behind a declared size and run time.
+func (g *generator) wrong(a *arrival) {
+	span := math.Log(runTimeError)
+	factor := math.Exp((2*g.rng.Float64() - 1) * span / 2)
+	a.job.Task.RunTime = time.Duration(float64(a.runTime) * factor * math.Exp((2*g.rng.Float64()-1)*span/2))
+	a.usage = a.job.Task.Resources
+	a.usage.Slots = 0
+	memory := float64(a.usage.MemoryMB) * math.Exp(g.rng.NormFloat64()*sizeError)
+	a.usage.MemoryMB = min(int64(memory), 2*a.usage.MemoryMB)
+}
+
+func (g *generator) services() {
+	for i := range 6 {
+		size := model.Resources{MilliCores: 2000, MemoryMB: 8000, Slots: 1}
+		tasks := 1 + g.day.cell.workers/50*(1+i%3)
+		a := arrival{job: g.job(model.PolicyService, "service", tasks, size, 0), class: "service", runTime: 100 * g.day.length}
+		a.usage = size
+		g.day.arrivals = append(g.day.arrivals, a)
+	}
+}
+
+// work hands in batch jobs and gangs until the load is reached.
+func (g *generator) work(classes []class, load float64) {
+	c := g.day.cell
+	capacity := float64(c.workers) * float64(c.milliCores) * g.day.length.Seconds()
+	for sum := 0.0; sum < load*capacity; {
+		a := g.one(classes)
+		sum += float64(a.job.Tasks) * float64(a.job.Task.Resources.MilliCores) * a.runTime.Seconds()
+		g.day.arrivals = append(g.day.arrivals, a)
+	}
+}
+
+func (g *generator) one(classes []class) arrival {
+	c := classes[0]
+	for pick, i := g.rng.Float64(), 0; pick > c.part && i < len(classes)-1; i++ {
+		pick -= c.part
+		c = classes[i+1]
+	}
+	size := model.Resources{MilliCores: c.milliCores, MemoryMB: c.memoryMB, Slots: 1}
+	if g.day.cell.accelerators > 0 && g.rng.Float64() < 0.1 {
+		size.Accelerators = 1
+	}
+	tasks := c.tasks[0] + g.rng.IntN(c.tasks[1]-c.tasks[0]+1)
+	a := arrival{job: g.job(c.policy, c.name, tasks, size, 0), class: c.name, runTime: g.between(c.runTime)}
+	a.at = time.Duration(g.rng.Int64N(int64(g.day.length)))
+	a.fails = g.day.faults && g.rng.Float64() < failingJobPart
+	if a.fails {
+		a.runTime, a.job.Kind = 2*time.Second, c.name+" broken"
+	}
+	g.wrong(&a)
+	return a
+}
+
+// bigGang hands in a gang of a third of the cell.
+func (g *generator) bigGang() {
+	c := g.day.cell
+	size := model.Resources{MilliCores: 4000, MemoryMB: 16_000, Slots: 1}
+	a := arrival{job: g.job(model.PolicyGang, "big gang", c.workers*int(c.slots)/3, size, time.Minute), class: "big gang", runTime: 40 * time.Second}
+	a.at = time.Duration(bigGangAt * float64(g.day.length))
+	a.usage = size
+	g.day.arrivals = append(g.day.arrivals, a)
+}
+
+// direct hands in the requests whose callers wait, in waves through the day.
+func (g *generator) direct(user string) {
+	kind, size := "slip", model.Resources{MilliCores: 250, MemoryMB: 512}
+	runTime := [2]time.Duration{40 * time.Millisecond, 300 * time.Millisecond}
+	if user == "himali" {
+		kind, size = "proof", model.Resources{MilliCores: 500, MemoryMB: 1024}
+		runTime = [2]time.Duration{100 * time.Millisecond, 800 * time.Millisecond}
+	}
+	at := 0.0
+	for {
+		phase := 2 * math.Pi * directPeaks * at / g.day.length.Seconds()
+		at += g.rng.ExpFloat64() / (g.day.cell.directRate * (1 + directPeak*math.Sin(phase)))
+		if at >= g.day.length.Seconds() {
+			return
+		}
+		a := arrival{job: g.job(model.PolicyDirect, kind, 1, size, 0), class: kind, runTime: g.between(runTime)}
+		a.at = time.Duration(at * float64(time.Second))
+		a.job.Task.Idempotent = user == "himali"
+		a.job.MaxWait = directMaxWait
+		if g.rng.Float64() < urgentPart {
+			a.job.Urgent, a.class = true, "urgent "+kind
+		}
+		a.usage = size
+		g.day.arrivals = append(g.day.arrivals, a)
+	}
+}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -47,8 +47,10 @@
 	direct    direct
 	preempts  preempts
 	reserved  *reservation
-	suspects  int  // workers that are out or on probe
-	starved   *job // the first shared work of the pass that no worker had room for
+	suspects  int       // workers that are out or on probe
+	helpAt    time.Time // no help for blocked work before
+	helpArmed bool
+	helpDue   bool
 	plan      []hold
 
 	// What the next pass has to look at.
--- a/internal/sched/direct.go
+++ b/internal/sched/direct.go
@@ -78,7 +78,6 @@
 // leavesHeadroom reports whether the shard keeps, after one more task of size
 // is started, the room that direct requests were seen to need.
 func (c *Core) leavesHeadroom(size *vec) bool {
-	c.direct.decay(c.now)
 	for i := range size {
 		want := min(c.direct.peak[i], c.capacity[i]/headroomPart) - c.direct.used[i]
 		if want > 0 && c.free[i]-size[i] < want {
@@ -88,6 +87,16 @@
 	return true
 }
 
+// headroomBlocks reports whether size would take room that is kept for direct
+// requests, and has the work tried again later.
+func (c *Core) headroomBlocks(size *vec) bool {
+	if c.leavesHeadroom(size) {
+		return false
+	}
+	c.wakeForHeadroom()
+	return true
+}
+
 // wakeForHeadroom has blocked work tried again when the headroom has shrunk.
 func (c *Core) wakeForHeadroom() {
 	if !c.direct.wakeArmed {
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -7,8 +7,8 @@
 // Bounds on what is learned, against one wrong measurement.
 const (
 	maxKinds        = 10_000
-	maxGrowth       = 8 // learned sizes are at most this many times the declared
-	estimateInertia = 8 // samples until a learned size has mostly shrunk
+	maxGrowth       = 8  // learned sizes are at most this many times the declared
+	estimateInertia = 16 // samples until an estimate has mostly moved
 )
 
 // kindKey groups jobs that are expected to behave alike.
@@ -16,7 +16,8 @@
 
 // estimate is what was measured of a kind.
 type estimate struct {
-	size    vec           // quick to grow, slow to shrink
+	mean    vec           // of the measured sizes, moving
+	spread  vec           // mean distance from mean, moving
 	runTime time.Duration // quick to grow, slow to shrink
 	samples int
 	ends    []kindEnd // the last end on each of the last workers
@@ -41,11 +42,14 @@
 }
 
 // learnedSize returns what one task of j counts as: what was declared or what
-// was measured of its kind, whichever is the larger, but no more than still
-// fits a worker and the team's limit.
+// was measured, whichever is the larger, but no more than still fits a worker
+// and the team's limit. The job's own measurements go before those of its kind.
 func (c *Core) learnedSize(j *job) vec {
 	size := j.asked
-	learned := j.est.size
+	learned := j.measured
+	if learned == (vec{}) {
+		learned = j.est.likely()
+	}
 	for i := range dimConnections {
 		if i == dimSlots || learned[i] <= size[i] {
 			continue
@@ -85,6 +89,7 @@
 		return
 	}
 	measured := newVec(ev.Usage, 0)
+	a.job.measured.raiseTo(&measured)
 	if est := a.job.est; est != nil {
 		est.observeSize(&measured)
 	}
@@ -102,12 +107,25 @@
 	c.refresh(a.worker)
 }
 
-// observeSize grows at once and shrinks slowly.
+// observeSize moves the mean and the spread towards a measurement. The first
+// ones count for more.
 func (e *estimate) observeSize(measured *vec) {
-	for i := range e.size {
-		e.size[i] = max(measured[i], e.size[i]-(e.size[i]-measured[i])/estimateInertia)
-	}
 	e.samples++
+	inertia := int64(min(e.samples, estimateInertia))
+	for i := range e.mean {
+		off := measured[i] - e.mean[i]
+		e.mean[i] += off / inertia
+		if e.samples > 1 {
+			e.spread[i] += (max(off, -off) - e.spread[i]) / inertia
+		}
+	}
+}
+
+// likely returns a size that most tasks of the kind stay below.
+func (e *estimate) likely() vec {
+	size := e.mean
+	size.add(&e.spread)
+	return size
 }
 
 func (e *estimate) observeRunTime(ran time.Duration) {
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -7,8 +7,8 @@
 	"cuminloft/internal/model"
 )
 
-// reservationAge is how long work that is not next by share has to wait
-// before room is reserved for it.
+// reservationAge is how long a single task has to wait before room is
+// reserved for it.
 const reservationAge = 5 * time.Second
 
 // reservation keeps room free for a job that needs more at once than is free.
@@ -33,9 +33,15 @@
 		r.held, r.need, len(r.holds), r.until.UTC().Format("15:04:05"))
 }
 
+// gangReady reports whether all tasks of a gang that are not over may start
+// now. The tasks of a gang that cannot be restarted start without those that run.
+func (j *job) gangReady() bool {
+	return j.ready > 0 && j.ready == j.unsettled-j.running && (j.running == 0 || !j.restartable())
+}
+
 // startGang starts all ready tasks of a gang, or none.
 func (c *Core) startGang(j *job) blockReason {
-	if j.ready < j.unsettled-j.running || (j.running > 0 && j.restartable()) {
+	if !j.gangReady() {
 		return blockedByGang
 	}
 	if reason := j.team.mayRun(&j.size, int64(j.ready)); reason != notBlocked {
@@ -85,17 +91,15 @@
 	}
 }
 
-// considerReservation reserves room for a blocked job if it is a gang that is
-// next by share, or if it has waited for long.
-func (c *Core) considerReservation(j *job) {
-	if c.reserved != nil || j.lane.tier() != tierShared || j.spec.Policy == model.PolicyService {
-		return
-	}
-	waited := c.now.Sub(j.waits)
-	if waited < reservationAge && (j.spec.Policy != model.PolicyGang || c.starved != j) {
+// reserve keeps room for a blocked job whose team is the farthest below its
+// share of all that wait: for a gang at once, for a single task when smaller
+// work has taken the room that it waits for long enough.
+func (c *Core) reserve(j *job) {
+	if c.reserved != nil || j.spec.Policy == model.PolicyService {
 		return
 	}
-	if !c.oldestBlocked(j) {
+	gang := j.spec.Policy == model.PolicyGang
+	if gang && !j.gangReady() || !gang && c.now.Sub(j.waits) < reservationAge {
 		return
 	}
 	need := 1
@@ -111,21 +115,6 @@
 	}
 }
 
-// oldestBlocked reports whether no other job of j's lane that is first in its
-// team's lane has waited for longer without having had a reservation as often.
-func (c *Core) oldestBlocked(j *job) bool {
-	for _, t := range c.active[tierShared] {
-		o := t.lanes[j.lane].head
-		if o == nil || o == j || o.blocked != blockedByRoom || o.spec.Policy != j.spec.Policy {
-			continue
-		}
-		if o.gangWait < j.gangWait {
-			return false
-		}
-	}
-	return true
-}
-
 // topUpReservation adds the room that became free to the reservation and
 // starts the job once there is enough.
 func (c *Core) topUpReservation() {
@@ -133,6 +122,10 @@
 	if r == nil {
 		return
 	}
+	if r.job.ready < r.need {
+		c.release(r)
+		return
+	}
 	grew := c.grewWorkers
 	if r.moved {
 		grew, r.moved = c.byPos, false
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -81,6 +81,7 @@
 	giveUp     time.Time // zero: never
 	est        *estimate // of its kind; nil if none is kept
 	estSamples int       // samples that size already respects
+	measured   vec       // largest that was measured of a task of this job
 	waits      time.Time // since when the head of its tasks is ready
 	reserved   *reservation
 	gangWait   time.Duration
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -27,6 +27,7 @@
 		return
 	}
 	j.waits = c.now
+	t.noteSmallest(j)
 	if front {
 		t.lanes[j.lane].pushFront(j)
 	} else {
@@ -36,6 +37,18 @@
 	c.markDirty(t)
 }
 
+// noteSmallest keeps the component-wise minimum of the sizes that wait.
+func (t *team) noteSmallest(j *job) {
+	k := j.lane.tier()
+	if !t.active[k] {
+		t.smallest[k] = j.asked
+		return
+	}
+	for i := range j.asked {
+		t.smallest[k][i] = min(t.smallest[k][i], j.asked[i])
+	}
+}
+
 // markDirty has the next pass look at all pending work of t.
 func (c *Core) markDirty(t *team) {
 	if !t.dirty {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,6 +21,9 @@
 const (
 	// candidates is how many workers with enough room are compared for packing.
 	candidates = 4
+	// maxGrewExact is up to how many workers whose room grew are looked at one
+	// by one after each start.
+	maxGrewExact = 8
 	// backfillDepth is how many jobs of a lane are tried behind a blocked one.
 	backfillDepth = 16
 )
@@ -28,19 +31,20 @@
 // place starts what can start. Work that was blocked before is tried again
 // only if room grew that may hold it.
 func (c *Core) place() {
-	if !c.passAll && !c.roomGrew && len(c.dirtyTeams) == 0 {
+	if !c.passAll && !c.roomGrew && !c.helpDue && len(c.dirtyTeams) == 0 {
 		return
 	}
 	if c.sharesChanged {
 		c.recountShares()
 	}
 	c.pass++
+	c.direct.decay(c.now)
 	c.placeTier(tierUrgent)
 	c.reclaimUrgent()
 	c.placeTier(tierDirect)
 	c.topUpReservation()
 	c.placeTier(tierShared)
-	c.reclaimShares()
+	c.helpStarved()
 	c.endPass()
 }
 
@@ -51,8 +55,8 @@
 	}
 	c.dirtyTeams = c.dirtyTeams[:0]
 	c.grewWorkers = c.grewWorkers[:0]
-	c.passAll, c.roomGrew, c.roomMax = false, false, blockedRoom()
-	c.starved = nil
+	c.passAll, c.roomGrew, c.helpDue = false, false, false
+	c.roomMax = blockedRoom()
 }
 
 // updateActive enters t in the lists of teams with waiting work, or takes it out.
@@ -93,8 +97,30 @@
 		}
 		if !c.startOne(t, k) {
 			t.tried[k] = c.pass
+			continue
 		}
+		c.boundRoom()
+	}
+}
+
+// boundRoom lowers the bound on the room that grew to what is left of it. With
+// many workers the higher bound stays, which costs time but no correctness.
+func (c *Core) boundRoom() {
+	if !c.roomGrew || len(c.grewWorkers) > maxGrewExact {
+		return
+	}
+	c.roomMax = blockedRoom()
+	for _, w := range c.grewWorkers {
+		c.roomMax.raiseTo(&c.index.nodes[c.index.leaves+w.pos])
+	}
+}
+
+// bound returns room that no task of t can need more of and start in this pass.
+func (c *Core) bound(t *team) *vec {
+	if c.passAll || t.dirty {
+		return &c.index.nodes[1]
 	}
+	return &c.roomMax
 }
 
 // pick returns the team farthest below its share that may start something in
@@ -105,6 +131,9 @@
 		if t.tried[k] == c.pass || (!c.passAll && !c.roomGrew && !t.dirty) {
 			continue
 		}
+		if !t.smallest[k].fits(c.bound(t)) || (k == tierShared && c.headroomBlocks(&t.smallest[k])) {
+			continue
+		}
 		if best == nil || t.before(best) {
 			best = t
 		}
@@ -131,26 +160,18 @@
 
 // tryJob starts one task of j, or all of a gang, or says why not.
 func (c *Core) tryJob(j *job) bool {
-	c.resize(j)
-	if c.knownBlocked(j) {
-		return false
+	if !j.size.fits(c.bound(j.team)) {
+		j.blocked = blockedByRoom
+	} else {
+		c.resize(j)
+		j.blocked = c.start(j)
 	}
-	j.blocked = c.start(j)
 	if j.blocked != notBlocked {
 		c.noteBlocked(j)
 	}
 	return j.blocked == notBlocked
 }
 
-// knownBlocked reports whether nothing has changed for a job that was blocked
-// for want of room.
-func (c *Core) knownBlocked(j *job) bool {
-	if c.passAll || j.team.dirty || j.blocked == blockedByHeadroom {
-		return false
-	}
-	return !j.size.fits(&c.roomMax)
-}
-
 func (c *Core) start(j *job) blockReason {
 	if j.spec.Policy == model.PolicyGang {
 		return c.startGang(j)
@@ -179,11 +200,7 @@
 		c.wantGrant(j.team)
 	case blockedByHeadroom:
 		c.wakeForHeadroom()
-	case blockedByRoom:
-		if c.starved == nil && j.lane.tier() == tierShared {
-			c.starved = j
-		}
-		c.considerReservation(j)
+	case blockedByRoom, notBlocked, blockedByReservation, blockedByGang:
 	}
 }
 
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -11,6 +11,8 @@
 const (
 	urgentStepTime = 300 * time.Millisecond
 	sharesStepTime = 2 * time.Second
+	// helpPause is how often at most a blocked job is helped.
+	helpPause = 100 * time.Millisecond
 	// searchPause is how often at most victims are looked for in vain.
 	searchPause = 50 * time.Millisecond
 	// shareGap is by how much of the fleet a victim's organisation or team has
@@ -114,17 +116,75 @@
 	}
 }
 
-// reclaimShares makes room for the blocked job that is farthest below its
-// share, at the cost of those that are ahead of theirs.
-func (c *Core) reclaimShares() {
-	j := c.starved
-	if j == nil || j.spec.Policy == model.PolicyGang || c.preempts.shares >= j.ready {
+// helpStarved reserves or reclaims room for the blocked job that is farthest
+// below its share, at most once in each helpPause.
+func (c *Core) helpStarved() {
+	if len(c.active[tierShared]) == 0 {
 		return
 	}
-	if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) <= 0 {
+	if c.now.Before(c.helpAt) {
+		c.wakeToHelp()
 		return
 	}
-	c.reclaim(j, false)
+	c.helpAt = c.now.Add(helpPause)
+	if j := c.starved(); j != nil {
+		c.reserve(j)
+		c.reclaimShares(j)
+	}
+	c.wakeToHelp()
+}
+
+// wakeToHelp has the next pass run at helpAt.
+func (c *Core) wakeToHelp() {
+	if !c.helpArmed {
+		c.helpArmed = true
+		c.timers.push(c.helpAt, timerHelp, nil, nil, nil)
+	}
+}
+
+// starved returns the first job of the team farthest below its share among
+// those that wait for room alone.
+func (c *Core) starved() *job {
+	var best *job
+	for _, t := range c.active[tierShared] {
+		if best != nil && !t.before(best.team) {
+			continue
+		}
+		j := t.firstShared()
+		if j.reserved == nil && t.mayRun(&j.size, j.atOnce()) == notBlocked {
+			best = j
+		}
+	}
+	return best
+}
+
+// firstShared returns the job that is next among those that are not direct.
+func (t *team) firstShared() *job {
+	for l := laneService; l < lanes; l++ {
+		if j := t.lanes[l].head; j != nil {
+			return j
+		}
+	}
+	return nil
+}
+
+// atOnce returns how many tasks of j have to start together.
+func (j *job) atOnce() int64 {
+	if j.spec.Policy == model.PolicyGang {
+		return int64(j.ready)
+	}
+	return 1
+}
+
+// reclaimShares makes room for a job at the cost of teams that are ahead of
+// its share. At most half of the budget goes to this.
+func (c *Core) reclaimShares(j *job) {
+	if j.spec.Policy == model.PolicyGang || c.preempts.shares >= j.ready {
+		return
+	}
+	if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) > 0 {
+		c.reclaim(j, false)
+	}
 }
 
 // reclaim preempts the victims on the one worker where the least work is lost.
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -50,13 +50,14 @@
 	elsewhere vec       // on other shards
 	key       float64   // weighted share within the organisation
 
-	lanes   [lanes]jobList
-	pending [lanes]int    // tasks that may start, per lane
-	waiting vec           // their sizes added up
-	active  [tiers]bool   // in Core.active, per tier
-	tried   [tiers]uint64 // the pass in which it was found to be blocked
-	dirty   bool          // has new pending work since the last pass
-	atLimit bool          // its limit or grant kept a task from starting
+	lanes    [lanes]jobList
+	pending  [lanes]int    // tasks that may start, per lane
+	waiting  vec           // their sizes added up
+	smallest [tiers]vec    // at most the size of any waiting task, per tier
+	active   [tiers]bool   // in Core.active, per tier
+	tried    [tiers]uint64 // the pass in which it was found to be blocked
+	dirty    bool          // has new pending work since the last pass
+	atLimit  bool          // its limit or grant kept a task from starting
 }
 
 // team returns the team of that name and adds an unknown one.
--- a/internal/sched/timers.go
+++ b/internal/sched/timers.go
@@ -15,6 +15,7 @@
 	timerPreempt                      // a preempted attempt goes to its next step
 	timerReservation                  // a reservation has lasted as long as it may
 	timerPass                         // look at all pending work again
+	timerHelp                         // help the job that is farthest below its share
 )
 
 // timer is one thing to do at a time. It names what it is about; whether it
@@ -92,5 +93,7 @@
 	case timerPass:
 		c.passAll = true
 		c.direct.wakeArmed = false
+	case timerHelp:
+		c.helpDue, c.helpArmed = true, false
 	}
 }
