sched, bench/decide: lend reserved room, judge workers by streaks, report

Cause: direct proofs waited 400 ms at p99 at 90% load; reserved room stood idle; one bad worker broke a gang of a third of the cell time after time. Change: headroom for direct requests follows the peak of what they need, with a margin; direct requests go by the direct requests that run per team; short restartable work runs in held room and is recalled within the preemption budget; jobs avoid workers on which they failed; a streak of blamed failures takes a worker out. Ruled out: reservations for work that is merely old (overturns shares).

--- a/internal/bench/decide/baseline.go
+++ b/internal/bench/decide/baseline.go
@@ -48,6 +48,7 @@
 	on       map[int]*baseWorker
 	size     map[int]model.Resources // of running tasks, as declared or measured
 	restarts map[int]int
+	largest  model.Resources // measured
 	left     int
 	failed   bool
 	stopped  bool
@@ -185,8 +186,8 @@
 	b.finish(j)
 }
 
-// measured counts a running task as what it was measured to use, if that is
-// more than it declared.
+// measured counts a running task, and those of its job that start later, as
+// what it was measured to use, if that is more than it declared.
 func (b *baseline) measured(ev sched.UsageReported) {
 	j := b.jobs[ev.Task.Job]
 	if j == nil || j.on[ev.Task.Index] == nil || j.attempts[ev.Task.Index] != ev.Attempt {
@@ -194,6 +195,7 @@
 	}
 	w, old := j.on[ev.Task.Index], j.size[ev.Task.Index]
 	j.size[ev.Task.Index] = old.Max(ev.Usage)
+	j.largest = j.largest.Max(ev.Usage)
 	w.free = w.free.Add(old).Sub(j.size[ev.Task.Index])
 }
 
@@ -209,6 +211,9 @@
 	b.out = append(b.out, sched.JobEnded{Job: j.spec.ID, Outcome: outcome})
 }
 
+// next returns what the next task of j counts as.
+func (j *baseJob) next() model.Resources { return j.spec.Task.Resources.Max(j.largest) }
+
 func (j *baseJob) conns() int {
 	if j.spec.Policy == model.PolicyDirect {
 		return max(j.spec.Task.Connections, 1)
@@ -261,8 +266,9 @@
 }
 
 func (b *baseline) firstFit(j *baseJob) *baseWorker {
+	need := j.next()
 	for _, w := range b.workers {
-		if w.ready && b.inService(w) && j.spec.Task.Resources.Fits(w.free) && w.conns >= j.conns() {
+		if w.ready && b.inService(w) && need.Fits(w.free) && w.conns >= j.conns() {
 			return w
 		}
 	}
@@ -270,11 +276,11 @@
 }
 
 func (b *baseline) holds(j *baseJob) bool {
-	need := len(j.ready)
+	need, size := len(j.ready), j.next()
 	for _, w := range b.workers {
 		free := w.free
-		for w.ready && b.inService(w) && need > 0 && j.spec.Task.Resources.Fits(free) {
-			free = free.Sub(j.spec.Task.Resources)
+		for w.ready && b.inService(w) && need > 0 && size.Fits(free) {
+			free = free.Sub(size)
 			need--
 		}
 	}
@@ -297,8 +303,8 @@
 	j.on[i] = w
 	id := model.TaskID{Job: j.spec.ID, Index: i}
 	w.runs[id] = true
-	j.size[i] = j.spec.Task.Resources
+	j.size[i] = j.next()
 	w.free = w.free.Sub(j.size[i])
 	w.conns -= j.conns()
-	b.out = append(b.out, sched.StartTask{Task: id, Attempt: j.attempts[i], Worker: w.spec.ID, Size: j.spec.Task.Resources})
+	b.out = append(b.out, sched.StartTask{Task: id, Attempt: j.attempts[i], Worker: w.spec.ID, Size: j.size[i]})
 }
--- a/internal/bench/decide/cost.go
+++ b/internal/bench/decide/cost.go
@@ -102,7 +102,7 @@
 	return w
 }
 
-func (b *bed) handle(ev sched.Event) []sched.Decision {
+func (b *bed) handle(ev sched.Event) {
 	begin := time.Now()
 	ds := b.core.Handle(b.now, ev)
 	if err := b.hist.RecordValue(max(time.Since(begin).Nanoseconds(), 1)); err != nil {
@@ -114,7 +114,6 @@
 			b.running = append(b.running, s)
 		}
 	}
-	return ds
 }
 
 func (b *bed) add(p model.Policy, tasks int, size model.Resources) {
--- a/internal/bench/decide/report.go
+++ b/internal/bench/decide/report.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -146,22 +147,32 @@
 
 // Text writes the report as tables.
 func (r Report) Text(w io.Writer) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var text bytes.Buffer // its writes cannot fail
+	t := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
 	o := r.Options
-	fmt.Fprintf(t, "size %s, user %s, load %.2f, %v, seed %d, faults %v\n\n", o.Size, o.User, o.Load, o.Duration, o.Seed, o.Faults)
+	line(t, "size %s, user %s, load %.2f, %v, seed %d, faults %v\n", o.Size, o.User, o.Load, o.Duration, o.Seed, o.Faults)
 	r.textWaits(t)
 	r.textAverages(t)
 	r.textCounts(t)
 	r.textCost(t)
-	return trace.Wrap(t.Flush())
+	if err := t.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	_, err := text.WriteTo(w)
+	return trace.Wrap(err)
+}
+
+// line writes one line of a table to memory, which cannot fail.
+func line(t io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(t, format+"\n", args...)
 }
 
 func (r Report) textWaits(t io.Writer) {
-	fmt.Fprintln(t, "wait\tscheduler\tjobs\tp50\tp99\tworst")
+	line(t, "wait\tscheduler\tjobs\tp50\tp99\tworst")
 	for i := range r.Results[0].Waits {
 		for _, res := range r.Results {
 			w := res.Waits[i]
-			fmt.Fprintf(t, "%s\t%s\t%d\t%v\t%v\t%v\n", w.Class, res.Scheduler, w.Jobs, round(w.P50), round(w.P99), round(w.Worst))
+			line(t, "%s\t%s\t%d\t%v\t%v\t%v", w.Class, res.Scheduler, w.Jobs, round(w.P50), round(w.P99), round(w.Worst))
 		}
 	}
 }
@@ -169,19 +180,19 @@
 func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
 func (r Report) textAverages(t io.Writer) {
-	fmt.Fprintln(t, "\nscheduler\tpacking\tshare distance\tto be moved\tworst team\tfull samples\tAZ absence\tuseful cores\tover memory\tpreemptions\tsuspects")
+	line(t, "\nscheduler\tpacking\tshare distance\tto be moved\tworst team\tfull samples\tAZ absence\tuseful cores\tover memory\tpreemptions\tsuspects")
 	for _, s := range r.Results {
-		fmt.Fprintf(t, "%s\t%.1f%%\t%.2f%%\t%.1f%%\t%s %.1f%%\t%d\t%.1f%%\t%.1f\t%.2f%%\t%d\t%d\n", s.Scheduler, 100*s.Packing, 100*s.ShareDistance,
+		line(t, "%s\t%.1f%%\t%.2f%%\t%.1f%%\t%s %.1f%%\t%d\t%.1f%%\t%.1f\t%.2f%%\t%d\t%d", s.Scheduler, 100*s.Packing, 100*s.ShareDistance,
 			100*s.ShareMoved, s.WorstTeam, 100*s.WorstMiss, s.FullSamples, 100*s.AbsenceDone, s.UsefulCores, 100*s.Overused, s.Preemptions, s.Suspects)
 	}
 }
 
 func (r Report) textCounts(t io.Writer) {
-	fmt.Fprintln(t, "\nclass\tscheduler\tarrived\tdone\tfailed\tnot run\tunknown\tunfinished")
+	line(t, "\nclass\tscheduler\tarrived\tdone\tfailed\tnot run\tunknown\tunfinished")
 	for i := range r.Results[0].Counts {
 		for _, res := range r.Results {
 			c := res.Counts[i]
-			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Class, res.Scheduler, c.Arrived, c.Done, c.Failed, c.NotRun, c.Unknown, c.Unfinished)
+			line(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d", c.Class, res.Scheduler, c.Arrived, c.Done, c.Failed, c.NotRun, c.Unknown, c.Unfinished)
 		}
 	}
 	for _, res := range r.Results {
@@ -190,7 +201,7 @@
 			codes = append(codes, fmt.Sprintf("%s %d", code, n))
 		}
 		slices.Sort(codes)
-		fmt.Fprintf(t, "not run by reason\t%s\t%s\n", res.Scheduler, strings.Join(codes, ", "))
+		line(t, "not run by reason\t%s\t%s", res.Scheduler, strings.Join(codes, ", "))
 	}
 }
 
@@ -198,8 +209,8 @@
 	if len(r.Cost) == 0 {
 		return
 	}
-	fmt.Fprintln(t, "\ncost on one core\tworkers\tstarts\tstarts/s\tp99 per event\tworst per event")
+	line(t, "\ncost on one core\tworkers\tstarts\tstarts/s\tp99 per event\tworst per event")
 	for _, c := range r.Cost {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%v\t%v\n", c.Work, c.Workers, c.Starts, c.StartsPerSecond, c.P99, c.Worst)
+		line(t, "%s\t%d\t%d\t%.0f\t%v\t%v", c.Work, c.Workers, c.Starts, c.StartsPerSecond, c.P99, c.Worst)
 	}
 }
--- a/internal/bench/decide/run.go
+++ b/internal/bench/decide/run.go
@@ -285,7 +285,7 @@
 	}
 	r.at(r.part(cancelAt), nil, r.cancelWave)
 	r.at(r.part(azLeaves), nil, func() { r.serveAZ(false) })
-	r.at(r.part(azLeaves).Add(azGoneAfter), nil, func() { r.setAZ(sched.WorkerGone) })
+	r.at(r.part(azGone), nil, func() { r.setAZ(sched.WorkerGone) })
 	r.at(r.part(azReturns), nil, func() {
 		r.setAZ(sched.WorkerReady)
 		r.serveAZ(true)
--- a/internal/bench/decide/workload.go
+++ b/internal/bench/decide/workload.go
@@ -65,11 +65,11 @@
 	badFrom, badUntil    = 0.15, 0.45
 	cancelAt             = 0.35
 	azLeaves, azReturns  = 0.55, 0.75
+	azGone               = 0.60 // its workers, out of service since azLeaves, are gone
 	bigGangAt            = 0.25
-	azGoneAfter          = 60 * time.Second // from taken out of service to unreachable
-	directPeak           = 0.8              // swing of the direct rate around its average
-	directPeaks          = 3                // in the day
-	badWorkerPart        = 50               // one worker in so many
+	directPeak           = 0.8 // swing of the direct rate around its average
+	directPeaks          = 3   // in the day
+	badWorkerPart        = 50  // one worker in so many
 	failingJobPart       = 0.01
 	urgentPart           = 0.15
 	runTimeError         = 10.0 // declared run times are off by up to this factor
@@ -95,9 +95,9 @@
 	g.fleet()
 	g.tenants()
 	g.services()
-	g.work(workClasses(o.User), o.Load)
 	g.bigGang()
 	g.direct(o.User)
+	g.work(workClasses(o.User), o.Load)
 	slices.SortStableFunc(d.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	return d, nil
 }
@@ -122,6 +122,7 @@
 // tenants gives six organisations unlike shares and unlike numbers of teams.
 func (g *generator) tenants() {
 	cfg := &config.Config{Cell: "bench"}
+	cfg.Policy.PreemptionsPerMinute = max(config.DefaultPreemptionsPerMinute, g.day.cell.workers)
 	for i := range g.day.cell.azs {
 		cfg.AZs = append(cfg.AZs, config.AZ{Name: fmt.Sprintf("az%d", i), InService: true})
 	}
@@ -176,17 +177,29 @@
 	}
 }
 
-// work hands in batch jobs and gangs until the load is reached.
+// work hands in batch jobs and gangs until the load, with all that was handed
+// in before, is reached on the scarcest resource.
 func (g *generator) work(classes []class, load float64) {
-	c := g.day.cell
-	capacity := float64(c.workers) * float64(c.milliCores) * g.day.length.Seconds()
-	for sum := 0.0; sum < load*capacity; {
+	room, sum := model.Resources{}, model.Resources{}
+	for _, w := range g.day.workers {
+		room = room.Add(w.Capacity.Scale(g.day.length.Milliseconds()))
+	}
+	for i := range g.day.arrivals {
+		sum = sum.Add(g.demand(&g.day.arrivals[i]))
+	}
+	for sum.DominantShare(room) < load {
 		a := g.one(classes)
-		sum += float64(a.job.Tasks) * float64(a.job.Task.Resources.MilliCores) * a.runTime.Seconds()
+		sum = sum.Add(g.demand(&a))
 		g.day.arrivals = append(g.day.arrivals, a)
 	}
 }
 
+// demand returns what a job asks for, times how many milliseconds of the day.
+func (g *generator) demand(a *arrival) model.Resources {
+	ran := min(a.runTime, g.day.length)
+	return a.job.Task.Resources.Scale(int64(a.job.Tasks) * ran.Milliseconds())
+}
+
 func (g *generator) one(classes []class) arrival {
 	c := classes[0]
 	for pick, i := g.rng.Float64(), 0; pick > c.part && i < len(classes)-1; i++ {
@@ -223,7 +236,7 @@
 	kind, size := "slip", model.Resources{MilliCores: 250, MemoryMB: 512}
 	runTime := [2]time.Duration{40 * time.Millisecond, 300 * time.Millisecond}
 	if user == "himali" {
-		kind, size = "proof", model.Resources{MilliCores: 500, MemoryMB: 1024}
+		kind, size = "proof", model.Resources{MilliCores: 500, MemoryMB: 1024, Slots: 1}
 		runTime = [2]time.Duration{100 * time.Millisecond, 800 * time.Millisecond}
 	}
 	at := 0.0
--- a/internal/sched/direct.go
+++ b/internal/sched/direct.go
@@ -11,7 +11,9 @@
 	// headroomDecay is how often the remembered peak of direct work shrinks.
 	headroomDecay = 10 * time.Second
 	// headroomPart is the part of the capacity that may be kept free, as a divisor.
-	headroomPart = 10
+	headroomPart = 5
+	// headroomMargin is the part of the peak that is added to it, as a divisor.
+	headroomMargin = 4
 	// drainTime is the time constant of the measured drain rate.
 	drainTime = 5 * time.Second
 	// minQueue is the queue length below which no drain rate is trusted.
@@ -37,8 +39,17 @@
 		return
 	}
 	d.used.add(&a.size)
-	d.decay(c.now)
-	d.peak.raiseTo(&d.used)
+	a.job.team.requests++
+	d.wanted(c.now, &vec{})
+}
+
+// wanted notes how much room direct requests need now: what they use and what
+// those that wait ask for.
+func (d *direct) wanted(now time.Time, waiting *vec) {
+	d.decay(now)
+	want := d.used
+	want.add(waiting)
+	d.peak.raiseTo(&want)
 }
 
 func (d *direct) ended(c *Core, a *attempt) {
@@ -46,6 +57,7 @@
 	d.freedAt = c.now
 	if a.job.spec.Policy == model.PolicyDirect {
 		d.used.sub(&a.size)
+		a.job.team.requests--
 	}
 }
 
@@ -75,11 +87,26 @@
 	}
 }
 
+// noteDirectNeed remembers what the requests that could not be started need.
+func (c *Core) noteDirectNeed() {
+	if len(c.active[tierUrgent]) == 0 && len(c.active[tierDirect]) == 0 {
+		return
+	}
+	waiting := vec{}
+	for _, k := range [...]tier{tierUrgent, tierDirect} {
+		for _, t := range c.active[k] {
+			waiting.addScaled(&t.smallest[k], int64(t.pending[k]))
+		}
+	}
+	c.direct.wanted(c.now, &waiting)
+}
+
 // leavesHeadroom reports whether the shard keeps, after one more task of size
 // is started, the room that direct requests were seen to need.
 func (c *Core) leavesHeadroom(size *vec) bool {
 	for i := range size {
-		want := min(c.direct.peak[i], c.capacity[i]/headroomPart) - c.direct.used[i]
+		peak := c.direct.peak[i] + c.direct.peak[i]/headroomMargin
+		want := min(peak, c.capacity[i]/headroomPart) - c.direct.used[i]
 		if want > 0 && c.free[i]-size[i] < want {
 			return false
 		}
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -16,11 +16,13 @@
 
 // estimate is what was measured of a kind.
 type estimate struct {
-	mean    vec           // of the measured sizes, moving
-	spread  vec           // mean distance from mean, moving
-	runTime time.Duration // quick to grow, slow to shrink
-	samples int
-	ends    []kindEnd // the last end on each of the last workers
+	mean      vec           // of the measured sizes, moving
+	spread    vec           // mean distance from mean, moving
+	runTime   time.Duration // mean, moving
+	runSpread time.Duration
+	ended     int // tasks that runTime respects
+	samples   int
+	ends      []kindEnd // the last end on each of the last workers
 }
 
 // estimates holds what was learned per team and kind.
@@ -128,6 +130,31 @@
 	return size
 }
 
+// observeRunTime moves the mean run time and its spread towards a measurement.
 func (e *estimate) observeRunTime(ran time.Duration) {
-	e.runTime = max(ran, e.runTime-(e.runTime-ran)/estimateInertia)
+	e.ended++
+	inertia := time.Duration(min(e.ended, estimateInertia))
+	off := ran - e.runTime
+	e.runTime += off / inertia
+	if e.ended > 1 {
+		e.runSpread += (max(off, -off) - e.runSpread) / inertia
+	}
+}
+
+// expectedRunTime returns a time within which a task of j is expected to be
+// over: the longest of its job, or else what is likely for its kind.
+func (j *job) expectedRunTime() (time.Duration, bool) {
+	if j.longest > 0 {
+		return j.longest, true
+	}
+	if j.est == nil {
+		return 0, false
+	}
+	return j.est.likelyRunTime()
+}
+
+// likelyRunTime returns a time within which most tasks of the kind are over;
+// false if none was seen to its end. Declared run times are not trusted.
+func (e *estimate) likelyRunTime() (time.Duration, bool) {
+	return e.runTime + e.runSpread, e.ended > 0
 }
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -14,12 +14,16 @@
 // reservation keeps room free for a job that needs more at once than is free.
 // There is one at a time, so no two gangs can wait for each other's room.
 type reservation struct {
-	job   *job
-	holds []hold
-	held  int  // tasks for which room is held
-	need  int  // tasks that have to start together
-	moved bool // a hold was lost; look at all workers again
-	until time.Time
+	job         *job
+	holds       []hold
+	held        int  // tasks for which room is held
+	need        int  // tasks that have to start together
+	moved       bool // a hold was lost; look at all workers again
+	since       time.Time
+	until       time.Time
+	lent        int // attempts that run in the held room
+	largest     vec // held on one worker and not lent, as last seen
+	heldAtFirst int
 }
 
 // hold is room for count tasks on one worker.
@@ -68,7 +72,7 @@
 	plan := c.plan[:0]
 	for pos := c.index.next(&j.size, 0); pos >= 0 && count > 0; pos = c.index.next(&j.size, pos+1) {
 		w := c.byPos[pos]
-		if w.health.probing {
+		if w.health.probing || !c.accepts(w, j) {
 			continue
 		}
 		free := w.free()
@@ -107,12 +111,13 @@
 		need = j.ready
 	}
 	j.gangWait = max(2*j.gangWait, c.cfg.Policy.GangTimeout())
-	c.reserved = &reservation{job: j, need: need, until: c.now.Add(j.gangWait)}
+	c.reserved = &reservation{job: j, need: need, since: c.now, until: c.now.Add(j.gangWait)}
 	j.reserved = c.reserved
 	c.timers.push(c.reserved.until, timerReservation, nil, j, nil)
 	for _, w := range c.byPos {
 		c.holdOn(w)
 	}
+	c.reserved.heldAtFirst = c.reserved.held
 }
 
 // topUpReservation adds the room that became free to the reservation and
@@ -136,6 +141,10 @@
 	if r.held < r.need || r.job.team.mayRun(&r.job.size, int64(r.need)) != notBlocked {
 		return
 	}
+	if r.lent > 0 {
+		c.recall(r)
+		return
+	}
 	j, plan := r.job, r.holds
 	c.release(r)
 	c.beginGang(j, plan, "reserved room is complete")
@@ -144,7 +153,7 @@
 // holdOn holds as much of w's free room for the reservation as it needs.
 func (c *Core) holdOn(w *worker) {
 	r := c.reserved
-	if r == nil || r.held >= r.need || !c.usable(w) || w.health.probing {
+	if r == nil || r.held >= r.need || !c.usable(w) || w.health.probing || !c.accepts(w, r.job) {
 		return
 	}
 	free := w.free()
@@ -173,6 +182,7 @@
 // release gives the held room back, to be used at once.
 func (c *Core) release(r *reservation) {
 	for _, h := range r.holds {
+		c.endLoansOn(h.worker)
 		h.worker.held.addScaled(&r.job.size, -int64(h.count))
 		c.grew(h.worker)
 	}
@@ -210,6 +220,7 @@
 			break
 		}
 	}
+	c.endLoansOn(w)
 	w.held = vec{}
 	c.refresh(w)
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -44,6 +44,7 @@
 	reason    string // of the preemption
 	urgent    bool   // its room is wanted within the urgent bound
 	slot      int    // in worker.attempts
+	lent      vec    // of the worker's held room, while that is held
 }
 
 func (a *attempt) id() model.TaskID { return model.TaskID{Job: a.job.spec.ID, Index: a.index} }
@@ -78,11 +79,12 @@
 	code       RefusalCode
 	reason     string
 	blocked    blockReason
-	giveUp     time.Time // zero: never
-	est        *estimate // of its kind; nil if none is kept
-	estSamples int       // samples that size already respects
-	measured   vec       // largest that was measured of a task of this job
-	waits      time.Time // since when the head of its tasks is ready
+	giveUp     time.Time     // zero: never
+	est        *estimate     // of its kind; nil if none is kept
+	estSamples int           // samples that size already respects
+	longest    time.Duration // run time of its tasks that ended well
+	measured   vec           // largest that was measured of a task of this job
+	waits      time.Time     // since when the head of its tasks is ready
 	reserved   *reservation
 	gangWait   time.Duration
 	lastPlaced string
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"cuminloft/internal/model"
@@ -9,6 +10,9 @@
 // maxBackoff bounds the delay before a failed task is started again.
 const maxBackoff = 5 * time.Minute
 
+// maxAvoid is how many workers a job avoids after its tasks failed there.
+const maxAvoid = 16
+
 // countReady adds n to the ready tasks of j and takes j in or out of its lane.
 func (c *Core) countReady(j *job, n int) {
 	j.ready += n
@@ -58,7 +62,7 @@
 }
 
 // begin starts the next ready task of j on w.
-func (c *Core) begin(j *job, w *worker, reason string) {
+func (c *Core) begin(j *job, w *worker, reason string) *attempt {
 	i := j.takeReady()
 	tk := &j.tasks[i]
 	c.countReady(j, -1)
@@ -72,6 +76,7 @@
 		Task: a.id(), Attempt: a.number, Worker: w.spec.ID,
 		Size: a.size.resources(), Checkpoint: tk.checkpoint, Reason: reason,
 	})
+	return a
 }
 
 // attach counts the room that a takes.
@@ -91,6 +96,7 @@
 func (c *Core) detach(a *attempt) {
 	w, j := a.worker, a.job
 	j.running--
+	c.endLoan(a)
 	j.tasks[a.index].running = nil
 	last := len(w.attempts) - 1
 	w.attempts[a.slot] = w.attempts[last]
@@ -188,6 +194,7 @@
 		}
 		c.settle(j, a.index, taskDone)
 	case EndFailed:
+		c.avoidNext(j, a.worker)
 		c.endedByItself(j, a.index)
 	case EndStopped, EndLapsed:
 		c.endedByOthers(j, a.index)
@@ -210,6 +217,18 @@
 	}
 }
 
+// avoidNext has the tasks of j tried elsewhere than on a worker on which one
+// failed; the oldest such worker is forgotten for it.
+func (c *Core) avoidNext(j *job, w *worker) {
+	if slices.Contains(j.avoid, w.spec.ID) {
+		return
+	}
+	j.avoid = append(j.avoid, w.spec.ID)
+	if len(j.avoid) > min(maxAvoid, len(c.byPos)/2) {
+		j.avoid = j.avoid[1:]
+	}
+}
+
 // endedByOthers handles a task that was stopped, or whose worker was lost.
 func (c *Core) endedByOthers(j *job, i int) {
 	switch {
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -38,15 +38,14 @@
 // machine feeds a core with events that a chooser picks, and a checker with
 // events and decisions.
 type machine struct {
-	core    *Core
-	check   *checker
-	now     time.Time
-	pick    chooser
-	cfg     *config.Config
-	jobs    []model.JobID
-	open    []StartTask // attempts that may run
-	adopted int
-	events  int
+	core   *Core
+	check  *checker
+	now    time.Time
+	pick   chooser
+	cfg    *config.Config
+	jobs   []model.JobID
+	open   []StartTask // attempts that may run
+	events int
 }
 
 const (
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -42,6 +42,7 @@
 	c.placeTier(tierUrgent)
 	c.reclaimUrgent()
 	c.placeTier(tierDirect)
+	c.noteDirectNeed()
 	c.topUpReservation()
 	c.placeTier(tierShared)
 	c.helpStarved()
@@ -134,7 +135,7 @@
 		if !t.smallest[k].fits(c.bound(t)) || (k == tierShared && c.headroomBlocks(&t.smallest[k])) {
 			continue
 		}
-		if best == nil || t.before(best) {
+		if best == nil || t.beforeIn(best, k) {
 			best = t
 		}
 	}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -131,6 +131,7 @@
 		c.reserve(j)
 		c.reclaimShares(j)
 	}
+	c.lend()
 	c.wakeToHelp()
 }
 
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -45,6 +45,7 @@
 	limit     vec // upper limit
 	grant     vec
 	noGrant   bool
+	requests  int       // direct requests that run
 	asked     time.Time // when the grant was last asked for
 	used      vec       // on this shard
 	elsewhere vec       // on other shards
@@ -179,6 +180,20 @@
 	return t.order < u.order
 }
 
+// beforeIn is before for the work of a tier. Direct requests go by the direct
+// requests that run for each team, not by all that it runs: a team's batch
+// work must not delay its requests.
+func (t *team) beforeIn(u *team, k tier) bool {
+	if k == tierShared {
+		return t.before(u)
+	}
+	a, b := float64(t.requests)/t.weight, float64(u.requests)/u.weight
+	if a != b {
+		return a < b
+	}
+	return t.order < u.order
+}
+
 // mayRun reports whether t may run one more of size, and if not, why.
 func (t *team) mayRun(size *vec, count int64) blockReason {
 	need := vec{}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// A worker is taken out when the failures held against it reach minBlame
-	// and are at least blamePart of what it ran of late.
+	// A worker is taken out when the failures held against it reach minBlame,
+	// either since its last success, or if they are at least blamePart of what
+	// it ran of late.
 	minBlame  = 3.0
 	blamePart = 0.8
 	// healthDecay is how much each new end lessens the weight of older ones.
@@ -26,6 +27,7 @@
 // health is a worker's own success rate.
 type health struct {
 	good, blame float64 // decaying counts
+	streak      float64 // blame since the last success
 	out         bool
 	probing     bool // back in for one restartable task at a time
 	probes      pauser
@@ -44,6 +46,9 @@
 	}
 	est := a.job.est
 	failed := end == EndFailed
+	if !failed {
+		a.job.longest = max(a.job.longest, c.now.Sub(a.started))
+	}
 	if est != nil {
 		if !failed {
 			est.observeRunTime(c.now.Sub(a.started))
@@ -92,6 +97,7 @@
 	if !failed {
 		h.good = h.good*healthDecay + 1
 		h.blame *= healthDecay
+		h.streak = 0
 		if h.probing {
 			c.probed(w)
 		}
@@ -103,11 +109,12 @@
 	}
 	h.good *= healthDecay
 	h.blame = h.blame*healthDecay + blame
+	h.streak += blame
 	if h.probing && blame >= unknownKindBlame {
 		c.takeOut(w, "the task that probed the worker failed")
 		return
 	}
-	if h.blame >= minBlame && h.blame >= blamePart*(h.good+h.blame) {
+	if h.streak >= minBlame || h.blame >= minBlame && h.blame >= blamePart*(h.good+h.blame) {
 		c.takeOut(w, "tasks fail on this worker that run elsewhere")
 	}
 }
@@ -131,7 +138,7 @@
 // probed ends the probe of a worker that ran a task well.
 func (c *Core) probed(w *worker) {
 	w.health.probing = false
-	w.health.blame = 0
+	w.health.blame, w.health.streak = 0, 0
 	c.suspects--
 	c.grew(w)
 }
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -24,7 +24,8 @@
 	pos      int         // in the room index
 	capacity vec
 	used     vec // by attempts that run or may run
-	held     vec // kept free for reserved jobs
+	held     vec // for the reserved job
+	lent     vec // part of held that other work uses meanwhile
 	attempts []*attempt
 
 	flaps       pauser
@@ -64,6 +65,7 @@
 	free := w.capacity
 	free.sub(&w.used)
 	free.sub(&w.held)
+	free.add(&w.lent)
 	return free
 }
 
