owner: check schedules of faults against the workers' own records

rapid draws schedules of kill, freeze, cut, lost answers, platform outages, worker restarts and two owners at once; at every step the workers' records must show one place per task, room never exceeded and one start of what is not idempotent, and at the end every accepted job must have a true outcome.

Found by it: hand-over spun while the core's next wake was due, because nothing ticked the core any more.

--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -85,16 +85,13 @@
 	l.publish()
 }
 
+// sleep returns how long the loop may wait for a message.
 func (l *loop) sleep() time.Duration {
-	now := time.Now()
-	wait := housekeeping
+	wait := l.queue.sleep()
 	if at, ok := l.core.NextWake(); ok {
-		wait = min(wait, at.Sub(now))
-	}
-	if at, ok := l.queue.due(); ok {
-		wait = min(wait, at.Sub(now))
+		wait = min(wait, time.Until(at))
 	}
-	return max(wait, 0)
+	return max(wait, shortestSleep)
 }
 
 // tick lets time pass.
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -64,6 +64,15 @@
 	return at, true
 }
 
+// sleep returns how long no write has to begin, at most housekeeping.
+func (q *writeQueue) sleep() time.Duration {
+	at, ok := q.due()
+	if !ok {
+		return housekeeping
+	}
+	return max(min(housekeeping, time.Until(at)), shortestSleep)
+}
+
 // cut moves the oldest entries that fit one row to writing.
 func (q *writeQueue) cut() []journal.Entry {
 	n, records, size := 0, 0, 0
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -38,10 +38,12 @@
 // testOwner is one entry host's owner, with links of its own that can be cut.
 type testOwner struct {
 	*Owner
+	gate
 	toTable standin.Cut
 	toWork  map[string]*standin.Cut
 	stop    context.CancelFunc
 	ended   chan error
+	killed  bool
 }
 
 func hashOf(key string) string {
@@ -82,9 +84,11 @@
 	host := fmt.Sprintf("host%d", len(r.owners))
 	o.Owner = New(Options{
 		Shard: testShard, AZ: "keller", Self: &rpc.Member{Host: host, Incarnation: host},
-		Table: o.toTable.Table(r.table), Objects: o.toTable.Objects(r.objects),
-		Connect: func(s model.WorkerSpec) worker.Client { return o.toWork[s.ID].Worker(r.workers[s.ID]) },
-		View:    configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
+		Table: gatedTable{&o.gate, o.toTable.Table(r.table)}, Objects: o.toTable.Objects(r.objects),
+		Connect: func(s model.WorkerSpec) worker.Client {
+			return gatedWorker{&o.gate, o.toWork[s.ID].Worker(r.workers[s.ID])}
+		},
+		View: configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
 	})
 	ctx, o.stop = context.WithCancel(ctx)
 	r.owners = append(r.owners, o)
@@ -95,7 +99,9 @@
 // kill cuts an owner off from everything for ever, as a killed process is, and
 // lets its goroutines end.
 func (o *testOwner) kill() {
+	o.killed = true
 	o.isolate(true)
+	o.thaw()
 	o.stop()
 }
 
@@ -144,7 +150,10 @@
 func (r *rig) endAll() {
 	r.table.Set(standin.FaultSet{})
 	for _, o := range r.owners {
-		o.isolate(false)
+		if !o.killed {
+			o.isolate(false)
+		}
+		o.thaw()
 		o.stop()
 		<-o.ended
 	}
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -8,6 +8,7 @@
 	ownerRowRetry = 100 * time.Millisecond // between tries to write the owner row
 	inboxSize     = 1024                   // messages
 	housekeeping  = 250 * time.Millisecond // longest sleep of the event loop
+	shortestSleep = time.Millisecond       // keeps the event loop from spinning
 	digestEvery   = 50 * time.Millisecond  // least time between two digests
 	fleetEvery    = time.Second            // between reads of the other shards' use
 
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -123,7 +123,7 @@
 	defer deadline.Stop()
 	for l.lost == nil && (!l.queue.empty() || l.sends > 0) {
 		l.flush()
-		timer := time.NewTimer(l.sleep())
+		timer := time.NewTimer(l.queue.sleep())
 		select {
 		case m := <-l.inbox:
 			m.handle(l)
