owner: adopt an unrecorded attempt that follows one without an end record

Found by TestSchedules: an owner cut off from the table saw an attempt lapse when its worker restarted, and started the next one; neither was written. Its successor stopped the newer attempt as foreign and started the same number again, which the worker knew: ErrDuplicate was taken for a confirmation of an attempt that had ended. The newer attempt is adopted in place of the older one now, and ErrDuplicate is settled.

--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -188,7 +188,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, _ = o.CancelJob(ctx, &rpc.CancelJobRequest{
-		JobId: id, Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+		JobId: id, Credential: &rpc.Credential{KeySha256: testKeyHash()},
 	})
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -188,7 +188,7 @@
 	j.Queue = "slips"
 	return &rpc.ReserveRequest{
 		Shard: testShard, Job: j, Attempt: 1, WaitNs: int64(5 * time.Second),
-		Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+		Credential: &rpc.Credential{KeySha256: testKeyHash()},
 	}
 }
 
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -78,20 +78,22 @@
 }
 
 // isNewer reports whether the attempt belongs to a job that goes on and follows
-// the newest recorded one: the former owner started it before the record was
-// written.
+// the newest recorded one: the former owner started it before it could write
+// the record, after it had seen the end of the one before.
 func (l *loop) isNewer(id worker.Attempt) bool {
 	j, ok := l.state.Jobs[id.Task.Job]
 	if !ok || j.Ended != nil || id.Task.Index < 0 || id.Task.Index >= j.Spec.Tasks {
 		return false
 	}
 	t, ok := j.Tasks[id.Task.Index]
-	return !ok || (id.Number > t.Attempt && t.End != "")
+	return !ok || id.Number > t.Attempt
 }
 
-// adoptUnrecorded takes over an attempt without a start record.
+// adoptUnrecorded takes over an attempt without a start record. It replaces an
+// older one whose end was not recorded either.
 func (l *loop) adoptUnrecorded(k *link, t worker.TaskReport) {
 	j := l.state.Jobs[t.Attempt.Task.Job]
+	l.replaceOlder(j, t.Attempt.Task)
 	a := &attempt{
 		id: t.Attempt, job: &j.Spec, worker: k.spec.ID, phase: phaseRunning,
 		boot: k.boot, size: t.Size, checkpoint: t.Saved,
@@ -104,6 +106,21 @@
 	}
 }
 
+// replaceOlder ends the recorded attempt of a task without telling the core,
+// which learns of the newer attempt by its adoption.
+func (l *loop) replaceOlder(j *journal.Job, id model.TaskID) {
+	t, ok := j.Tasks[id.Index]
+	if !ok || t.End != "" {
+		return
+	}
+	older := l.attempts[worker.Attempt{Task: id, Number: t.Attempt}]
+	if older == nil {
+		return
+	}
+	l.append(nil, false, endRecord(older, string(sched.EndLapsed), worker.TaskReport{Error: "a later attempt runs"}))
+	l.untrack(older)
+}
+
 // adoptDirect takes over a direct request that runs under a former owner's
 // ticket.
 func (l *loop) adoptDirect(k *link, t worker.TaskReport) {
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -27,12 +27,13 @@
 
 // rig is a shard's platform and workers, and the owners that compete for it.
 type rig struct {
-	table   *standin.Table
-	objects *standin.Objects
-	workers map[string]*standin.Worker
-	cfg     *config.Config
-	owners  []*testOwner
-	jobs    int
+	table    *standin.Table
+	objects  *standin.Objects
+	workers  map[string]*standin.Worker
+	cfg      *config.Config
+	owners   []*testOwner
+	jobs     int
+	failures []error // of owners that were not killed
 }
 
 // testOwner is one entry host's owner, with links of its own that can be cut.
@@ -46,8 +47,8 @@
 	killed  bool
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
+func testKeyHash() string {
+	sum := sha256.Sum256([]byte(testKey))
 	return hex.EncodeToString(sum[:])
 }
 
@@ -57,7 +58,7 @@
 		Cell: "holunderhof",
 		AZs:  []config.AZ{{Name: "keller", InService: true}},
 		Organisations: []config.Organisation{{Name: "cellar", Share: 1, Teams: []config.Team{
-			{Name: "planner", Share: 1, Keys: []config.Key{{ID: "k1", SHA256: hashOf(testKey)}}},
+			{Name: "planner", Share: 1, Keys: []config.Key{{ID: "k1", SHA256: testKeyHash()}}},
 		}}},
 		Queues: []config.Queue{
 			{Name: "blends", Policy: model.PolicyBatch},
@@ -120,7 +121,7 @@
 	}
 	return &rpc.SubmitRequest{
 		Shard:      testShard,
-		Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+		Credential: &rpc.Credential{KeySha256: testKeyHash()},
 		Job: rpc.FromJob(model.Job{
 			ID: model.JobID(fmt.Sprintf("%032x", r.jobs)), Queue: "blends", Tasks: tasks, Submitted: time.Now(),
 			Task: model.TaskSpec{
@@ -132,7 +133,7 @@
 
 func (o *testOwner) status(id string) (*rpc.JobStatus, error) {
 	return o.GetJob(context.Background(), &rpc.GetJobRequest{
-		Shard: testShard, JobId: id, Credential: &rpc.Credential{KeySha256: hashOf(testKey)}, Explain: true,
+		Shard: testShard, JobId: id, Credential: &rpc.Credential{KeySha256: testKeyHash()}, Explain: true,
 	})
 }
 
@@ -155,6 +156,8 @@
 		}
 		o.thaw()
 		o.stop()
-		<-o.ended
+		if err := <-o.ended; err != nil && !o.killed {
+			r.failures = append(r.failures, err) // ErrLost, or a hand-over that was cut short
+		}
 	}
 }
--- a/internal/owner/start.go
+++ b/internal/owner/start.go
@@ -173,12 +173,12 @@
 	}
 	var notAllowed *errNotAllowed
 	switch {
-	case m.err == nil, errors.Is(m.err, worker.ErrDuplicate):
+	case m.err == nil:
 		l.record(timeline.Event{Kind: timeline.KindTaskStarted, Job: string(a.id.Task.Job), Team: a.job.Team, Target: a.worker})
 		l.confirm(a)
 	case errors.As(m.err, &notAllowed):
 		l.refuseStart(a, m.err.Error(), false)
-	case errors.Is(m.err, worker.ErrAmbiguous):
+	case errors.Is(m.err, worker.ErrAmbiguous), errors.Is(m.err, worker.ErrDuplicate):
 		l.settle(a)
 	default:
 		l.refuseStart(a, m.err.Error(), true)
