shared: sched: restored jobs are not refused again; a later adopted attempt replaces the older

A takeover passed accepted jobs through the admission check again: a full queue or a lowered bound would have ended them as not run. An attempt that the former owner started after an unrecorded end was ignored, so the core waited for ever for the older one.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -16,7 +16,7 @@
 		c.completePartial(j)
 		return
 	}
-	if code, reason, retry := c.refusal(&ev.Job); code != "" {
+	if code, reason, retry := c.refusal(&ev.Job); code != "" && (!ev.Restored || code == RefusedUnknownTeam) {
 		c.refuse(ev.Job.ID, code, reason, retry)
 		return
 	}
--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -44,6 +44,9 @@
 	// LastAttempt is the highest attempt number used for a direct request that
 	// is handed over again; its next attempt gets a higher one.
 	LastAttempt int
+	// Restored is true for a job that was accepted under an earlier owner of the
+	// shard: it is not refused again for a full queue or for its size.
+	Restored bool
 }
 
 // TaskRestored tells what the journal knows of a task after a takeover. It
@@ -62,7 +65,8 @@
 type JobCancelled struct{ Job model.JobID }
 
 // TaskAdopted tells the core of a task that runs already, found in the journal
-// or in a worker's inventory after a takeover.
+// or in a worker's inventory after a takeover. A later attempt replaces the one
+// that the core believes to run: that one had ended unrecorded.
 type TaskAdopted struct {
 	Job     model.Job
 	Index   int
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -349,6 +349,10 @@
 		j.partial = true
 	}
 	tk := j.task(ev.Index)
+	if tk != nil && tk.running != nil && tk.running.number < ev.Attempt {
+		c.detach(tk.running)
+		tk.state = taskBackoff
+	}
 	if tk == nil || (tk.state != taskReady && tk.state != taskBackoff) {
 		return
 	}
