--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -267,7 +267,7 @@
 func (l *loop) lapsedBy(k *link) time.Time {
 	after := l.lease() + l.startWindow() + leaseMargin
 	if !k.everMet && !l.held.clean {
-		after += renewWithoutTable
+		after += renewWithoutTable + l.lease() // see accounted
 	}
 	return k.renewed.Add(after)
 }
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -135,7 +135,7 @@
 
 func (l *loop) adopt(a *attempt, started time.Time) {
 	l.feed(sched.TaskAdopted{
-		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started,
+		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started, Size: a.size,
 	})
 }
 
@@ -165,7 +165,7 @@
 
 func (l *loop) restoreJob(j *journal.Job) {
 	id := j.Spec.ID
-	l.feed(sched.JobAdded{Job: j.Spec})
+	l.feed(sched.JobAdded{Job: j.Spec, Restored: true})
 	for _, i := range slices.Sorted(maps.Keys(j.Tasks)) {
 		t := j.Tasks[i]
 		task := model.TaskID{Job: id, Index: i}
@@ -229,9 +229,10 @@
 
 // accounted reports whether nothing unrecorded of the former owner can run
 // unseen: it starts such work only within the solo window, and the leases lapse
-// afterwards.
+// afterwards. A lease counts twice: a renewal that was decided within the window
+// may be sent late by a frozen process, and extends a lease that still holds.
 func (l *loop) accounted() bool {
-	wait := l.cfg.Policy.SoloWindow() + l.lease() + l.startWindow() + leaseMargin
+	wait := l.cfg.Policy.SoloWindow() + 2*l.lease() + l.startWindow() + leaseMargin
 	if time.Since(l.takenAt) > wait {
 		return true
 	}
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -8,16 +8,13 @@
 )
 
 // settledMessage tells what a worker says of an attempt whose fate was not
-// known, and the worker's boot after it said so.
+// known.
 type settledMessage struct {
 	attempt *attempt
 	report  worker.TaskReport
-	boot    string
 }
 
-// settle asks the worker what became of an attempt, until it answers. A worker
-// that has restarted has forgotten what it ran, so the boot is read after the
-// answer: only the boot of the start can prove that an attempt was never seen.
+// settle asks the worker what became of an attempt, until it answers.
 func (l *loop) settle(a *attempt) {
 	k, ok := l.workers[a.worker]
 	if !ok {
@@ -27,7 +24,11 @@
 	client, fence := k.client, l.held.Fence
 	l.spawn(func(ctx context.Context) {
 		for {
-			m, err := askState(ctx, client, fence, a)
+			m := settledMessage{attempt: a}
+			err := command(ctx, func(ctx context.Context) (err error) {
+				m.report, err = client.Settle(ctx, fence, a.id)
+				return err
+			})
 			if err == nil {
 				l.post(ctx, m)
 				return
@@ -39,23 +40,9 @@
 	})
 }
 
-func askState(ctx context.Context, client worker.Client, fence worker.Fence, a *attempt) (settledMessage, error) {
-	m := settledMessage{attempt: a}
-	err := command(ctx, func(ctx context.Context) (err error) {
-		m.report, err = client.Settle(ctx, fence, a.id)
-		return err
-	})
-	if err != nil {
-		return m, err
-	}
-	err = command(ctx, func(ctx context.Context) error {
-		reply, err := client.Heartbeat(ctx, worker.Heartbeat{Fence: fence})
-		m.boot = reply.Boot
-		return err
-	})
-	return m, err
-}
-
+// handle takes the worker's word, with one exception: a worker that has
+// restarted has forgotten what it ran, so only the boot of the start can prove
+// that the attempt was never seen.
 func (m settledMessage) handle(l *loop) {
 	a := m.attempt
 	if l.attempts[a.id] != a || a.phase != phaseSettling {
@@ -66,7 +53,7 @@
 		l.confirm(a)
 	case m.report.State != worker.TaskNeverSeen:
 		l.endAttempt(a, endOf(a.job, m.report.State), m.report)
-	case a.direct(), m.boot == a.boot:
+	case a.direct(), m.report.Boot == a.boot:
 		l.refuseStart(a, "the worker never saw the start", false)
 	default:
 		l.endAttempt(a, endOf(a.job, worker.TaskLapsed), worker.TaskReport{Error: "the worker restarted"})
