--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,199 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/platform"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+)
+
+const shard = "presshaus-0"
+
+type store struct {
+	table   *standin.Table
+	objects *standin.Objects
+}
+
+func newStore() store { return store{standin.NewTable(), standin.NewObjects()} }
+
+// own writes the owner row and returns a writer under it.
+func (s store) own(t *testing.T) *Writer {
+	t.Helper()
+	is := is.New(t)
+	versions, err := s.table.Apply(t.Context(), []platform.Write{{Key: OwnerKey(shard), IfVersion: platform.AnyVersion}})
+	is.NoErr(err)
+	loaded, err := Load(t.Context(), s.table, s.objects, shard)
+	is.NoErr(err)
+	return NewWriter(s.table, Owned{Shard: shard, Version: versions[0]}, loaded)
+}
+
+func accepted(id string) Entry {
+	return Entry{Records: []*Record{{Kind: &Record_JobAccepted{JobAccepted: &JobAccepted{
+		Job: rpc.FromJob(model.Job{ID: model.JobID(id), Team: "press", Tasks: 2, Submitted: time.Unix(5, 0)}),
+	}}}}}
+}
+
+func started(id string, attempt int) Entry {
+	return Entry{Records: []*Record{{Kind: &Record_TaskStarted{TaskStarted: &TaskStarted{
+		JobId: id, Attempt: int32(attempt), Worker: "w0", StartedNs: 9, Boot: "b1",
+	}}}}}
+}
+
+func ended(id string, attempt int, end string) Entry {
+	return Entry{Records: []*Record{{Kind: &Record_TaskEnded{TaskEnded: &TaskEnded{
+		JobId: id, Attempt: int32(attempt), End: end, Checkpoint: "c1", Result: []byte("r"), Error: "e",
+	}}}}}
+}
+
+func TestReplayEqualsWhatWasWritten(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	w := s.own(t)
+	for i := range 20 {
+		id := fmt.Sprint("job", i)
+		is.NoErr(w.Write(t.Context(), []Entry{accepted(id), started(id, 1)}))
+		is.NoErr(w.Write(t.Context(), []Entry{ended(id, 1, endFailed), started(id, 2)}))
+		if i == 10 {
+			p, err := w.PrepareSnapshot()
+			is.NoErr(err)
+			is.NoErr(w.Write(t.Context(), []Entry{accepted("beside")}))
+			is.NoErr(p.Save(t.Context(), s.table, s.objects))
+			w.Saved(p)
+		}
+	}
+	loaded, err := Load(t.Context(), s.table, s.objects, shard)
+	is.NoErr(err)
+	is.Equal(cmp.Diff(w.state, loaded.State, protocmp.Transform()), "")
+	is.Equal(loaded.Last, w.last)
+	rows, err := s.table.Range(t.Context(), rowPrefix(shard), "", 1000)
+	is.NoErr(err)
+	is.Equal(len(rows), 19) // 18 of the later jobs and one beside the snapshot
+}
+
+func TestDeposedWriterAppendsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	old := s.own(t)
+	is.NoErr(old.Write(t.Context(), []Entry{accepted("a")}))
+	successor := s.own(t)
+	is.True(errors.Is(old.Write(t.Context(), []Entry{accepted("b")}), ErrDeposed))
+	is.NoErr(successor.Write(t.Context(), []Entry{accepted("c")}))
+	loaded, err := Load(t.Context(), s.table, s.objects, shard)
+	is.NoErr(err)
+	is.Equal(len(loaded.State.Jobs), 2)
+}
+
+// Each answer is lost at times, with the write in effect; no row is written
+// twice and none is missing.
+func TestLostAnswersAreSettled(t *testing.T) {
+	for every := 2; every <= 4; every++ {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newStore()
+			w := s.own(t)
+			s.table.Set(standin.FaultSet{LoseEvery: every})
+			for i := range 30 {
+				is.NoErr(w.Write(t.Context(), []Entry{accepted(fmt.Sprint(i))}))
+			}
+			s.table.Set(standin.FaultSet{})
+			loaded, err := Load(t.Context(), s.table, s.objects, shard)
+			is.NoErr(err)
+			is.Equal(len(loaded.State.Jobs), 30)
+			is.Equal(loaded.Last, Seq(30))
+		})
+	}
+}
+
+func TestClaimedKeyNamesTheFirstJob(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	w := s.own(t)
+	claim := func(id string) Entry {
+		e := accepted(id)
+		e.Idempotency = &Idempotency{Row: IdempotencyKey("press", "key"), Value: &IdempotencyRow{JobId: id, Shard: shard}}
+		return e
+	}
+	is.NoErr(w.Write(t.Context(), []Entry{claim("first")}))
+	err := w.Write(t.Context(), []Entry{accepted("other"), claim("second")})
+	var claimed *ClaimedError
+	is.True(errors.As(err, &claimed))
+	is.Equal(claimed.Entry, 1)
+	is.Equal(claimed.First.GetJobId(), "first")
+	is.Equal(w.last, Seq(1)) // nothing of the batch was written
+}
+
+// Whatever is wrong with a row, the shard is refused, never guessed at.
+func TestDamagedJournalIsRefused(t *testing.T) {
+	valid, err := encode(&Batch{Records: accepted("x").Records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	unknownField, _ := encode(&Batch{Records: []*Record{{}}})
+	cases := []struct {
+		name  string
+		value []byte
+		want  error
+	}{
+		{"flipped bit", flip(valid, len(valid)-1), ErrCorrupt},
+		{"cut short", valid[:4], ErrCorrupt},
+		{"newer format", flip(valid, 0), ErrUnknownFormat},
+		{"unknown kind of record", unknownField, ErrUnknownFormat},
+		{"unknown field", withUnknownField(t), ErrUnknownFormat},
+		{"record of an unknown job", mustEncode(t, started("nobody", 1)), ErrCorrupt},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStore()
+			_, err := s.table.Apply(t.Context(), []platform.Write{{Key: RowKey(shard, 1), Value: c.value}})
+			is.NoErr(err)
+			_, err = Load(t.Context(), s.table, s.objects, shard)
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
+
+func TestMissingRowIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	w := s.own(t)
+	for i := range 3 {
+		is.NoErr(w.Write(t.Context(), []Entry{accepted(fmt.Sprint(i))}))
+	}
+	_, err := s.table.Apply(t.Context(), []platform.Write{{Key: RowKey(shard, 2), Delete: true, IfVersion: platform.AnyVersion}})
+	is.NoErr(err)
+	_, err = Load(t.Context(), s.table, s.objects, shard)
+	is.True(errors.Is(err, ErrCorrupt))
+}
+
+func flip(b []byte, i int) []byte {
+	out := append([]byte(nil), b...)
+	out[i] ^= 2
+	return out
+}
+
+func mustEncode(t *testing.T, e Entry) []byte {
+	t.Helper()
+	value, err := encode(&Batch{Records: e.Records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func withUnknownField(t *testing.T) []byte {
+	t.Helper()
+	b := &Batch{Records: accepted("x").Records}
+	b.GetRecords()[0].GetJobAccepted().ProtoReflect().SetUnknown([]byte{0xf8, 0x07, 0x01})
+	return mustEncode(t, Entry{Records: b.GetRecords()})
+}
