--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -78,20 +78,22 @@
 }
 
 // isNewer reports whether the attempt belongs to a job that goes on and follows
-// the newest recorded one: the former owner started it before the record was
-// written.
+// the newest recorded one: the former owner started it before it could write
+// the record, after it had seen the end of the one before.
 func (l *loop) isNewer(id worker.Attempt) bool {
 	j, ok := l.state.Jobs[id.Task.Job]
 	if !ok || j.Ended != nil || id.Task.Index < 0 || id.Task.Index >= j.Spec.Tasks {
 		return false
 	}
 	t, ok := j.Tasks[id.Task.Index]
-	return !ok || (id.Number > t.Attempt && t.End != "")
+	return !ok || id.Number > t.Attempt
 }
 
-// adoptUnrecorded takes over an attempt without a start record.
+// adoptUnrecorded takes over an attempt without a start record. It replaces an
+// older one whose end was not recorded either.
 func (l *loop) adoptUnrecorded(k *link, t worker.TaskReport) {
 	j := l.state.Jobs[t.Attempt.Task.Job]
+	l.replaceOlder(j, t.Attempt.Task)
 	a := &attempt{
 		id: t.Attempt, job: &j.Spec, worker: k.spec.ID, phase: phaseRunning,
 		boot: k.boot, size: t.Size, checkpoint: t.Saved,
@@ -104,6 +106,21 @@
 	}
 }
 
+// replaceOlder ends the recorded attempt of a task without telling the core,
+// which learns of the newer attempt by its adoption.
+func (l *loop) replaceOlder(j *journal.Job, id model.TaskID) {
+	t, ok := j.Tasks[id.Index]
+	if !ok || t.End != "" {
+		return
+	}
+	older := l.attempts[worker.Attempt{Task: id, Number: t.Attempt}]
+	if older == nil {
+		return
+	}
+	l.append(nil, false, endRecord(older, string(sched.EndLapsed), worker.TaskReport{Error: "a later attempt runs"}))
+	l.untrack(older)
+}
+
 // adoptDirect takes over a direct request that runs under a former owner's
 // ticket.
 func (l *loop) adoptDirect(k *link, t worker.TaskReport) {
@@ -118,7 +135,7 @@
 
 func (l *loop) adopt(a *attempt, started time.Time) {
 	l.feed(sched.TaskAdopted{
-		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started,
+		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started, Size: a.size,
 	})
 }
 
@@ -148,7 +165,7 @@
 
 func (l *loop) restoreJob(j *journal.Job) {
 	id := j.Spec.ID
-	l.feed(sched.JobAdded{Job: j.Spec})
+	l.feed(sched.JobAdded{Job: j.Spec, Restored: true})
 	for _, i := range slices.Sorted(maps.Keys(j.Tasks)) {
 		t := j.Tasks[i]
 		task := model.TaskID{Job: id, Index: i}
@@ -212,9 +229,10 @@
 
 // accounted reports whether nothing unrecorded of the former owner can run
 // unseen: it starts such work only within the solo window, and the leases lapse
-// afterwards.
+// afterwards. A lease counts twice: a renewal that was decided within the window
+// may be sent late by a frozen process, and extends a lease that still holds.
 func (l *loop) accounted() bool {
-	wait := l.cfg.Policy.SoloWindow() + l.lease() + l.startWindow() + leaseMargin
+	wait := l.cfg.Policy.SoloWindow() + 2*l.lease() + l.startWindow() + leaseMargin
 	if time.Since(l.takenAt) > wait {
 		return true
 	}
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -27,25 +27,28 @@
 
 // rig is a shard's platform and workers, and the owners that compete for it.
 type rig struct {
-	table   *standin.Table
-	objects *standin.Objects
-	workers map[string]*standin.Worker
-	cfg     *config.Config
-	owners  []*testOwner
-	jobs    int
+	table    *standin.Table
+	objects  *standin.Objects
+	workers  map[string]*standin.Worker
+	cfg      *config.Config
+	owners   []*testOwner
+	jobs     int
+	failures []error // of owners that were not killed
 }
 
 // testOwner is one entry host's owner, with links of its own that can be cut.
 type testOwner struct {
 	*Owner
+	gate
 	toTable standin.Cut
 	toWork  map[string]*standin.Cut
 	stop    context.CancelFunc
 	ended   chan error
+	killed  bool
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
+func testKeyHash() string {
+	sum := sha256.Sum256([]byte(testKey))
 	return hex.EncodeToString(sum[:])
 }
 
@@ -55,7 +58,7 @@
 		Cell: "holunderhof",
 		AZs:  []config.AZ{{Name: "keller", InService: true}},
 		Organisations: []config.Organisation{{Name: "cellar", Share: 1, Teams: []config.Team{
-			{Name: "planner", Share: 1, Keys: []config.Key{{ID: "k1", SHA256: hashOf(testKey)}}},
+			{Name: "planner", Share: 1, Keys: []config.Key{{ID: "k1", SHA256: testKeyHash()}}},
 		}}},
 		Queues: []config.Queue{
 			{Name: "blends", Policy: model.PolicyBatch},
@@ -82,9 +85,11 @@
 	host := fmt.Sprintf("host%d", len(r.owners))
 	o.Owner = New(Options{
 		Shard: testShard, AZ: "keller", Self: &rpc.Member{Host: host, Incarnation: host},
-		Table: o.toTable.Table(r.table), Objects: o.toTable.Objects(r.objects),
-		Connect: func(s model.WorkerSpec) worker.Client { return o.toWork[s.ID].Worker(r.workers[s.ID]) },
-		View:    configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
+		Table: gatedTable{&o.gate, o.toTable.Table(r.table)}, Objects: o.toTable.Objects(r.objects),
+		Connect: func(s model.WorkerSpec) worker.Client {
+			return gatedWorker{&o.gate, o.toWork[s.ID].Worker(r.workers[s.ID])}
+		},
+		View: configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
 	})
 	ctx, o.stop = context.WithCancel(ctx)
 	r.owners = append(r.owners, o)
@@ -95,7 +100,9 @@
 // kill cuts an owner off from everything for ever, as a killed process is, and
 // lets its goroutines end.
 func (o *testOwner) kill() {
+	o.killed = true
 	o.isolate(true)
+	o.thaw()
 	o.stop()
 }
 
@@ -114,7 +121,7 @@
 	}
 	return &rpc.SubmitRequest{
 		Shard:      testShard,
-		Credential: &rpc.Credential{KeySha256: hashOf(testKey)},
+		Credential: &rpc.Credential{KeySha256: testKeyHash()},
 		Job: rpc.FromJob(model.Job{
 			ID: model.JobID(fmt.Sprintf("%032x", r.jobs)), Queue: "blends", Tasks: tasks, Submitted: time.Now(),
 			Task: model.TaskSpec{
@@ -126,7 +133,7 @@
 
 func (o *testOwner) status(id string) (*rpc.JobStatus, error) {
 	return o.GetJob(context.Background(), &rpc.GetJobRequest{
-		Shard: testShard, JobId: id, Credential: &rpc.Credential{KeySha256: hashOf(testKey)}, Explain: true,
+		Shard: testShard, JobId: id, Credential: &rpc.Credential{KeySha256: testKeyHash()}, Explain: true,
 	})
 }
 
@@ -144,8 +151,13 @@
 func (r *rig) endAll() {
 	r.table.Set(standin.FaultSet{})
 	for _, o := range r.owners {
-		o.isolate(false)
+		if !o.killed {
+			o.isolate(false)
+		}
+		o.thaw()
 		o.stop()
-		<-o.ended
+		if err := <-o.ended; err != nil && !o.killed {
+			r.failures = append(r.failures, err) // ErrLost, or a hand-over that was cut short
+		}
 	}
 }
