--- a/internal/door/answer.go
+++ b/internal/door/answer.go
@@ -26,6 +26,8 @@
 	cancel  context.CancelFunc // ends the attempt's connection
 	// released is true if the owner was told of the end already.
 	released bool
+	// repeated is true for the stored answer of an earlier request.
+	repeated bool
 }
 
 // readAnswer reads the beginning of an answer, and all of a small one, before
@@ -87,12 +89,21 @@
 	return http.StatusOK
 }
 
-// deliver sends an answer to the caller. A large answer that breaks off on the
+// deliver sends an answer to the caller, if it still waits. A large answer that breaks off on the
 // way cuts the connection, so that the caller sees that it is not whole.
-func (d *Door) deliver(w http.ResponseWriter, req *request, ans *answer) {
+func (d *Door) deliver(ctx context.Context, w http.ResponseWriter, req *request, ans *answer) {
+	if ctx.Err() != nil && ans.rest == nil {
+		countLate.Add(1)
+		d.record(req, timeline.KindAnswerDropped, ans.attempt.ticket.GetWorker(), "caller is gone")
+		d.finished(req, ans)
+		return
+	}
 	h := w.Header()
 	h.Set(api.HeaderOutcome, string(ans.outcome()))
 	h.Set(api.HeaderAttempt, strconv.Itoa(ans.attempt.id.Number))
+	if ans.repeated {
+		h.Set(api.HeaderRepeated, "true")
+	}
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.FormatInt(ans.length, 10))
 	if ans.rest == nil {
@@ -125,13 +136,14 @@
 // finished tells the owner that the attempt has ended with its answer.
 func (d *Door) finished(req *request, ans *answer) {
 	if !ans.released {
-		d.releaseEnded(ans.attempt, endOf(ans.outcome()))
+		d.releaseEnded(req, ans.attempt, endOf(ans.outcome()))
 	}
 	if ans.failed {
 		countFailed.Add(1)
 	} else {
 		countDone.Add(1)
 	}
+	d.completeIdem(req, ans)
 	d.recordEnd(req, ans.attempt.ticket.GetWorker(), string(ans.outcome()))
 }
 
@@ -143,7 +155,10 @@
 	}
 	ans.cancel()
 	d.recordEnd(req, ans.attempt.ticket.GetWorker(), "cut: "+err.Error())
-	d.background(func(ctx context.Context) { d.settleAndRelease(ctx, req, ans.attempt) })
+	d.background(func(ctx context.Context) {
+		end := d.settleAndRelease(ctx, req, ans.attempt)
+		d.closeIdem(ctx, req, end.err)
+	})
 }
 
 // onlyWriter hides the ReadFrom of a connection, which would skip the deadlines.
--- a/internal/door/attempt.go
+++ b/internal/door/attempt.go
@@ -42,6 +42,11 @@
 	return a, nil, final
 }
 
+// ticketOf returns the part of a ticket that an idempotency record keeps.
+func ticketOf(r *idemRecord) *rpc.Ticket {
+	return &rpc.Ticket{Shard: r.Shard, Worker: r.Worker, WorkerAddr: r.Addr, Fence: int64(r.Fence), Boot: r.Boot}
+}
+
 func (a *attempt) fence() worker.Fence { return worker.Fence(a.ticket.GetFence()) }
 
 func (a *attempt) start(req *request) worker.Start {
@@ -63,17 +68,23 @@
 	err    *Error  // otherwise
 	// ended is true if the attempt provably does not run (any more).
 	ended bool
+	// final is true if nothing else is to be tried.
+	final bool
 }
 
 // try sends one attempt and finds out what became of it.
 func (d *Door) try(ctx context.Context, req *request, a *attempt) ending {
 	in, err := req.body.open()
 	if err != nil {
-		d.giveBackUnused(a, "")
+		d.giveBackUnused(req, a, "")
 		return ending{err: notRun(req.proof, http.StatusServiceUnavailable, api.CodeNoWorker,
 			"the body is too large to be kept for another attempt").retryAfter(retrySoon), ended: true}
 	}
 	defer func() { _ = in.Close() }()
+	if refusal := d.recordIntent(ctx, req, a); refusal != nil {
+		d.giveBackUnused(req, a, "")
+		return ending{err: refusal, final: true}
+	}
 	runCtx, cancel := d.runContext(ctx, req)
 	countAttempts.Add(1)
 	a.sent = time.Now()
@@ -124,7 +135,7 @@
 		reason = a.ticket.GetWorker() + ": " + refusalClause(err)
 		req.avoid = append(req.avoid, a.ticket.GetWorker())
 	}
-	d.giveBackUnused(a, reason)
+	d.giveBackUnused(req, a, reason)
 	return ending{
 		err: notRun(req.proof, http.StatusServiceUnavailable, api.CodeNoWorker, "no worker started the request: "+refusalClause(err)).
 			retryAfter(retrySoon),
--- a/internal/door/direct.go
+++ b/internal/door/direct.go
@@ -37,12 +37,19 @@
 		d.refuse(w, req, refusal)
 		return
 	}
-	ans, refusal := d.serve(ctx, req)
+	ans, refusal := d.answerOf(ctx, req)
 	if refusal != nil {
 		d.refuse(w, req, refusal)
 		return
 	}
-	d.deliver(w, req, ans)
+	d.deliver(r.Context(), w, req, ans)
+}
+
+func (d *Door) answerOf(ctx context.Context, req *request) (*answer, *Error) {
+	if req.key == "" {
+		return d.serve(ctx, req)
+	}
+	return d.serveOnce(ctx, req)
 }
 
 // serve runs the request, on several workers if need be, until it has an answer
@@ -87,6 +94,9 @@
 // another, and takes the retry from the budget. Only what provably did not start
 // is sent again, or idempotent work whose attempt provably runs no more.
 func (d *Door) mayRetry(ctx context.Context, req *request, end ending, sends int) bool {
+	if end.final {
+		return false
+	}
 	harmless := end.err.Outcome == api.OutcomeNotRun || (req.job.Task.Idempotent && end.ended)
 	return harmless && d.roomForRetry(ctx, req, sends)
 }
@@ -103,7 +113,7 @@
 	}
 	req.failed = ans
 	req.avoid = append(req.avoid, ans.attempt.ticket.GetWorker())
-	d.releaseEnded(ans.attempt, endOf(ans.outcome()))
+	d.releaseEnded(req, ans.attempt, endOf(ans.outcome()))
 	ans.released = true
 	return true
 }
--- /dev/null
+++ b/internal/door/fake_worker_test.go
@@ -0,0 +1,242 @@
+package door
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/worker"
+)
+
+// fault is what a fake worker does with one attempt.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultUnreachable
+	faultNoRoom
+	faultLostBefore // the start never arrives
+	faultLostAfter  // it runs; the answer is lost
+	faultRunsOn     // the answer is lost and it runs past the caller's deadline
+	faultCrossed    // the answer of another attempt arrives
+	faultCut        // the answer breaks off
+	faultLong       // the answer is longer than declared
+	faultFails      // the task reports an error of its own
+	faultDies       // it runs; then the worker cannot be reached
+	faultRestarts   // it runs; then the worker has forgotten it
+	faultTwice      // the start arrives twice
+	faultLate       // the answer comes after the deadline
+	faultCount
+)
+
+// run is one run of a task, as the worker saw it.
+type run struct {
+	attempt    worker.Attempt
+	body       string
+	began, end time.Time
+}
+
+// fakeWorker is an arbiter of its own room with faults.
+type fakeWorker struct {
+	id   string
+	plan func(worker.Attempt) fault
+	took time.Duration // of each run
+
+	mu     sync.Mutex
+	fence  worker.Fence
+	boot   int
+	dead   bool
+	cutAt  int
+	size   int // of answers; zero: short ones
+	states map[worker.Attempt]worker.TaskState
+	stops  map[worker.Attempt]chan struct{}
+	runs   []*run
+}
+
+func newFakeWorker(id string, plan func(worker.Attempt) fault) *fakeWorker {
+	return &fakeWorker{
+		id: id, plan: plan, took: time.Millisecond,
+		states: make(map[worker.Attempt]worker.TaskState),
+		stops:  make(map[worker.Attempt]chan struct{}),
+	}
+}
+
+// answerTo is the whole answer to a body.
+func (w *fakeWorker) answerTo(a worker.Attempt, body string) []byte {
+	text := fmt.Sprintf("%s#%d of %q", a.Task, a.Number, body)
+	return append([]byte(text), bytes.Repeat([]byte("."), w.size)...)
+}
+
+func (w *fakeWorker) bootName() string { return fmt.Sprintf("boot-%d", w.boot) }
+
+// admit is the arbiter's check of a start.
+func (w *fakeWorker) admit(s worker.Start, body string) (*run, chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.dead:
+		return nil, nil, worker.ErrUnreachable
+	case s.Fence < w.fence:
+		return nil, nil, worker.ErrFenced
+	case w.states[s.Attempt] == worker.TaskNeverSeen:
+		return nil, nil, worker.ErrVoided
+	case w.states[s.Attempt] != "":
+		return nil, nil, worker.ErrDuplicate
+	}
+	w.fence = s.Fence
+	w.states[s.Attempt] = worker.TaskRunning
+	r := &run{attempt: s.Attempt, body: body, began: time.Now()}
+	w.runs = append(w.runs, r)
+	w.stops[s.Attempt] = make(chan struct{})
+	return r, w.stops[s.Attempt], nil
+}
+
+func (w *fakeWorker) finish(r *run, s worker.TaskState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.states[r.attempt] == worker.TaskRunning {
+		w.states[r.attempt] = s
+		r.end = time.Now()
+	}
+}
+
+// execute runs a task to its end or until it is stopped.
+func (w *fakeWorker) execute(r *run, stop <-chan struct{}, took time.Duration, s worker.TaskState) {
+	select {
+	case <-time.After(took):
+		w.finish(r, s)
+	case <-stop:
+		w.finish(r, worker.TaskStopped)
+	}
+}
+
+func (w *fakeWorker) Run(ctx context.Context, s worker.Start, in io.Reader) (*worker.Answer, error) {
+	f := w.plan(s.Attempt)
+	switch f {
+	case faultUnreachable:
+		return nil, worker.ErrUnreachable
+	case faultNoRoom:
+		return nil, worker.ErrNoRoom
+	case faultLostBefore:
+		return nil, worker.ErrAmbiguous
+	}
+	data, err := io.ReadAll(in)
+	if err != nil {
+		return nil, worker.ErrAmbiguous
+	}
+	r, stop, err := w.admit(s, string(data))
+	if err != nil {
+		return nil, err
+	}
+	return w.answerWith(ctx, f, r, stop)
+}
+
+func (w *fakeWorker) answerWith(ctx context.Context, f fault, r *run, stop chan struct{}) (*worker.Answer, error) {
+	whole := w.answerTo(r.attempt, r.body)
+	answer := &worker.Answer{Attempt: r.attempt, Length: int64(len(whole))}
+	state := worker.TaskDone
+	switch f {
+	case faultRunsOn, faultLate:
+		go w.execute(r, stop, time.Minute, worker.TaskDone)
+		if f == faultLate {
+			<-ctx.Done()
+		}
+		return nil, worker.ErrAmbiguous
+	case faultFails:
+		answer.Failed, state = true, worker.TaskFailed
+	}
+	w.execute(r, stop, w.took, state)
+	switch f {
+	case faultLostAfter:
+		return nil, worker.ErrAmbiguous
+	case faultTwice:
+		return nil, worker.ErrDuplicate
+	case faultDies:
+		w.set(func() { w.dead = true })
+		return nil, worker.ErrAmbiguous
+	case faultRestarts:
+		w.restart()
+		return nil, worker.ErrAmbiguous
+	case faultCrossed:
+		answer.Attempt.Task.Job = model.JobID("another")
+	case faultCut:
+		whole = whole[:w.cutAt%len(whole)]
+	case faultLong:
+		whole = append(whole, "more"...)
+	}
+	answer.Body = io.NopCloser(bytes.NewReader(whole))
+	return answer, nil
+}
+
+func (w *fakeWorker) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// restart ends and forgets everything.
+func (w *fakeWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if r.end.IsZero() {
+			r.end = time.Now()
+			close(w.stops[r.attempt])
+		}
+	}
+	w.boot++
+	clear(w.states)
+	clear(w.stops)
+}
+
+func (w *fakeWorker) Settle(_ context.Context, f worker.Fence, a worker.Attempt) (worker.TaskReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return worker.TaskReport{}, worker.ErrUnreachable
+	}
+	if f < w.fence {
+		return worker.TaskReport{}, worker.ErrFenced
+	}
+	if w.states[a] == "" {
+		w.states[a] = worker.TaskNeverSeen
+	}
+	return worker.TaskReport{Attempt: a, State: w.states[a]}, nil
+}
+
+func (w *fakeWorker) Stop(_ context.Context, f worker.Fence, a worker.Attempt) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return worker.ErrUnreachable
+	}
+	if stop, ok := w.stops[a]; ok && w.states[a] == worker.TaskRunning && f >= w.fence {
+		close(stop)
+		delete(w.stops, a)
+	}
+	return nil
+}
+
+func (w *fakeWorker) Heartbeat(context.Context, worker.Heartbeat) (worker.HeartbeatReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return worker.HeartbeatReply{}, worker.ErrUnreachable
+	}
+	return worker.HeartbeatReply{Boot: w.bootName()}, nil
+}
+
+func (w *fakeWorker) RaiseFence(context.Context, worker.Fence) (worker.Inventory, error) {
+	return worker.Inventory{}, worker.ErrUnreachable
+}
+func (w *fakeWorker) Start(context.Context, worker.Start) error { return worker.ErrUnreachable }
+func (w *fakeWorker) Checkpoint(context.Context, worker.Fence, worker.Attempt) (string, error) {
+	return "", worker.ErrUnreachable
+}
+func (w *fakeWorker) Throttle(context.Context, worker.Fence, worker.Attempt, int) error {
+	return worker.ErrUnreachable
+}
--- a/internal/door/operator.go
+++ b/internal/door/operator.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"expvar"
@@ -13,6 +11,7 @@
 	"strconv"
 
 	"cuminloft/api"
+	"cuminloft/internal/config"
 )
 
 // Operator does what operators ask for. Its methods may return an *api.Error,
@@ -63,8 +62,7 @@
 // isOperator compares against every operator key, so that a wrong key costs the
 // same as a right one.
 func (d *Door) isOperator(r *http.Request) bool {
-	sum := sha256.Sum256([]byte(bearer(r)))
-	got := []byte(hex.EncodeToString(sum[:]))
+	got := []byte(config.HashKey(bearer(r)))
 	found := 0
 	for _, want := range d.opts.OperatorKeys {
 		found |= subtle.ConstantTimeCompare(got, []byte(want))
--- a/internal/door/refusal.go
+++ b/internal/door/refusal.go
@@ -51,6 +51,12 @@
 	rpc.RefusalCode(sched.RefusedCancelled):   {http.StatusConflict, final},
 }
 
+// knowsID reports an owner's refusal of a job id that it knows already.
+func knowsID(err error) bool {
+	refusal, ok := rpc.RefusalFromTwirp(err)
+	return ok && refusal.Code == rpc.CodeInvalid && refusal.Field == "id"
+}
+
 // fromOwner turns an owner's error into the answer that the caller gets if
 // nothing else is tried, and says what may be tried. It is for calls that start
 // nothing; their loss proves that nothing ran.
@@ -61,6 +67,10 @@
 			retryAfter(retryTakeover), reroute
 	}
 	rule, known := refusalRules[refusal.Code]
+	if knowsID(refusal) {
+		// An attempt of the request that was given back is still counted there.
+		rule = refusalRule{http.StatusServiceUnavailable, reroute}
+	}
 	if !known {
 		rule = refusalRule{http.StatusServiceUnavailable, final}
 	}
--- a/internal/door/release.go
+++ b/internal/door/release.go
@@ -40,8 +40,8 @@
 }
 
 // releaseEnded tells the owner how the ticket's attempt ended.
-func (d *Door) releaseEnded(a *attempt, end sched.End) {
-	d.release(a.shard, &rpc.ReleaseRequest{
+func (d *Door) releaseEnded(req *request, a *attempt, end sched.End) {
+	req.released = d.release(a.shard, &rpc.ReleaseRequest{
 		Shard:   a.shard.Name,
 		Task:    a.id.Task.String(),
 		Attempt: int32(a.id.Number),
@@ -51,8 +51,8 @@
 
 // giveBackUnused returns a ticket whose attempt never ran. A reason that is not
 // empty blames the worker.
-func (d *Door) giveBackUnused(a *attempt, reason string) {
-	d.release(a.shard, &rpc.ReleaseRequest{
+func (d *Door) giveBackUnused(req *request, a *attempt, reason string) {
+	req.released = d.release(a.shard, &rpc.ReleaseRequest{
 		Shard:       a.shard.Name,
 		Task:        a.id.Task.String(),
 		Attempt:     int32(a.id.Number),
@@ -63,9 +63,12 @@
 }
 
 // release delivers the message in the background; the caller does not wait for
-// it. If it is lost, the owner learns of the end from the worker's inventory.
-func (d *Door) release(shard member.ShardRef, r *rpc.ReleaseRequest) {
+// it. If it is lost, the owner learns of the end from the worker's inventory. The
+// returned channel is closed when delivery is over.
+func (d *Door) release(shard member.ShardRef, r *rpc.ReleaseRequest) <-chan struct{} {
+	over := make(chan struct{})
 	d.background(func(ctx context.Context) {
+		defer close(over)
 		pause := releasePause
 		for range releaseTries {
 			if d.tryRelease(ctx, shard, r) {
@@ -78,6 +81,19 @@
 		}
 		countReleaseErr.Add(1)
 	})
+	return over
+}
+
+// awaitRelease waits until the ticket of the request's last attempt is released:
+// an owner gives a request one ticket at a time.
+func (r *request) awaitRelease(ctx context.Context) {
+	if r.released == nil {
+		return
+	}
+	select {
+	case <-r.released:
+	case <-ctx.Done():
+	}
 }
 
 func (d *Door) tryRelease(ctx context.Context, shard member.ShardRef, r *rpc.ReleaseRequest) bool {
--- /dev/null
+++ b/internal/door/repeat.go
@@ -0,0 +1,205 @@
+package door
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cuminloft/api"
+	"cuminloft/internal/timeline"
+	"cuminloft/internal/worker"
+)
+
+// idemGrace is added to the time in which a first request is left alone, for
+// clocks that differ. Safety does not rest on it: a repeat settles the recorded
+// attempt at its worker, and every attempt needs the row's newest version.
+const idemGrace = 2 * time.Second
+
+// serveOnce runs a request that carries an idempotency key, or returns the
+// outcome of the first request with the key.
+func (d *Door) serveOnce(ctx context.Context, req *request) (*answer, *Error) {
+	if d.opts.Table == nil {
+		return nil, tableDown("no table is configured")
+	}
+	row, err := readIdem(ctx, d.opts.Table, idemKey(req.who.team, req.key))
+	if err != nil {
+		return nil, tableDown(err.Error())
+	}
+	if row.version != 0 {
+		countRepeats.Add(1)
+		if ans, found := d.firstOutcome(ctx, req, row); ans != nil || found != nil {
+			return ans, found
+		}
+	}
+	req.idem = row
+	ans, refusal := d.serve(ctx, req)
+	if refusal != nil {
+		d.background(func(ctx context.Context) { d.closeIdem(ctx, req, refusal) })
+	}
+	return ans, refusal
+}
+
+// tableDown refuses a request whose repeat could not be recognised. Running it
+// anyway would break the promise of its key.
+func tableDown(why string) *Error {
+	return neverSent(http.StatusServiceUnavailable, api.CodeTableDown, "the idempotency key cannot be kept: "+why).
+		retryAfter(retryTableDown).
+		remedy("come back later with the same key")
+}
+
+// firstOutcome answers a repeat. It returns nothing if the first request
+// provably never ran and its row may be used again.
+func (d *Door) firstOutcome(ctx context.Context, req *request, row *idemRow) (*answer, *Error) {
+	rec := &row.record
+	if rec.Fingerprint != req.fingerprint() {
+		return nil, neverSent(http.StatusUnprocessableEntity, api.CodeKeyReused,
+			"the idempotency key was used for another request").field(api.HeaderIdempotencyKey)
+	}
+	if rec.Outcome != "" {
+		return rec.storedOutcome()
+	}
+	open := time.Until(time.Unix(0, rec.OpenUntil))
+	if open > 0 {
+		return nil, inProgress(min(open, retryTakeover))
+	}
+	return nil, d.settleRecord(ctx, req, row)
+}
+
+func inProgress(after time.Duration) *Error {
+	return &Error{
+		Status:     http.StatusConflict,
+		Outcome:    api.OutcomeUnknown,
+		Code:       api.CodeInProgress,
+		Message:    "the first request with this key is not settled yet",
+		Remedy:     "come back with the same key",
+		RetryAfter: max(after, retrySoon),
+	}
+}
+
+// storedOutcome returns the recorded outcome of the first request.
+func (r *idemRecord) storedOutcome() (*answer, *Error) {
+	if r.Stored {
+		return &answer{
+			attempt:  &attempt{id: r.Attempt},
+			failed:   r.Outcome == api.OutcomeFailed,
+			length:   int64(len(r.Answer)),
+			head:     r.Answer,
+			released: true,
+			repeated: true,
+			cancel:   func() {},
+		}, nil
+	}
+	e := &Error{Status: http.StatusGatewayTimeout, Outcome: r.Outcome, Code: r.Code, Message: r.Message}
+	switch r.Outcome {
+	case api.OutcomeFailed:
+		e.Status = http.StatusBadGateway
+	case api.OutcomeDone:
+		e.Status = http.StatusGone
+	}
+	return nil, e
+}
+
+// settleRecord finds out at the worker what became of a first request whose
+// entry host no longer works on it. It returns nil if it provably never ran.
+func (d *Door) settleRecord(ctx context.Context, req *request, row *idemRow) *Error {
+	a := d.recordedAttempt(&row.record)
+	ctx, cancel := context.WithDeadline(ctx, d.settleDeadline(req))
+	defer cancel()
+	report, err := d.askState(ctx, a)
+	if err != nil {
+		return unsettled(api.CodeUnsettled, "the worker of the first request cannot be asked").retryAfter(retryTakeover)
+	}
+	countSettled.Add(1)
+	d.record(req, timeline.KindRequestSettled, row.record.Worker, "first request: "+string(report.State))
+	switch report.State {
+	case worker.TaskNeverSeen:
+		return nil
+	case worker.TaskRunning:
+		return inProgress(retryTakeover)
+	case worker.TaskFailed:
+		row.record.setError(taskFailed(report.Error))
+	default:
+		row.record.setError(unsettled(api.CodeAnswerLost, "the first request ran, but its answer is lost"))
+	}
+	d.background(func(ctx context.Context) { _ = row.write(ctx, d.opts.Table) })
+	_, outcome := row.record.storedOutcome()
+	return outcome
+}
+
+func (r *idemRecord) setError(e *Error) {
+	r.Outcome, r.Code, r.Message = e.Outcome, e.Code, e.Message
+}
+
+// recordedAttempt is the attempt that a record names, as far as settling needs.
+func (d *Door) recordedAttempt(r *idemRecord) *attempt {
+	a := &attempt{id: r.Attempt, client: d.opts.Connect(r.Worker, r.Addr)}
+	a.shard.Name = r.Shard
+	a.ticket = ticketOf(r)
+	return a
+}
+
+// recordIntent makes durable which attempt is sent next, before it is sent.
+func (d *Door) recordIntent(ctx context.Context, req *request, a *attempt) *Error {
+	if req.idem == nil {
+		return nil
+	}
+	req.idem.record = idemRecord{
+		Request:     req.id,
+		Fingerprint: req.fingerprint(),
+		Shard:       a.shard.Name,
+		Worker:      a.ticket.GetWorker(),
+		Addr:        a.ticket.GetWorkerAddr(),
+		Attempt:     a.id,
+		Fence:       a.fence(),
+		Boot:        a.ticket.GetBoot(),
+		OpenUntil:   req.deadline.Add(idemGrace).UnixNano(),
+	}
+	err := req.idem.write(ctx, d.opts.Table)
+	if err == nil {
+		req.intent = true
+		return nil
+	}
+	if errors.Is(err, errIdemLost) {
+		// Another request with the key has the row: nothing of this one was sent
+		// after its last proof, and the other's outcome is the key's.
+		req.intent = false
+		return inProgress(retrySoon)
+	}
+	return tableDown(err.Error())
+}
+
+// closeIdem ends the row of a request that has no answer: the key becomes free
+// if the request provably never ran, else a repeat may settle it at once.
+func (d *Door) closeIdem(ctx context.Context, req *request, e *Error) {
+	if !req.intent {
+		return
+	}
+	switch e.Outcome {
+	case api.OutcomeNotRun:
+		_ = req.idem.remove(ctx, d.opts.Table)
+		return
+	case api.OutcomeFailed:
+		req.idem.record.setError(e)
+	default:
+		req.idem.record.OpenUntil = time.Now().UnixNano()
+	}
+	_ = req.idem.write(ctx, d.opts.Table)
+}
+
+// completeIdem records the outcome of a request that has an answer.
+func (d *Door) completeIdem(req *request, ans *answer) {
+	if !req.intent || ans.repeated {
+		return
+	}
+	rec := &req.idem.record
+	rec.Outcome = ans.outcome()
+	rec.Stored = ans.rest == nil && ans.length <= d.limits.StoredAnswer
+	if rec.Stored {
+		rec.Answer = ans.head
+	} else {
+		rec.Code = api.CodeAnswerTooLarge
+		rec.Message = "the request ran to its end; its answer was too large to be kept for a repeat"
+	}
+	d.background(func(ctx context.Context) { _ = req.idem.write(ctx, d.opts.Table) })
+}
--- a/internal/door/request.go
+++ b/internal/door/request.go
@@ -30,6 +30,9 @@
 	avoid    []string        // workers that failed earlier attempts
 	proof    Proof           // that the attempts so far had no effect, if ran is nil
 	ran      *Error          // what is known of an attempt that may have run
+	released <-chan struct{} // closed when the last ticket's release is over
+	idem     *idemRow        // of the idempotency key; nil without one
+	intent   bool            // idem names this request's last attempt
 	failed   *answer         // a whole answer that reports an error of the task
 }
 
@@ -73,6 +76,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if refusal := checkTask(queue, h.resources); refusal != nil {
+		return nil, refusal
+	}
 	now := time.Now()
 	req := &request{
 		id:       id,
@@ -94,12 +100,8 @@
 }
 
 func teamShare(c *config.Config, name string) int {
-	for i := range c.Organisations {
-		for j := range c.Organisations[i].Teams {
-			if c.Organisations[i].Teams[j].Name == name {
-				return c.Organisations[i].Teams[j].Share
-			}
-		}
+	if t, ok := c.Team(name); ok {
+		return t.Share
 	}
 	return 1
 }
--- a/internal/door/reserve.go
+++ b/internal/door/reserve.go
@@ -14,6 +14,7 @@
 // reserve gets a ticket for the request's next attempt from a shard. Nothing is
 // sent to a worker, so its refusals prove that nothing ran.
 func (d *Door) reserve(ctx context.Context, req *request) (*attempt, *Error) {
+	req.awaitRelease(ctx)
 	var last *Error
 	for {
 		c, refusal := d.configuration(ctx)
--- a/internal/door/route.go
+++ b/internal/door/route.go
@@ -58,12 +58,8 @@
 	if s.Owner == nil || (s.Digest != nil && !s.Digest.GetReady()) {
 		return false
 	}
-	for _, az := range c.AZs {
-		if az.Name == s.AZ {
-			return az.InService
-		}
-	}
-	return false
+	az, ok := c.AZ(s.AZ)
+	return ok && az.InService
 }
 
 // hasRoom reports whether the shard's digest shows room for the task. A shard
--- a/internal/door/settle.go
+++ b/internal/door/settle.go
@@ -56,10 +56,10 @@
 		return ending{err: unsettled(api.CodeStillRunning, "the request was still running when its deadline passed").
 			retryAfter(retryTakeover)}
 	case worker.TaskFailed:
-		d.releaseEnded(a, sched.EndFailed)
+		d.releaseEnded(req, a, sched.EndFailed)
 		return ending{err: taskFailed(report.Error), ended: true}
 	}
-	d.releaseEnded(a, endOfState(report.State))
+	d.releaseEnded(req, a, endOfState(report.State))
 	req.avoid = append(req.avoid, a.ticket.GetWorker())
 	return ending{err: unsettled(api.CodeAnswerLost, "the request ran, but its answer is lost (worker says "+string(report.State)+")").
 		retryAfter(retrySoon), ended: true}
@@ -91,11 +91,7 @@
 func (d *Door) finalState(ctx context.Context, req *request, a *attempt) (worker.TaskReport, error) {
 	pause := settlePause
 	for {
-		report, err := a.client.Settle(ctx, d.newestFence(a), a.id)
-		if err == nil && report.Attempt != a.id {
-			countForeign.Add(1)
-			err = worker.ErrForeignAnswer
-		}
+		report, err := d.askState(ctx, a)
 		if err == nil && (report.State.Ended() || !req.job.Task.Idempotent) {
 			return report, nil
 		}
@@ -112,6 +108,32 @@
 	}
 }
 
+// askState asks the worker once. A worker that has restarted since the ticket
+// was made has forgotten what it ran: its "never seen" means that the attempt no
+// longer runs, and proves nothing else.
+func (d *Door) askState(ctx context.Context, a *attempt) (worker.TaskReport, error) {
+	fence := d.newestFence(a)
+	report, err := a.client.Settle(ctx, fence, a.id)
+	if err != nil {
+		return report, err
+	}
+	if report.Attempt != a.id {
+		countForeign.Add(1)
+		return worker.TaskReport{}, worker.ErrForeignAnswer
+	}
+	if report.State != worker.TaskNeverSeen {
+		return report, nil
+	}
+	beat, err := a.client.Heartbeat(ctx, worker.Heartbeat{Fence: fence})
+	if err != nil {
+		return worker.TaskReport{}, err
+	}
+	if beat.Boot != a.ticket.GetBoot() {
+		report.State = worker.TaskLapsed
+	}
+	return report, nil
+}
+
 // lastState keeps what was known when the time was over.
 func lastState(report worker.TaskReport, err error) error {
 	if err == nil && report.State == worker.TaskRunning {
--- a/internal/door/submit.go
+++ b/internal/door/submit.go
@@ -131,8 +131,7 @@
 }
 
 // submit hands the job to one shard. Once a shard's answer is lost, the job may
-// be durable there, so no other shard is asked: the same job id is sent to the
-// same shard again, which accepts a job id only once.
+// be durable there, and no other shard is asked.
 func (d *Door) submit(ctx context.Context, sub *submission) (*rpc.SubmitReply, *Error) {
 	var last *Error
 	for pause := settlePause; ; pause = min(2*pause, settlePauseMax) {
@@ -140,11 +139,12 @@
 		if refusal != nil {
 			return nil, orElse(last, refusal)
 		}
-		reply, err := d.submitTo(ctx, shard, sub)
+		reply, err := d.submitOrAsk(ctx, shard, sub)
 		if err == nil {
 			return reply, nil
 		}
-		if last = d.afterSubmit(ctx, sub, shard, err); last != nil && last.Outcome == api.OutcomeNotRun && last.final {
+		last = d.afterSubmit(ctx, sub, shard, err)
+		if last.final {
 			return nil, last
 		}
 		if sub.pending != "" && !sleep(ctx, pause) {
@@ -153,6 +153,36 @@
 	}
 }
 
+// submitOrAsk sends the submission. After a lost answer it is sent again only if
+// its idempotency key keeps it from being accepted twice; else the shard is asked
+// whether it has the job.
+func (d *Door) submitOrAsk(ctx context.Context, shard member.ShardRef, sub *submission) (*rpc.SubmitReply, error) {
+	if shard.Owner == nil {
+		return nil, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if sub.pending == "" || sub.key != "" {
+		reply, err := shard.Owner.Submit(ctx, &rpc.SubmitRequest{
+			Shard:          shard.Name,
+			Job:            rpc.FromJob(sub.job),
+			Credential:     sub.who.credential,
+			IdempotencyKey: sub.key,
+		})
+		if sub.pending != "" && knowsID(err) {
+			return &rpc.SubmitReply{JobId: string(sub.job.ID), Shard: shard.Name}, nil
+		}
+		return reply, err
+	}
+	status, err := shard.Owner.GetJob(ctx, &rpc.GetJobRequest{
+		Shard: shard.Name, JobId: string(sub.job.ID), Credential: sub.who.credential,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.SubmitReply{JobId: status.GetJobId(), Shard: shard.Name}, nil
+}
+
 // orElse returns e, or other if e is nil.
 func orElse(e, other *Error) *Error {
 	if e != nil {
@@ -183,20 +213,6 @@
 // errNoOwner means that a shard has no owner now; nothing was sent.
 var errNoOwner = &rpc.Refusal{Code: rpc.CodeNotReady, Reason: "the shard has no owner now", RetryAfter: retryTakeover}
 
-func (d *Door) submitTo(ctx context.Context, shard member.ShardRef, sub *submission) (*rpc.SubmitReply, error) {
-	if shard.Owner == nil {
-		return nil, errNoOwner
-	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	return shard.Owner.Submit(ctx, &rpc.SubmitRequest{
-		Shard:          shard.Name,
-		Job:            rpc.FromJob(sub.job),
-		Credential:     sub.who.credential,
-		IdempotencyKey: sub.key,
-	})
-}
-
 // afterSubmit notes what a failed call proves. While an answer is lost, later
 // refusals prove nothing about the call whose answer it was.
 func (d *Door) afterSubmit(ctx context.Context, sub *submission, shard member.ShardRef, err error) *Error {
--- /dev/null
+++ b/internal/door/truth_test.go
@@ -0,0 +1,235 @@
+package door
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cuminloft/api"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+	"cuminloft/internal/worker"
+)
+
+func decodeError(resp *http.Response, data []byte) *api.Error {
+	if resp.Header.Get("Content-Type") != "application/json" {
+		return nil
+	}
+	e := &api.Error{}
+	if json.Unmarshal(data, e) != nil {
+		return nil
+	}
+	return e
+}
+
+// scenario is what one run of the truth test does.
+type scenario struct {
+	workerFaults []fault // of the attempts in the order of their arrival
+	ownerFaults  []ownerFault
+	table        standin.FaultSet
+	callers      []scenarioCaller
+	cutAt        int
+	size         int // of answers
+}
+
+// scenarioCaller is one request, sent again with the same key until it is
+// answered for good.
+type scenarioCaller struct {
+	idempotent bool
+	keyed      bool
+	timeout    time.Duration
+	gone       time.Duration // the first send is given up after this; zero: never
+	repeats    int
+}
+
+func drawScenario(t *rapid.T) scenario {
+	return scenario{
+		workerFaults: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+			return fault(rapid.IntRange(0, int(faultCount)-1).Draw(t, "fault"))
+		}), 1, 8).Draw(t, "workerFaults"),
+		ownerFaults: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) ownerFault {
+			return ownerFault(rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3, 4}).Draw(t, "fault"))
+		}), 1, 6).Draw(t, "ownerFaults"),
+		table: standin.FaultSet{
+			LoseEvery:  rapid.SampledFrom([]int{0, 0, 2, 3}).Draw(t, "lose"),
+			SlowMillis: rapid.SampledFrom([]int64{0, 3}).Draw(t, "slow"),
+		},
+		callers: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) scenarioCaller {
+			return scenarioCaller{
+				idempotent: rapid.Bool().Draw(t, "idempotent"),
+				keyed:      rapid.Bool().Draw(t, "keyed"),
+				timeout:    rapid.SampledFrom([]time.Duration{20 * time.Millisecond, time.Second}).Draw(t, "timeout"),
+				gone:       rapid.SampledFrom([]time.Duration{0, 0, time.Millisecond / 2, 8 * time.Millisecond}).Draw(t, "gone"),
+				repeats:    rapid.IntRange(0, 3).Draw(t, "repeats"),
+			}
+		}), 1, 6).Draw(t, "callers"),
+		cutAt: rapid.IntRange(0, 1<<20).Draw(t, "cutAt"),
+		size:  rapid.SampledFrom([]int{0, 0, 100_000}).Draw(t, "size"),
+	}
+}
+
+// history is every view of one caller, in order.
+type history struct {
+	body  string
+	plan  scenarioCaller
+	views []view
+}
+
+// play runs a scenario and returns the rig after it and all callers' views.
+func play(s scenario) (*rig, []*history) {
+	var attempts, reserves atomic.Int64
+	r := newRig(rigOptions{
+		doors: 2,
+		worker: func(worker.Attempt) fault {
+			return s.workerFaults[int(attempts.Add(1)-1)%len(s.workerFaults)]
+		},
+		owner: func(*rpc.ReserveRequest) ownerFault {
+			return s.ownerFaults[int(reserves.Add(1)-1)%len(s.ownerFaults)]
+		},
+	})
+	r.table.Set(s.table)
+	for _, w := range r.workers {
+		w.cutAt, w.size = s.cutAt, s.size
+	}
+	var all []*history
+	var callers sync.WaitGroup
+	for i, c := range s.callers {
+		h := &history{body: "request " + strconv.Itoa(i), plan: c}
+		all = append(all, h)
+		callers.Go(func() { r.converse(h, i) })
+	}
+	callers.Wait()
+	return r, all
+}
+
+// converse sends a caller's request and its repeats, at the other entry host
+// each time.
+func (r *rig) converse(h *history, n int) {
+	s := sent{body: h.body, idempotent: h.plan.idempotent, timeout: h.plan.timeout}
+	if h.plan.keyed {
+		s.key = "key " + strconv.Itoa(n)
+	}
+	for i := range h.plan.repeats + 1 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		if i == 0 && h.plan.gone > 0 {
+			ctx, cancel = context.WithTimeout(context.Background(), h.plan.gone)
+		}
+		s.host = "door" + strconv.Itoa((n+i)%2)
+		v := r.send(ctx, s)
+		cancel()
+		h.views = append(h.views, v)
+		final := v.outcome == api.OutcomeDone || v.outcome == api.OutcomeFailed
+		if !h.plan.keyed || final && !v.cut {
+			return
+		}
+		time.Sleep(time.Second) // virtual: the test runs in a synctest bubble
+	}
+}
+
+// violations compares every caller's views with what the workers saw.
+func violations(r *rig, all []*history) []string {
+	var found []string
+	for _, h := range all {
+		runs := r.runsOf(h.body)
+		if !h.plan.idempotent && len(runs) > 1 {
+			found = append(found, fmt.Sprintf("%s is not idempotent and ran %d times", h.body, len(runs)))
+		}
+		if overlap(runs) {
+			found = append(found, h.body+" ran in two places at once")
+		}
+		for _, v := range h.views {
+			if problem := v.lie(runs, r.workers[0]); problem != "" {
+				found = append(found, fmt.Sprintf("%s: %s: %+v", h.body, problem, v))
+			}
+		}
+	}
+	return found
+}
+
+func (r *rig) runsOf(body string) []*run {
+	var out []*run
+	for _, w := range r.workers {
+		for _, one := range w.runs {
+			if one.body == body {
+				out = append(out, one)
+			}
+		}
+	}
+	return out
+}
+
+// overlap reports two runs of one request at the same time.
+func overlap(runs []*run) bool {
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			if a.attempt.Task == b.attempt.Task && a.began.Before(b.end) && b.began.Before(a.end) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lie returns what is untrue about a view, given the runs of the request.
+func (v *view) lie(runs []*run, w *fakeWorker) string {
+	switch {
+	case v.cut && v.status == 0:
+		return "" // the caller gave up or sees a broken connection: no claim
+	case v.outcome == api.OutcomeNotRun:
+		for _, one := range runs {
+			if string(one.attempt.Task.Job) == v.requestID {
+				return "not_run, but it ran"
+			}
+		}
+	case v.cut || v.outcome == api.OutcomeUnknown:
+	case v.outcome == api.OutcomeDone || v.outcome == api.OutcomeFailed:
+		if v.code != "" {
+			if len(runs) == 0 {
+				return "ended without an answer, but never ran"
+			}
+			return ""
+		}
+		for _, one := range runs {
+			if v.body == string(w.answerTo(one.attempt, one.body)) {
+				return ""
+			}
+		}
+		return "the answer is not whole or not the request's own"
+	default:
+		return "no outcome"
+	}
+	return ""
+}
+
+// TestTruthUnderFaults checks promises of the request path under random faults
+// of workers, owners and the table, with callers that go away and repeat: every
+// not_run is true, every answer is whole and the request's own, what is not
+// idempotent runs at most once, and nothing runs in two places at once.
+func TestTruthUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario(rt)
+		var problems []string
+		synctest.Test(t, func(t *testing.T) {
+			r, all := play(s)
+			if err := r.close(); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			time.Sleep(2 * time.Minute) // virtual: every run has ended
+			problems = violations(r, all)
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("%s\nscenario %+v", strings.Join(problems, "\n"), s)
+		}
+	})
+}
