door: the truth test draws twins, workers that die while they run, and longer timeouts

Cause: of nine deliberate faults put into a scratch copy of the door, the test first missed four: no echo check, retry of what may still run, a lost race for the key's row, and a refusal that hid an earlier run.

--- a/internal/door/fake_worker_test.go
+++ b/internal/door/fake_worker_test.go
@@ -26,7 +26,7 @@
 	faultCut        // the answer breaks off
 	faultLong       // the answer is longer than declared
 	faultFails      // the task reports an error of its own
-	faultDies       // it runs; then the worker cannot be reached
+	faultDies       // it runs on, and the worker cannot be reached any more
 	faultRestarts   // it runs; then the worker has forgotten it
 	faultTwice      // the start arrives twice
 	faultLate       // the answer comes after the deadline
@@ -149,20 +149,24 @@
 	case faultFails:
 		answer.Failed, state = true, worker.TaskFailed
 	}
+	if f == faultDies {
+		w.set(func() { w.dead = true })
+		go w.execute(r, stop, time.Minute, state)
+		return nil, worker.ErrAmbiguous
+	}
 	w.execute(r, stop, w.took, state)
 	switch f {
 	case faultLostAfter:
 		return nil, worker.ErrAmbiguous
 	case faultTwice:
 		return nil, worker.ErrDuplicate
-	case faultDies:
-		w.set(func() { w.dead = true })
-		return nil, worker.ErrAmbiguous
 	case faultRestarts:
 		w.restart()
 		return nil, worker.ErrAmbiguous
 	case faultCrossed:
 		answer.Attempt.Task.Job = model.JobID("another")
+		whole = w.answerTo(answer.Attempt, "another body")
+		answer.Length = int64(len(whole))
 	case faultCut:
 		whole = whole[:w.cutAt%len(whole)]
 	case faultLong:
--- a/internal/door/truth_test.go
+++ b/internal/door/truth_test.go
@@ -47,9 +47,11 @@
 type scenarioCaller struct {
 	idempotent bool
 	keyed      bool
+	twin       bool // the same request is sent with the same key by another caller
 	timeout    time.Duration
 	gone       time.Duration // the first send is given up after this; zero: never
 	repeats    int
+	pause      time.Duration // before a repeat
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -68,9 +70,11 @@
 			return scenarioCaller{
 				idempotent: rapid.Bool().Draw(t, "idempotent"),
 				keyed:      rapid.Bool().Draw(t, "keyed"),
-				timeout:    rapid.SampledFrom([]time.Duration{20 * time.Millisecond, time.Second}).Draw(t, "timeout"),
+				twin:       rapid.Bool().Draw(t, "twin"),
+				timeout:    rapid.SampledFrom([]time.Duration{20 * time.Millisecond, time.Second, 10 * time.Second}).Draw(t, "timeout"),
 				gone:       rapid.SampledFrom([]time.Duration{0, 0, time.Millisecond / 2, 8 * time.Millisecond}).Draw(t, "gone"),
 				repeats:    rapid.IntRange(0, 3).Draw(t, "repeats"),
+				pause:      rapid.SampledFrom([]time.Duration{0, time.Millisecond, time.Second}).Draw(t, "pause"),
 			}
 		}), 1, 6).Draw(t, "callers"),
 		cutAt: rapid.IntRange(0, 1<<20).Draw(t, "cutAt"),
@@ -81,6 +85,7 @@
 // history is every view of one caller, in order.
 type history struct {
 	body  string
+	key   string
 	plan  scenarioCaller
 	views []view
 }
@@ -104,27 +109,32 @@
 	var all []*history
 	var callers sync.WaitGroup
 	for i, c := range s.callers {
-		h := &history{body: "request " + strconv.Itoa(i), plan: c}
+		h := &history{body: "request " + strconv.Itoa(i), plan: c, key: "key " + strconv.Itoa(i)}
+		twin := *h
 		all = append(all, h)
-		callers.Go(func() { r.converse(h, i) })
+		callers.Go(func() { r.converse(h, 0) })
+		if c.keyed && c.twin {
+			all = append(all, &twin)
+			callers.Go(func() { r.converse(&twin, 1) })
+		}
 	}
 	callers.Wait()
 	return r, all
 }
 
 // converse sends a caller's request and its repeats, at the other entry host
-// each time.
-func (r *rig) converse(h *history, n int) {
+// each time, beginning with the given one.
+func (r *rig) converse(h *history, first int) {
 	s := sent{body: h.body, idempotent: h.plan.idempotent, timeout: h.plan.timeout}
 	if h.plan.keyed {
-		s.key = "key " + strconv.Itoa(n)
+		s.key = h.key
 	}
 	for i := range h.plan.repeats + 1 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		if i == 0 && h.plan.gone > 0 {
 			ctx, cancel = context.WithTimeout(context.Background(), h.plan.gone)
 		}
-		s.host = "door" + strconv.Itoa((n+i)%2)
+		s.host = "door" + strconv.Itoa((first+i)%2)
 		v := r.send(ctx, s)
 		cancel()
 		h.views = append(h.views, v)
@@ -132,7 +142,7 @@
 		if !h.plan.keyed || final && !v.cut {
 			return
 		}
-		time.Sleep(time.Second) // virtual: the test runs in a synctest bubble
+		time.Sleep(h.plan.pause) // virtual: the test runs in a synctest bubble
 	}
 }
 
@@ -224,7 +234,6 @@
 			if err := r.close(); err != nil {
 				t.Fatal(err)
 			}
-			synctest.Wait()
 			time.Sleep(2 * time.Minute) // virtual: every run has ended
 			problems = violations(r, all)
 		})
