--- a/internal/door/budget.go
+++ b/internal/door/budget.go
@@ -22,11 +22,20 @@
 	filled time.Time // when the floor was last added
 }
 
-// maxRetryTokens bounds the burst of retries after a quiet time.
-const maxRetryTokens = 20
+const (
+	// maxRetryTokens bounds the burst of retries after a quiet time.
+	maxRetryTokens = 20
+	// firstRetryTokens is what a team has that was not seen before.
+	firstRetryTokens = 3
+)
 
 func newBudgets(ratio, floor float64) *budgets {
-	return &budgets{ratio: ratio, floor: floor, teams: make(map[string]*budget)}
+	return &budgets{
+		ratio:   ratio,
+		floor:   floor,
+		process: budget{tokens: maxRetryTokens},
+		teams:   make(map[string]*budget),
+	}
 }
 
 // earn adds the share of a retry that one first attempt of the team allows.
@@ -55,7 +64,7 @@
 func (b *budgets) team(name string) *budget {
 	t := b.teams[name]
 	if t == nil {
-		t = &budget{tokens: 1}
+		t = &budget{tokens: firstRetryTokens}
 		b.teams[name] = t
 	}
 	return t
--- a/internal/door/truth_test.go
+++ b/internal/door/truth_test.go
@@ -235,6 +235,7 @@
 				t.Fatal(err)
 			}
 			time.Sleep(2 * time.Minute) // virtual: every run has ended
+			synctest.Wait()
 			problems = violations(r, all)
 		})
 		if len(problems) > 0 {
