--- /dev/null
+++ b/internal/bench/load/scenarios.go
@@ -0,0 +1,227 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cuminloft/api"
+)
+
+const (
+	// overloadRunTime keeps a slot long enough for the cell, not the load tool,
+	// to be the limit.
+	overloadRunTime = 100 * time.Millisecond
+	maxConnections  = 8000            // of an open loop
+	settleDown      = 3 * time.Second // between runs
+	sampleEvery     = 100 * time.Millisecond
+	// faultsPath is where stand-in workers take their faults.
+	faultsPath = "/control/faults"
+)
+
+func (o Options) server() target {
+	return target{name: "cuminloft", url: "http://" + o.Servers[0] + "/v1/run/" + url.PathEscape(o.Queue), key: o.Key}
+}
+
+func runRate(ctx context.Context, o Options) (Report, error) {
+	r, err := drive(ctx, o, o.server(), o.Rate)
+	return Report{Scenario: o.Scenario, Runs: []Result{r}}, err
+}
+
+// runBeside measures the plain handler and one entry host in turn, twice, so
+// that a drift of the machine shows.
+func runBeside(ctx context.Context, o Options, rate float64) (Report, error) {
+	if o.Plain == "" {
+		return Report{}, ErrNoPlain
+	}
+	plain := target{name: "plain", url: "http://" + o.Plain + "/"}
+	report := Report{Scenario: o.Scenario}
+	for _, t := range []target{plain, o.server(), plain, o.server()} {
+		r, err := drive(ctx, o, t, rate)
+		if err != nil {
+			return report, err
+		}
+		report.Runs = append(report.Runs, r)
+	}
+	report.compare()
+	return report, nil
+}
+
+// runOverload offers multiples of what the cell's slots can do.
+func runOverload(ctx context.Context, o Options) (Report, error) {
+	if o.RunTime == 0 {
+		o.RunTime = overloadRunTime
+	}
+	slots, err := readySlots(ctx, o)
+	if err != nil {
+		return Report{}, err
+	}
+	capacity := float64(slots) / o.RunTime.Seconds()
+	report := Report{Scenario: o.Scenario, Capacity: capacity}
+	for _, times := range []float64{1, 2, 5} {
+		o.Connections = min(maxConnections, int(times*capacity*o.Timeout.Seconds())+1)
+		r, err := drive(ctx, o, o.server(), times*capacity)
+		if err != nil {
+			return report, err
+		}
+		report.Runs = append(report.Runs, r)
+		time.Sleep(settleDown)
+	}
+	return report, nil
+}
+
+// readySlots is the number of tasks that the cell's ready shards can run at once.
+func readySlots(ctx context.Context, o Options) (int64, error) {
+	client, err := api.NewClient(o.Servers, o.OperatorKey)
+	if err != nil {
+		return 0, err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("status: %w", err)
+	}
+	var slots int64
+	for _, s := range status.Shards {
+		if s.Ready {
+			slots += s.Capacity.Slots
+		}
+	}
+	if slots == 0 {
+		return 0, errors.New("no shard is ready")
+	}
+	return slots, nil
+}
+
+// runFailing lets a third of the workers fail everything and measures how many
+// attempts each request costs.
+func runFailing(ctx context.Context, o Options) (Report, error) {
+	if len(o.Workers) < 3 {
+		return Report{}, errors.New("the scenario needs the addresses of three stand-in workers at least")
+	}
+	failing := o.Workers[:len(o.Workers)/3]
+	if err := setFailing(ctx, failing, true); err != nil {
+		return Report{}, err
+	}
+	defer func() { _ = setFailing(context.WithoutCancel(ctx), failing, false) }()
+	requests, attempts, retries, err := sumVars(ctx, o)
+	if err != nil {
+		return Report{}, err
+	}
+	r, err := drive(ctx, o, o.server(), o.Rate)
+	if err != nil {
+		return Report{}, err
+	}
+	requests2, attempts2, retries2, err := sumVars(ctx, o)
+	return Report{
+		Scenario: o.Scenario, Runs: []Result{r},
+		Amplification: float64(attempts2-attempts) / float64(max(requests2-requests, 1)),
+		Retries:       retries2 - retries,
+	}, err
+}
+
+func setFailing(ctx context.Context, workers []string, fail bool) error {
+	body, err := json.Marshal(map[string]bool{"fail_everything": fail})
+	if err != nil {
+		return err
+	}
+	for _, w := range workers {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+w+faultsPath, bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("faults of worker %s: %s", w, resp.Status)
+		}
+	}
+	return nil
+}
+
+// runIdle opens connections that made one small call each and stay open.
+func runIdle(ctx context.Context, o Options) (Report, error) {
+	before, err := readVars(ctx, o.Servers[0], o.OperatorKey)
+	if err != nil {
+		return Report{}, err
+	}
+	conns := make([]net.Conn, 0, o.Connections)
+	defer func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}()
+	for range o.Connections {
+		c, err := openIdle(ctx, o.Servers[0])
+		if err != nil {
+			return Report{}, fmt.Errorf("connection %d: %w", len(conns)+1, err)
+		}
+		conns = append(conns, c)
+	}
+	after, err := readVars(ctx, o.Servers[0], o.OperatorKey)
+	if err != nil {
+		return Report{}, err
+	}
+	return Report{
+		Scenario: o.Scenario, Connections: o.Connections,
+		MemoryBefore: before.used(), MemoryPeak: after.used(),
+	}, nil
+}
+
+func openIdle(ctx context.Context, server string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", server)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: load\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	var first [1]byte
+	_, err = c.Read(first[:])
+	return c, err
+}
+
+// runBigAnswer streams one large answer and samples the server's memory.
+func runBigAnswer(ctx context.Context, o Options) (Report, error) {
+	before, err := readVars(ctx, o.Servers[0], o.OperatorKey)
+	if err != nil {
+		return Report{}, err
+	}
+	o.Connections = 1
+	o.Timeout = time.Minute
+	g, err := newGenerator(o, o.server(), unlimitedRate)
+	if err != nil {
+		return Report{}, err
+	}
+	done := make(chan Result, 1)
+	go func() {
+		t := newTally()
+		began := time.Now()
+		label, n := g.send(ctx)
+		t.observe(began, began, time.Now(), label, n)
+		done <- g.result(t)
+	}()
+	peak := before.used()
+	for {
+		select {
+		case r := <-done:
+			return Report{Scenario: o.Scenario, Runs: []Result{r}, MemoryBefore: before.used(), MemoryPeak: peak}, nil
+		case <-time.After(sampleEvery):
+			now, err := readVars(ctx, o.Servers[0], o.OperatorKey)
+			if err != nil {
+				return Report{}, err
+			}
+			peak = max(peak, now.used())
+		}
+	}
+}
