--- a/internal/door/admit.go
+++ b/internal/door/admit.go
@@ -36,20 +36,14 @@
 	ready chan struct{}
 }
 
-const (
-	// perTeamNumerator/perTeamDenominator of the capacity is the most that one
-	// team can hold.
-	perTeamNumerator   = 3
-	perTeamDenominator = 4
-	// meanWeight is the part of a new measurement in the moving average, as
-	// 1/meanWeight.
-	meanWeight = 16
-)
+// meanWeight is the part of a new measurement in the moving average, as
+// 1/meanWeight.
+const meanWeight = 16
 
-func newAdmission(capacity, maxWaiting int) *admission {
+func newAdmission(capacity, perTeam, maxWaiting int) *admission {
 	return &admission{
 		capacity:   capacity,
-		perTeam:    max(1, capacity*perTeamNumerator/perTeamDenominator),
+		perTeam:    perTeam,
 		maxWaiting: maxWaiting,
 		teams:      make(map[string]*teamQueue),
 	}
--- a/internal/door/admit_test.go
+++ b/internal/door/admit_test.go
@@ -14,7 +14,7 @@
 func TestAdmissionIsFairAmongTeams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := newAdmission(4, 100)
+		a := newAdmission(4, 3, 100)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		admitted := make(chan string, 100)
@@ -50,7 +50,7 @@
 func TestAdmissionRefusesEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := newAdmission(2, 1)
+		a := newAdmission(2, 2, 1)
 		is.True(a.enter(t.Context(), "t", 1) == nil)
 		for range 100 { // requests take ten seconds
 			a.leave("t", 10*time.Second)
@@ -75,7 +75,7 @@
 func TestAdmissionWithdraws(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := newAdmission(1, 10)
+		a := newAdmission(1, 1, 10)
 		is.True(a.enter(t.Context(), "t", 1) == nil)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -48,6 +48,7 @@
 	MaxConfig              int64         // bytes of the body of POST /v1/config
 	MaxConnections         int           // open connections of callers
 	MaxInFlight            int           // direct requests being served
+	MaxInFlightPerTeam     int           // direct requests of one team being served
 	MaxWaitingPerTeam      int           // direct requests of one team waiting to be served
 	KeptBody               int64         // bytes of a body that are kept for a retry
 	WholeAnswer            int64         // answers up to this size are checked whole before the status is sent
@@ -68,28 +69,29 @@
 
 // Defaults of Limits.
 const (
-	DefaultMaxHeaderBytes    = 16 << 10
-	DefaultMaxBody           = 4 << 30
-	DefaultMaxSubmission     = 1 << 20
-	DefaultMaxConfig         = 8 << 20
-	DefaultMaxConnections    = 20_000
-	DefaultMaxInFlight       = 4096
-	DefaultMaxWaitingPerTeam = 1024
-	DefaultKeptBody          = 256 << 10
-	DefaultWholeAnswer       = 64 << 10
-	DefaultStoredAnswer      = 16 << 10
-	DefaultTimeout           = 30 * time.Second
-	DefaultMaxTimeout        = time.Hour
-	DefaultHeaderTimeout     = 5 * time.Second
-	DefaultIdleTimeout       = 2 * time.Minute
-	DefaultProgressTimeout   = 10 * time.Second
-	DefaultSettleTimeout     = 2 * time.Second
-	DefaultMaxAttempts       = 4
-	DefaultRetryRatio        = 0.1
-	DefaultRetryFloorPerSec  = 1.0
-	DefaultRetryBackoff      = 5 * time.Millisecond
-	DefaultMaxJobWait        = time.Minute
-	DefaultMaxKeyBytes       = 256
+	DefaultMaxHeaderBytes     = 16 << 10
+	DefaultMaxBody            = 4 << 30
+	DefaultMaxSubmission      = 1 << 20
+	DefaultMaxConfig          = 8 << 20
+	DefaultMaxConnections     = 20_000
+	DefaultMaxInFlight        = 4096
+	DefaultMaxInFlightPerTeam = 2000
+	DefaultMaxWaitingPerTeam  = 1024
+	DefaultKeptBody           = 256 << 10
+	DefaultWholeAnswer        = 64 << 10
+	DefaultStoredAnswer       = 16 << 10
+	DefaultTimeout            = 30 * time.Second
+	DefaultMaxTimeout         = time.Hour
+	DefaultHeaderTimeout      = 5 * time.Second
+	DefaultIdleTimeout        = 2 * time.Minute
+	DefaultProgressTimeout    = 10 * time.Second
+	DefaultSettleTimeout      = 2 * time.Second
+	DefaultMaxAttempts        = 4
+	DefaultRetryRatio         = 0.1
+	DefaultRetryFloorPerSec   = 1.0
+	DefaultRetryBackoff       = 5 * time.Millisecond
+	DefaultMaxJobWait         = time.Minute
+	DefaultMaxKeyBytes        = 256
 )
 
 func (l Limits) withDefaults() Limits {
@@ -99,6 +101,7 @@
 	setDefault(&l.MaxConfig, DefaultMaxConfig)
 	setDefault(&l.MaxConnections, DefaultMaxConnections)
 	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&l.MaxInFlightPerTeam, DefaultMaxInFlightPerTeam)
 	setDefault(&l.MaxWaitingPerTeam, DefaultMaxWaitingPerTeam)
 	setDefault(&l.KeptBody, DefaultKeptBody)
 	setDefault(&l.WholeAnswer, DefaultWholeAnswer)
@@ -154,7 +157,7 @@
 		log:       o.Log,
 		budgets:   newBudgets(limits.RetryRatio, limits.RetryFloorPerSec),
 		router:    newRouter(o.Directory, o.Self.GetAz()),
-		admission: newAdmission(limits.MaxInFlight, limits.MaxWaitingPerTeam),
+		admission: newAdmission(limits.MaxInFlight, limits.MaxInFlightPerTeam, limits.MaxWaitingPerTeam),
 	}
 }
 
--- a/internal/door/fake_worker_test.go
+++ b/internal/door/fake_worker_test.go
@@ -209,7 +209,7 @@
 	if w.states[a] == "" {
 		w.states[a] = worker.TaskNeverSeen
 	}
-	return worker.TaskReport{Attempt: a, State: w.states[a]}, nil
+	return worker.TaskReport{Attempt: a, State: w.states[a], Boot: w.bootName()}, nil
 }
 
 func (w *fakeWorker) Stop(_ context.Context, f worker.Fence, a worker.Attempt) error {
@@ -226,12 +226,7 @@
 }
 
 func (w *fakeWorker) Heartbeat(context.Context, worker.Heartbeat) (worker.HeartbeatReply, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.dead {
-		return worker.HeartbeatReply{}, worker.ErrUnreachable
-	}
-	return worker.HeartbeatReply{Boot: w.bootName()}, nil
+	return worker.HeartbeatReply{}, worker.ErrUnreachable
 }
 
 func (w *fakeWorker) RaiseFence(context.Context, worker.Fence) (worker.Inventory, error) {
--- a/internal/door/settle.go
+++ b/internal/door/settle.go
@@ -112,8 +112,7 @@
 // was made has forgotten what it ran: its "never seen" means that the attempt no
 // longer runs, and proves nothing else.
 func (d *Door) askState(ctx context.Context, a *attempt) (worker.TaskReport, error) {
-	fence := d.newestFence(a)
-	report, err := a.client.Settle(ctx, fence, a.id)
+	report, err := a.client.Settle(ctx, d.newestFence(a), a.id)
 	if err != nil {
 		return report, err
 	}
@@ -121,14 +120,7 @@
 		countForeign.Add(1)
 		return worker.TaskReport{}, worker.ErrForeignAnswer
 	}
-	if report.State != worker.TaskNeverSeen {
-		return report, nil
-	}
-	beat, err := a.client.Heartbeat(ctx, worker.Heartbeat{Fence: fence})
-	if err != nil {
-		return worker.TaskReport{}, err
-	}
-	if beat.Boot != a.ticket.GetBoot() {
+	if report.State == worker.TaskNeverSeen && report.Boot != a.ticket.GetBoot() {
 		report.State = worker.TaskLapsed
 	}
 	return report, nil
