--- a/internal/door/admit_test.go
+++ b/internal/door/admit_test.go
@@ -50,7 +50,7 @@
 func TestAdmissionRefusesEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := newAdmission(2, 2, 1)
+		a := newAdmission(2, 1, 1)
 		is.True(a.enter(t.Context(), "t", 1) == nil)
 		for range 100 { // requests take ten seconds
 			a.leave("t", 10*time.Second)
