--- /dev/null
+++ b/internal/settings/fuzz_test.go
@@ -0,0 +1,28 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+
+	"cuminloft/internal/strictjson"
+)
+
+// FuzzParse checks that any text is either refused with problems or gives
+// settings with addresses and defaults.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte(`{"host": 1, "limits": {"max_body_bytes": 1e99}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz", data)
+		if err != nil {
+			var problems *strictjson.Error
+			if !errors.As(err, &problems) || len(problems.Problems) == 0 {
+				t.Fatalf("refused without a problem: %v", err)
+			}
+			return
+		}
+		if s.RPCAdvertise == "" || s.Limits.MaxConnections <= 0 || s.Budget.WritesPerSecond <= 0 {
+			t.Fatalf("settings without defaults: %+v", s)
+		}
+	})
+}
