--- a/internal/harness/callers.go
+++ b/internal/harness/callers.go
@@ -163,6 +163,8 @@
 		op.Error = err.Error()
 	case status == http.StatusOK:
 		read(&op, body)
+	case outcome == model.OutcomeFailed:
+		// The task's own answer; its body says nothing about the outcome.
 	default:
 		var e api.Error
 		if json.Unmarshal(body, &e) == nil {
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -15,11 +15,15 @@
 	schedules = flag.Int("schedules", 0, "seeded schedules of faults to run against real processes; 0: none")
 	firstSeed = flag.Uint64("first-seed", 1, "seed of the first schedule")
 	parallel  = flag.Int("clusters", 3, "schedules that run at once")
+	ready     = flag.String("binary", "", "cuminloft binary to run instead of a fresh build")
 	keep      = flag.String("keep", "", "directory for the logs of runs with violations")
 )
 
 // binary is the real binary, built once for all tests.
 var binary = sync.OnceValues(func() (string, error) {
+	if *ready != "" {
+		return *ready, nil
+	}
 	dir, err := os.MkdirTemp("", "cuminloft-harness")
 	if err != nil {
 		return "", err
--- a/internal/harness/play.go
+++ b/internal/harness/play.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -49,7 +50,7 @@
 	report.Steps, err = playSteps(ctx, c, log, seed)
 	callers.Stop()
 	if err != nil {
-		return report, err
+		return report, errors.Join(err, c.saveStates(ctx))
 	}
 	settle, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -60,7 +61,7 @@
 	}
 	report.fill(history)
 	if len(report.Violations) > 0 {
-		err = c.save(history, report)
+		err = errors.Join(c.save(history, report), c.saveStates(ctx))
 	}
 	return report, err
 }
@@ -160,6 +161,20 @@
 	return os.WriteFile(filepath.Join(c.dir, "history.json"), data, 0o600)
 }
 
+// saveStates writes what each host says of the cell beside the logs.
+func (c *Cluster) saveStates(ctx context.Context) error {
+	states := map[string]any{}
+	for _, h := range c.Hosts {
+		s, err := c.Status(ctx, h)
+		states[h.ID] = s
+		if err != nil {
+			states[h.ID] = err.Error()
+		}
+	}
+	_, err := c.write("states.json", states)
+	return err
+}
+
 // Timeline returns the time line of all processes as the product tells it; it
 // helps to find causes and is never checked.
 func (c *Cluster) Timeline() ([]byte, error) {
