--- a/api/client_jobs.go
+++ b/api/client_jobs.go
@@ -29,13 +29,17 @@
 	return c.job(ctx, id, url.Values{"explain": {strconv.FormatBool(explain)}})
 }
 
-// WaitJob waits until the job has ended or the context does.
-func (c *Client) WaitJob(ctx context.Context, id string) (Job, error) {
+// WaitJob waits until the job has ended or the context does. It passes each
+// state that it sees to progress, which may be nil.
+func (c *Client) WaitJob(ctx context.Context, id string, progress func(Job)) (Job, error) {
 	for {
 		j, err := c.job(ctx, id, url.Values{"wait": {pollJob.String()}})
 		if err != nil || j.State == JobEnded {
 			return j, err
 		}
+		if progress != nil {
+			progress(j)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/cli/bench.go
@@ -0,0 +1,3 @@
+package cli
+
+type benchCommand struct{}
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -425,3 +425,6 @@
 	s.opts.Recorder.Record(timeline.Event{Kind: kind, Target: versionText(h.Version), Detail: "by " + h.Author})
 	s.opts.Log.Info(string(kind), "version", int64(h.Version), "author", h.Author)
 }
+
+// LastRead returns when the last successful poll of the table began.
+func (s *Sync) LastRead() time.Time { return s.polled.Load().succeeded }
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -52,6 +52,7 @@
 	confirmed int64     // configuration version that nothing older can start under
 	confirmBy time.Time // when starts under the older version are void
 	digestAt  time.Time
+	workersAt time.Time
 	fleetAt   time.Time
 	// grantsSeen announces the next change after the grants in force.
 	grantsSeen <-chan struct{}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,7 @@
 	inbox   chan message
 	serving atomic.Bool // requests are taken
 	digest  atomic.Pointer[rpc.ShardDigest]
+	workers atomic.Pointer[[]*rpc.WorkerStatus]
 	done    chan struct{} // closed when Run returns
 }
 
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -172,6 +172,7 @@
 		return
 	}
 	l.digestAt = now
+	l.publishWorkers(now)
 	direct, jobs := l.core.Pending()
 	d := &rpc.ShardDigest{
 		Shard:          l.opts.Shard,
@@ -184,7 +185,7 @@
 		Used:           rpc.FromResources(l.core.Used()),
 		DirectPending:  int64(direct),
 		JobsPending:    int64(jobs),
-		TakenNs:        l.takenAt.UnixNano(),
+		TakenNs:        now.UnixNano(),
 		Confirmed:      l.confirmed,
 	}
 	for _, u := range l.core.TeamUsage() {
--- /dev/null
+++ b/internal/owner/workers.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	"time"
+
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/sched"
+)
+
+// workersEvery is the least time between two lists of workers for operators.
+const workersEvery = time.Second
+
+// Workers returns the state of the shard's workers, at most about a second old.
+// The list is shared and must not be changed.
+func (o *Owner) Workers() []*rpc.WorkerStatus {
+	list := o.workers.Load()
+	if list == nil {
+		return nil
+	}
+	return *list
+}
+
+// publishWorkers makes the list of workers visible to other goroutines.
+func (l *loop) publishWorkers(now time.Time) {
+	if now.Sub(l.workersAt) < workersEvery {
+		return
+	}
+	l.workersAt = now
+	var list []*rpc.WorkerStatus
+	for _, u := range l.core.Workers() {
+		list = append(list, l.workerStatus(u))
+	}
+	l.Owner.workers.Store(&list)
+}
+
+func (l *loop) workerStatus(u sched.WorkerUsage) *rpc.WorkerStatus {
+	status := &rpc.WorkerStatus{
+		Worker:  u.Worker,
+		State:   string(sched.WorkerLost),
+		Used:    rpc.FromResources(u.Used),
+		Running: int32(u.Attempts),
+	}
+	k, ok := l.workers[u.Worker]
+	if !ok {
+		return status
+	}
+	if k.state != "" {
+		status.State = string(k.state)
+	}
+	status.Az = k.spec.AZ
+	status.Rack = k.spec.Rack
+	status.Capacity = rpc.FromResources(k.spec.Capacity)
+	return status
+}
--- /dev/null
+++ b/internal/serve/fleet.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"maps"
+	"slices"
+
+	"cuminloft/internal/config"
+	"cuminloft/internal/member"
+	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/sched"
+)
+
+// fleetUsage returns a function that sums the newest digests of all shards but
+// one. Digests of shards without a live owner are gone from the directory, so
+// their teams' use counts as zero until the shard is taken over.
+func fleetUsage(directory member.Directory, except string) func() sched.FleetUsage {
+	return func() sched.FleetUsage {
+		sum := sched.FleetUsage{
+			Used:    map[string]model.Resources{},
+			Pending: map[string]model.Resources{},
+		}
+		for _, ref := range directory.Shards() {
+			if ref.Name != except && ref.Digest != nil {
+				addDigest(&sum, ref.Digest)
+			}
+		}
+		return sum
+	}
+}
+
+func addDigest(sum *sched.FleetUsage, d *rpc.ShardDigest) {
+	sum.Capacity = sum.Capacity.Add(d.GetCapacity().Model())
+	for _, t := range d.GetTeams() {
+		team := t.GetTeam()
+		sum.Used[team] = sum.Used[team].Add(t.GetUsed().Model())
+		sum.Pending[team] = sum.Pending[team].Add(t.GetPending().Model())
+	}
+}
+
+// teamUse returns what each team runs over the fleet.
+func (p *Process) teamUse() []config.TeamUse {
+	sum := fleetUsage(p.tracker, "")()
+	var used []config.TeamUse
+	for _, team := range slices.Sorted(maps.Keys(sum.Used)) {
+		used = append(used, config.TeamUse{Team: team, Used: sum.Used[team]})
+	}
+	return used
+}
--- a/internal/serve/keeper.go
+++ b/internal/serve/keeper.go
@@ -34,6 +34,8 @@
 	// Run takes the shard and serves it until ctx ends or the shard is lost.
 	Run(ctx context.Context) error
 	Digest() *rpc.ShardDigest
+	// Workers returns the state of the shard's workers.
+	Workers() []*rpc.WorkerStatus
 }
 
 // keeperOptions are what a keeper needs.
--- /dev/null
+++ b/internal/serve/status.go
@@ -0,0 +1,150 @@
+package serve
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cuminloft/api"
+	"cuminloft/internal/configsync"
+	"cuminloft/internal/rpc"
+)
+
+// askTimeout bounds one question to another entry host.
+const askTimeout = 2 * time.Second
+
+// status returns what this process knows of itself.
+func (p *Process) status() *rpc.StatusReply {
+	accepted, staged := p.sync.Versions()
+	digests, _ := p.keeper.local()
+	reply := &rpc.StatusReply{
+		Self:           p.self,
+		State:          string(p.state.Load().(State)),
+		Accepted:       accepted,
+		Staged:         staged,
+		TableReachable: p.tableReachable(),
+		Shards:         digests,
+		Members:        p.tracker.Members(),
+	}
+	for _, o := range *p.keeper.held.Load() {
+		reply.Workers = append(reply.Workers, o.Workers()...)
+	}
+	return reply
+}
+
+// tableReachable reports whether the configuration was read recently.
+func (p *Process) tableReachable() bool { return time.Since(p.sync.LastRead()) <= configsync.FreshFor }
+
+// ask puts a question to every other live entry host at once and returns the
+// hosts that did not answer. The answers are handed to take one at a time.
+func ask[R any](ctx context.Context, p *Process, question func(context.Context, rpc.Peer) (R, error), take func(R)) []string {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var missing []string
+	var group errgroup.Group
+	for _, m := range p.tracker.Members() {
+		peer, ok := p.tracker.Peer(m.GetHost())
+		if !ok {
+			continue // this host itself
+		}
+		group.Go(func() error {
+			answer, err := question(ctx, peer)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, m.GetHost())
+				return nil
+			}
+			take(answer)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(missing)
+	return missing
+}
+
+// cellStatus gathers the status of all live entry hosts.
+func (p *Process) cellStatus(ctx context.Context) api.StatusReply {
+	own := p.status()
+	replies := []*rpc.StatusReply{own}
+	missing := ask(ctx, p,
+		func(ctx context.Context, peer rpc.Peer) (*rpc.StatusReply, error) {
+			return peer.Status(ctx, &rpc.StatusRequest{})
+		},
+		func(r *rpc.StatusReply) { replies = append(replies, r) })
+	reply := api.StatusReply{
+		Host:           own.GetSelf().GetHost(),
+		AZ:             own.GetSelf().GetAz(),
+		State:          own.GetState(),
+		Accepted:       own.GetAccepted(),
+		Staged:         own.GetStaged(),
+		TableReachable: own.GetTableReachable(),
+		Missing:        missing,
+	}
+	for _, r := range replies {
+		reply.Hosts = append(reply.Hosts, hostStatus(r))
+		for _, w := range r.GetWorkers() {
+			reply.Workers = append(reply.Workers, workerStatus(w))
+		}
+	}
+	reply.Shards = p.shardStatus()
+	sortStatus(&reply)
+	return reply
+}
+
+func hostStatus(r *rpc.StatusReply) api.HostStatus {
+	m := r.GetSelf()
+	return api.HostStatus{Host: m.GetHost(), AZ: m.GetAz(), Addr: m.GetAddr(), State: r.GetState()}
+}
+
+func workerStatus(w *rpc.WorkerStatus) api.WorkerStatus {
+	return api.WorkerStatus{
+		Worker:   w.GetWorker(),
+		AZ:       w.GetAz(),
+		Rack:     w.GetRack(),
+		State:    w.GetState(),
+		Capacity: w.GetCapacity().Model(),
+		Used:     w.GetUsed().Model(),
+		Running:  int(w.GetRunning()),
+	}
+}
+
+// shardStatus lists every shard of the configuration, owned or not.
+func (p *Process) shardStatus() []api.ShardStatus {
+	var shards []api.ShardStatus
+	for _, ref := range p.tracker.Shards() {
+		d := ref.Digest
+		status := api.ShardStatus{
+			Shard:         ref.Name,
+			AZ:            ref.AZ,
+			Owner:         d.GetOwner(),
+			Fence:         d.GetFence(),
+			Ready:         d.GetReady(),
+			Capacity:      d.GetCapacity().Model(),
+			Used:          d.GetUsed().Model(),
+			DirectPending: d.GetDirectPending(),
+			JobsPending:   d.GetJobsPending(),
+			Confirmed:     d.GetConfirmed(),
+		}
+		for _, t := range d.GetTeams() {
+			status.Teams = append(status.Teams, api.TeamUsage{
+				Team:    t.GetTeam(),
+				Used:    t.GetUsed().Model(),
+				Pending: t.GetPending().Model(),
+			})
+		}
+		shards = append(shards, status)
+	}
+	return shards
+}
+
+func sortStatus(r *api.StatusReply) {
+	slices.SortFunc(r.Hosts, func(a, b api.HostStatus) int { return strings.Compare(a.Host, b.Host) })
+	slices.SortFunc(r.Workers, func(a, b api.WorkerStatus) int { return strings.Compare(a.Worker, b.Worker) })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,11 +112,12 @@
 	if len(c.problems) > 0 {
 		return nil, &strictjson.Error{Problems: c.problems}
 	}
-	s.fillDefaults()
+	s.FillDefaults()
 	return s, nil
 }
 
-func (s *Settings) fillDefaults() {
+// FillDefaults replaces zero values by their defaults.
+func (s *Settings) FillDefaults() {
 	if s.RPCAdvertise == "" {
 		s.RPCAdvertise = s.RPCListen
 	}
