--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -121,10 +121,11 @@
 			if !n.passable(l) {
 				return
 			}
+			// Counted first: who reads the bytes may ask for the count at once.
+			count.Add(int64(k))
 			if _, werr := dst.Write(buf[:k]); werr != nil {
 				return
 			}
-			count.Add(int64(k))
 		}
 		if err != nil {
 			return
