--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -16,8 +16,9 @@
 	"cuminloft/internal/model"
 )
 
-// Errors of a worker. Every error but ErrAmbiguous proves that the command had
-// no effect.
+// Errors of a worker. ErrAmbiguous, ErrTruncated and ErrForeignAnswer leave open
+// whether the command took effect; every other error proves that it did not.
+// ErrDuplicate says so of the repeated command only: the first one did.
 var (
 	ErrFenced        = errors.New("fence is lower than the worker's")
 	ErrWindowPassed  = errors.New("start window has passed on the worker's clock")
@@ -86,6 +87,9 @@
 	Ran     time.Duration   `json:"ran"`             // so far
 	Saved   string          `json:"saved,omitempty"` // last checkpoint
 	Result  []byte          `json:"result,omitempty"`
+	// Boot is the worker's boot at the time of the report; set by Settle. An
+	// attempt that was sent to another boot is not proved never to have run.
+	Boot string `json:"boot,omitempty"`
 }
 
 // Inventory is everything a worker says of itself.
