--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -7,8 +7,7 @@
 	"cuminloft/internal/model"
 )
 
-// blockReason is why a job's next task did not start at the last attempt to
-// place it.
+// blockReason is why a job's next task does not start.
 type blockReason uint8
 
 const (
@@ -53,7 +52,7 @@
 		lines = append(lines, "each task counts as "+j.size.resources().String()+", more than declared, as measured before")
 	}
 	if j.ready > 0 {
-		lines = append(lines, "pending: "+j.blocked.String())
+		lines = append(lines, "pending: "+c.whyPending(j).String())
 	}
 	if r := j.reserved; r != nil {
 		lines = append(lines, r.explain())
@@ -61,6 +60,28 @@
 	return append(lines, c.explainTasks(j)...)
 }
 
+// whyPending finds out why the next task of j does not start now.
+func (c *Core) whyPending(j *job) blockReason {
+	if j.reserved != nil {
+		return blockedByReservation
+	}
+	if j.spec.Policy == model.PolicyGang && !j.gangReady() {
+		return blockedByGang
+	}
+	if reason := j.team.mayRun(&j.size, j.atOnce()); reason != notBlocked {
+		return reason
+	}
+	all := vec{}
+	all.addScaled(&j.size, j.atOnce())
+	if j.lane.tier() == tierShared && !c.leavesHeadroom(&all) {
+		return blockedByHeadroom
+	}
+	if c.index.next(&j.size, 0) < 0 || j.spec.Policy == model.PolicyGang {
+		return blockedByRoom
+	}
+	return notBlocked
+}
+
 // explainTasks tells of each running task where it runs.
 func (c *Core) explainTasks(j *job) []string {
 	var lines []string
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -15,9 +15,8 @@
 	helpPause = 100 * time.Millisecond
 	// searchPause is how often at most victims are looked for in vain.
 	searchPause = 50 * time.Millisecond
-	// shareGap is by how much of the fleet a victim's organisation or team has
-	// to be ahead, so that room is not moved to and fro.
-	shareGap = 0.01
+	// shareTolerance is up to what difference two weighted shares are equal.
+	shareTolerance = 1e-9
 )
 
 // preempts bounds preemption.
@@ -102,7 +101,8 @@
 	var first *job
 	for _, t := range c.active[tierUrgent] {
 		waiting += t.pending[laneUrgent]
-		if j := t.lanes[laneUrgent].head; j != nil && j.blocked == blockedByRoom && (first == nil || j.waits.Before(first.waits)) {
+		j := t.lanes[laneUrgent].head
+		if t.mayRun(&j.size, 1) == notBlocked && (first == nil || j.waits.Before(first.waits)) {
 			first = j
 		}
 	}
@@ -265,7 +265,7 @@
 	}
 	gives, takes := a.size.dominant(&c.total), j.size.dominant(&c.total)
 	if v.org != t.org {
-		return v.org.key-gives/v.org.weight-shareGap/v.org.weight > t.org.key+takes/t.org.weight
+		return v.org.key-gives/v.org.weight >= t.org.key+takes/t.org.weight-shareTolerance
 	}
-	return v.key-gives/v.weight-shareGap/v.weight > t.key+takes/t.weight
+	return v.key-gives/v.weight >= t.key+takes/t.weight-shareTolerance
 }
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -45,7 +45,7 @@
 		return
 	}
 	est := a.job.est
-	failed := end == EndFailed
+	failed, blame := end == EndFailed, unknownKindBlame
 	if !failed {
 		a.job.longest = max(a.job.longest, c.now.Sub(a.started))
 	}
@@ -53,9 +53,10 @@
 		if !failed {
 			est.observeRunTime(c.now.Sub(a.started))
 		}
+		blame = est.blame(a.worker)
 		est.observeEnd(a.worker, failed)
 	}
-	c.judge(a.worker, est, failed)
+	c.judge(a.worker, failed, blame)
 }
 
 // observeEnd remembers the last end on each worker, so that one worker that
@@ -72,12 +73,14 @@
 	e.ends = append(e.ends, kindEnd{w, failed})
 }
 
-// failsElsewhere returns the part of the other workers on which the kind
-// failed last.
-func (e *estimate) failsElsewhere(w *worker) float64 {
-	failed, others := 0, 0
+// blame returns how much of a failure on w is held against w: the part of the
+// other workers on which the kind ended well last. If it ran on no other, only
+// its first failure counts.
+func (e *estimate) blame(w *worker) float64 {
+	failed, others, failedHere := 0, 0, false
 	for _, k := range e.ends {
 		if k.worker == w {
+			failedHere = k.failed
 			continue
 		}
 		others++
@@ -85,14 +88,17 @@
 			failed++
 		}
 	}
-	if others == 0 {
-		return 1 - unknownKindBlame
+	switch {
+	case others > 0:
+		return 1 - float64(failed)/float64(others)
+	case failedHere:
+		return 0
 	}
-	return float64(failed) / float64(others)
+	return unknownKindBlame
 }
 
 // judge counts an end for or against the worker.
-func (c *Core) judge(w *worker, est *estimate, failed bool) {
+func (c *Core) judge(w *worker, failed bool, blame float64) {
 	h := &w.health
 	if !failed {
 		h.good = h.good*healthDecay + 1
@@ -103,10 +109,6 @@
 		}
 		return
 	}
-	blame := unknownKindBlame
-	if est != nil {
-		blame = 1 - est.failsElsewhere(w)
-	}
 	h.good *= healthDecay
 	h.blame = h.blame*healthDecay + blame
 	h.streak += blame
