--- a/internal/bench/decide/baseline.go
+++ b/internal/bench/decide/baseline.go
@@ -28,6 +28,9 @@
 	queues  [][]*baseJob
 	jobs    map[model.JobID]*baseJob
 	out     []sched.Decision
+	// full holds the sizes that no worker had room for in this event, so that
+	// equal or larger ones need no search.
+	full []model.Resources
 }
 
 // skipDepth bounds how many jobs behind a blocked one are tried.
@@ -88,7 +91,7 @@
 
 // Handle takes one event as Core.Handle does.
 func (b *baseline) Handle(_ time.Time, ev sched.Event) []sched.Decision {
-	b.out = b.out[:0]
+	b.out, b.full = b.out[:0], b.full[:0]
 	switch ev := ev.(type) {
 	case sched.ConfigChanged:
 		b.cfg = ev.Config
@@ -267,11 +270,15 @@
 
 func (b *baseline) firstFit(j *baseJob) *baseWorker {
 	need := j.next()
+	if slices.ContainsFunc(b.full, func(full model.Resources) bool { return full.Fits(need) }) {
+		return nil
+	}
 	for _, w := range b.workers {
-		if w.ready && b.inService(w) && need.Fits(w.free) && w.conns >= j.conns() {
+		if w.ready && need.Fits(w.free) && w.conns >= j.conns() && b.inService(w) {
 			return w
 		}
 	}
+	b.full = append(b.full, need)
 	return nil
 }
 
--- a/internal/bench/decide/measure.go
+++ b/internal/bench/decide/measure.go
@@ -50,10 +50,31 @@
 	absence                absence
 }
 
-// absence is the work done while the AZ is away.
+// absence is the work done while the AZ is away, in resource-seconds.
 type absence struct {
-	done     float64 // millicore-seconds of attempts that ended well, while away
-	possible float64 // millicore-seconds of the room left
+	done     work // by attempts that ended well or saved their progress
+	possible work // by the room that is left
+}
+
+// work is an amount of millicore-seconds, megabyte-seconds and slot-seconds.
+type work [3]float64
+
+func (w *work) add(r model.Resources, seconds float64) {
+	w[0] += float64(r.MilliCores) * seconds
+	w[1] += float64(r.MemoryMB) * seconds
+	w[2] += float64(r.Slots) * seconds
+}
+
+// part returns how much of the possible work was done of the resource that was
+// used most: no scheduler can do more than all of one resource.
+func (a *absence) part() float64 {
+	best := 0.0
+	for i := range a.done {
+		if a.possible[i] > 0 {
+			best = max(best, a.done[i]/a.possible[i])
+		}
+	}
+	return best
 }
 
 // Count tells how the jobs of a class ended.
@@ -114,15 +135,16 @@
 	if end == sched.EndDone {
 		x.job.over++
 	}
-	m.usefulMilliCoreSeconds += m.workBetween(x, epoch, m.r.now)
+	size := x.job.job.Task.Resources
+	m.usefulMilliCoreSeconds += float64(size.MilliCores) * m.secondsBetween(x, epoch, m.r.now)
 	if m.r.az[x.worker] != leavingAZ {
-		m.absence.done += m.workBetween(x, m.r.part(azLeaves), m.r.part(azReturns))
+		m.absence.done.add(size.Max(x.job.usage), m.secondsBetween(x, m.r.part(azLeaves), m.r.part(azReturns)))
 	}
 }
 
-// workBetween returns the millicore-seconds that an attempt which ends now ran
-// within a span of time.
-func (m *measures) workBetween(x *run, from, until time.Time) float64 {
+// secondsBetween returns for how long an attempt that ends now ran within a
+// span of time.
+func (m *measures) secondsBetween(x *run, from, until time.Time) float64 {
 	begin, end := x.start, m.r.now
 	if begin.Before(from) {
 		begin = from
@@ -130,7 +152,7 @@
 	if end.After(until) {
 		end = until
 	}
-	return float64(x.job.job.Task.Resources.MilliCores) * max(0, end.Sub(begin).Seconds())
+	return max(0, end.Sub(begin).Seconds())
 }
 
 // jobEnded counts a job that is over and what it no longer waits for.
@@ -156,14 +178,8 @@
 func (m *measures) sample() {
 	r := m.r
 	fleet, usable := m.capacities()
-	running := 0.0
 	if r.out[leavingAZ] {
-		for _, x := range r.runs {
-			if x.job.job.Policy == model.PolicyService {
-				running += float64(x.job.job.Task.Resources.MilliCores)
-			}
-		}
-		m.absence.possible += (float64(usable.MilliCores) - running) * sampleEvery.Seconds()
+		m.samplePossible(usable)
 	}
 	m.overused += m.overcommitted() * sampleEvery.Seconds()
 	p := point{at: r.now.Sub(epoch), usable: usable.DominantShare(fleet), used: m.total.DominantShare(fleet)}
@@ -188,6 +204,16 @@
 	m.points = append(m.points, p)
 }
 
+// samplePossible adds the room of the usable workers that services leave.
+func (m *measures) samplePossible(usable model.Resources) {
+	for _, x := range m.r.runs {
+		if x.job.job.Policy == model.PolicyService && m.r.az[x.worker] != leavingAZ {
+			usable = usable.Sub(x.job.job.Task.Resources)
+		}
+	}
+	m.absence.possible.add(usable, sampleEvery.Seconds())
+}
+
 // overcommitted returns the number of workers whose tasks use more memory than
 // the worker has.
 func (m *measures) overcommitted() float64 {
--- a/internal/bench/decide/report.go
+++ b/internal/bench/decide/report.go
@@ -39,7 +39,7 @@
 	WorstTeam    string // largest average distance
 	WorstMiss    float64
 	FullSamples  int
-	AbsenceDone  float64 // work done through the AZ's absence, against the best possible; 0: no absence
+	AbsenceDone  float64 // work done through the AZ's absence, of what the scarcest resource left allows; 0: no absence
 	UsefulCores  float64 // average cores that did work that ended well
 	Overused     float64 // part of the worker-seconds with more memory in use than there is
 	Preemptions  int
@@ -131,9 +131,7 @@
 			r.WorstTeam, r.WorstMiss = team, miss
 		}
 	}
-	if m.absence.possible > 0 {
-		r.AbsenceDone = m.absence.done / m.absence.possible
-	}
+	r.AbsenceDone = m.absence.part()
 	r.Overused = m.overused / float64(len(m.r.day.workers)) / m.r.day.length.Seconds()
 	r.UsefulCores = m.usefulMilliCoreSeconds / 1000 / m.r.day.length.Seconds()
 }
--- a/internal/bench/decide/workload.go
+++ b/internal/bench/decide/workload.go
@@ -90,6 +90,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newDayIn(c, o), nil
+}
+
+// newDayIn draws the day for a cell of that size.
+func newDayIn(c cell, o Options) *day {
 	d := &day{cell: c, length: o.Duration, faults: o.Faults, bad: map[string]bool{}}
 	g := &generator{rng: rand.New(rand.NewPCG(o.Seed, 1)), day: d}
 	g.fleet()
@@ -99,7 +104,7 @@
 	g.direct(o.User)
 	g.work(workClasses(o.User), o.Load)
 	slices.SortStableFunc(d.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-	return d, nil
+	return d
 }
 
 func (g *generator) fleet() {
