sched: gangs wait for workers that may return; bound each search for victims

Cause: while an AZ was away a gang that fits the whole cell was refused as one that can never run; a burst of urgent requests looked through all workers once for each of them in one event. Change: workers that are gone but configured count when it is checked whether work can ever run, others leave the index; at most four searches an event, none of which allocates. Tests: shares over the fleet, flapping, restarts, early refusal, gangs and absent workers.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -141,7 +141,7 @@
 		return false
 	}
 	for _, w := range c.byPos {
-		if w.state != WorkerGone && size.fits(&w.capacity) {
+		if c.mayReturn(w) && size.fits(&w.capacity) {
 			return true
 		}
 	}
@@ -153,7 +153,7 @@
 func (c *Core) places(size *vec, bound int) int {
 	n := 0
 	for _, w := range c.byPos {
-		if w.state == WorkerGone {
+		if !c.mayReturn(w) {
 			continue
 		}
 		n += w.capacity.times(size, bound-n)
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -23,6 +23,7 @@
 	cfg          *config.Config
 	queues       map[string]*config.Queue
 	outOfService map[string]bool // AZs
+	configured   map[string]bool // workers
 
 	workers  map[string]*worker
 	byPos    []*worker
@@ -52,6 +53,7 @@
 	helpArmed bool
 	helpDue   bool
 	plan      []hold
+	victims   []*attempt
 
 	// What the next pass has to look at.
 	active        [tiers][]*team // teams with ready tasks, per tier
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -46,8 +46,8 @@
 	if j == nil {
 		return c.recent.explain(id)
 	}
-	lines := []string{fmt.Sprintf("%s job of team %s in queue %s: %d tasks, %d ready, %d running, %d failed",
-		j.spec.Policy, j.spec.Team, j.spec.Queue, len(j.tasks), j.ready, j.running, j.failed)}
+	lines := []string{fmt.Sprintf("shard %s: %s job of team %s in queue %s: %d tasks, %d ready, %d running, %d failed",
+		c.shard, j.spec.Policy, j.spec.Team, j.spec.Queue, len(j.tasks), j.ready, j.running, j.failed)}
 	if j.size != j.asked {
 		lines = append(lines, "each task counts as "+j.size.resources().String()+", more than declared, as measured before")
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -78,7 +78,6 @@
 	cancelled  bool
 	code       RefusalCode
 	reason     string
-	blocked    blockReason
 	giveUp     time.Time     // zero: never
 	est        *estimate     // of its kind; nil if none is kept
 	estSamples int           // samples that size already respects
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -70,7 +70,6 @@
 	a := &attempt{job: j, index: i, number: int(tk.lastAttempt), worker: w, size: j.size, started: c.now}
 	tk.state, tk.running = taskRunning, a
 	c.attach(a)
-	j.blocked = notBlocked
 	j.lastPlaced = reason
 	c.decide(StartTask{
 		Task: a.id(), Attempt: a.number, Worker: w.spec.ID,
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -159,18 +159,15 @@
 	return false
 }
 
-// tryJob starts one task of j, or all of a gang, or says why not.
+// tryJob starts one task of j, or all of a gang, and reports whether it did.
 func (c *Core) tryJob(j *job) bool {
 	if !j.size.fits(c.bound(j.team)) {
-		j.blocked = blockedByRoom
-	} else {
-		c.resize(j)
-		j.blocked = c.start(j)
-	}
-	if j.blocked != notBlocked {
-		c.noteBlocked(j)
+		return false
 	}
-	return j.blocked == notBlocked
+	c.resize(j)
+	reason := c.start(j)
+	c.noteBlocked(j.team, reason)
+	return reason == notBlocked
 }
 
 func (c *Core) start(j *job) blockReason {
@@ -191,14 +188,14 @@
 	return notBlocked
 }
 
-// noteBlocked does what follows from a job that cannot start.
-func (c *Core) noteBlocked(j *job) {
-	switch j.blocked {
+// noteBlocked does what follows from a job of t that cannot start.
+func (c *Core) noteBlocked(t *team, reason blockReason) {
+	switch reason {
 	case blockedByLimit:
-		j.team.atLimit = true
+		t.atLimit = true
 	case blockedByGrant:
-		j.team.atLimit = true
-		c.wantGrant(j.team)
+		t.atLimit = true
+		c.wantGrant(t)
 	case blockedByHeadroom:
 		c.wakeForHeadroom()
 	case blockedByRoom, notBlocked, blockedByReservation, blockedByGang:
--- a/internal/sched/policy_test.go
+++ b/internal/sched/policy_test.go
@@ -256,3 +256,88 @@
 	_, jobs := s.core.Pending()
 	is.Equal(jobs, 0)
 }
+
+// What the other shards run counts: the team that has much elsewhere waits.
+func TestSharesAreOverTheFleet(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, testConfig(), 1)
+	fill := s.confirm(s.handle(JobAdded{Job: testJob("fill", "a", model.PolicyBatch, 8)}))
+	s.handle(JobAdded{Job: testJob("b", "b", model.PolicyBatch, 8)})
+	s.handle(JobAdded{Job: testJob("c", "c", model.PolicyBatch, 8)})
+	s.handle(FleetUsage{
+		Capacity: model.Resources{MilliCores: 64_000, MemoryMB: 256_000, Slots: 16},
+		Used:     map[string]model.Resources{"c": {MilliCores: 64_000, Slots: 16}},
+	})
+	for _, st := range fill[:3] {
+		is.Equal(starts(s.end(st, EndDone))[0].Task.Job, model.JobID("b"))
+	}
+}
+
+func TestFlappingWorkerIsPausedForLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, testConfig(), 1)
+	last := time.Duration(0)
+	for range 4 {
+		s.handle(WorkerChanged{testWorker(0), WorkerLost})
+		s.handle(WorkerChanged{testWorker(0), WorkerReady})
+		is.True(!s.core.Workers()[0].Usable)
+		wake, ok := s.core.NextWake()
+		is.True(ok)
+		pause := wake.Sub(s.now)
+		is.True(pause > last)
+		last = pause
+		s.after(pause)
+		is.True(s.core.Workers()[0].Usable)
+	}
+}
+
+// A gang too large for what is left while an AZ is away waits for its return;
+// workers that are gone for good do not count.
+func TestGangWaitsForWorkersThatMayReturn(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		is := is.New(t)
+		cfg := testConfig()
+		if listed {
+			cfg.Workers = []model.WorkerSpec{testWorker(0), testWorker(1)}
+		}
+		s := newScript(t, cfg, 2)
+		s.handle(WorkerChanged{testWorker(1), WorkerGone})
+		ended := only[JobEnded](s.handle(JobAdded{Job: testJob("gang", "a", model.PolicyGang, 16)}))
+		is.Equal(len(ended) == 0, listed)
+		if listed {
+			is.Equal(len(starts(s.handle(WorkerChanged{testWorker(1), WorkerReady}))), 16)
+		}
+	}
+}
+
+// A failing task is started again after a growing delay, up to its limit.
+func TestRestartsBackOffUpToTheLimit(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig()
+	cfg.Policy = config.Knobs{MaxRestarts: 2, RestartBackoffSeconds: 2}
+	s := newScript(t, cfg, 2)
+	st := s.confirm(s.handle(JobAdded{Job: testJob("j", "a", model.PolicyBatch, 1)}))[0]
+	for _, delay := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		is.Equal(len(s.end(st, EndFailed)), 0)
+		is.Equal(len(starts(s.after(delay-time.Millisecond))), 0)
+		st = s.confirm(s.after(delay / 2))[0] // the random part is at most a quarter
+	}
+	is.Equal(only[JobEnded](s.end(st, EndFailed)), []JobEnded{{Job: "j", Outcome: model.OutcomeFailed}})
+}
+
+func TestDirectRequestsThatCannotStartInTimeAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, testConfig(), 1)
+	s.confirm(s.handle(JobAdded{Job: testJob("fill", "a", model.PolicyBatch, 8)}))
+	refused := 0
+	for i := range 2 * minQueue {
+		j := testJob(fmt.Sprint(i), "b", model.PolicyDirect, 1)
+		j.MaxWait = time.Second
+		for _, e := range only[JobEnded](s.handle(JobAdded{Job: j})) {
+			is.Equal(e.Code, RefusedDeadline)
+			is.True(e.RetryAfter > 0)
+			refused++
+		}
+	}
+	is.Equal(refused, minQueue) // nothing ends, so no more than a trusted queue waits
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"cuminloft/internal/model"
@@ -13,6 +14,10 @@
 	sharesStepTime = 2 * time.Second
 	// helpPause is how often at most a blocked job is helped.
 	helpPause = 100 * time.Millisecond
+	// reclaimBatch is for how many urgent requests room is reclaimed at once, and
+	// reclaimPause how long the others wait for it.
+	reclaimBatch = 4
+	reclaimPause = 5 * time.Millisecond
 	// searchPause is how often at most victims are looked for in vain.
 	searchPause = 50 * time.Millisecond
 	// shareTolerance is up to what difference two weighted shares are equal.
@@ -109,11 +114,12 @@
 	if first == nil || c.preempts.urgent >= waiting {
 		return
 	}
-	for range waiting - c.preempts.urgent {
+	for range min(waiting-c.preempts.urgent, reclaimBatch) {
 		if !c.reclaim(first, true) {
 			return
 		}
 	}
+	c.timers.push(c.now.Add(reclaimPause), timerPass, nil, nil, nil)
 }
 
 // helpStarved reserves or reclaims room for the blocked job that is farthest
@@ -213,38 +219,41 @@
 // cheapestVictims returns the attempts of one worker whose end makes room for
 // a task of j and which have run for the shortest time, or nil.
 func (c *Core) cheapestVictims(j *job, urgent bool, bound int) []*attempt {
-	var best []*attempt
-	bestCost := time.Duration(0)
+	var best *worker
+	bestCost := time.Duration(math.MaxInt64)
 	for _, w := range c.byPos {
 		if !c.usable(w) || w.health.probing || !j.size.fits(&w.capacity) || !c.accepts(w, j) {
 			continue
 		}
-		victims, cost := c.victimsOn(w, j, urgent, bound)
-		if victims != nil && (best == nil || cost < bestCost) {
-			best, bestCost = victims, cost
+		if cost, ok := c.victimsOn(w, j, urgent, bound); ok && cost < bestCost {
+			best, bestCost = w, cost
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	c.victimsOn(best, j, urgent, bound)
+	return c.victims
 }
 
-// victimsOn returns the youngest attempts on w that make enough room together.
-func (c *Core) victimsOn(w *worker, j *job, urgent bool, bound int) ([]*attempt, time.Duration) {
+// victimsOn puts the youngest attempts on w that make enough room together in
+// c.victims, and returns how much work their end costs.
+func (c *Core) victimsOn(w *worker, j *job, urgent bool, bound int) (cost time.Duration, ok bool) {
 	free := w.free()
-	var victims []*attempt
-	cost := time.Duration(0)
-	for i := len(w.attempts) - 1; i >= 0 && len(victims) < bound; i-- {
+	c.victims = c.victims[:0]
+	for i := len(w.attempts) - 1; i >= 0 && len(c.victims) < bound; i-- {
 		a := w.attempts[i]
 		if !c.mayPreempt(a, j, urgent) {
 			continue
 		}
-		victims = append(victims, a)
+		c.victims = append(c.victims, a)
 		cost += c.now.Sub(a.started) + time.Second
 		free.add(&a.size)
 		if j.size.fits(&free) {
-			return victims, cost
+			return cost, true
 		}
 	}
-	return nil, 0
+	return 0, false
 }
 
 // mayPreempt reports whether a may be stopped for j: only work that can be
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -111,7 +111,7 @@
 func (c *Core) workerChanged(ev WorkerChanged) {
 	w := c.worker(ev.Worker.ID)
 	old := w.state
-	added := old == "" || old == WorkerGone || w.pos < 0
+	added := old == "" || w.pos < 0
 	c.countCapacity(w, -1)
 	if ev.Worker.Capacity != w.spec.Capacity || ev.Worker.Connections != w.spec.Connections ||
 		ev.Worker.Rack != w.spec.Rack || ev.Worker.AZ != w.spec.AZ {
@@ -127,6 +127,7 @@
 	if added {
 		c.reindex()
 	}
+	c.findLargest()
 	if ev.State == WorkerGone {
 		c.lapseAll(w)
 	}
@@ -164,8 +165,8 @@
 func (c *Core) reindex() {
 	c.byPos = c.byPos[:0]
 	for _, w := range c.workers {
-		w.pos = -1
-		if w.state != "" {
+		w.pos, w.rack = -1, nil
+		if w.state != "" && (c.mayReturn(w) || len(w.attempts) > 0) {
 			c.byPos = append(c.byPos, w)
 		}
 	}
@@ -178,20 +179,29 @@
 	})
 	c.index = newRoomIndex(len(c.byPos))
 	c.racks.reset()
-	c.largest, c.free = vec{}, vec{}
+	c.free = vec{}
 	for i, w := range c.byPos {
 		w.pos, w.indexed = i, vec{}
 		c.racks.add(w)
-		if w.state != WorkerGone {
-			c.noteLargest(w)
-		}
 		c.refresh(w)
 	}
 }
 
-// noteLargest keeps the distinct capacities, against which it is checked
-// whether a task can ever run.
-func (c *Core) noteLargest(w *worker) { c.largest.raiseTo(&w.capacity) }
+// mayReturn reports whether w is there or may come back, as it counts when it
+// is checked whether work can ever run.
+func (c *Core) mayReturn(w *worker) bool {
+	return w.state != WorkerGone || c.configured[w.spec.ID]
+}
+
+// findLargest finds the largest amount of each component on any worker.
+func (c *Core) findLargest() {
+	c.largest = vec{}
+	for _, w := range c.byPos {
+		if c.mayReturn(w) {
+			c.largest.raiseTo(&w.capacity)
+		}
+	}
+}
 
 // configChanged puts a configuration in force.
 func (c *Core) configChanged(cfg *config.Config) {
@@ -206,6 +216,11 @@
 	for i := range cfg.Queues {
 		c.queues[cfg.Queues[i].Name] = &cfg.Queues[i]
 	}
+	c.configured = make(map[string]bool, len(cfg.Workers))
+	for i := range cfg.Workers {
+		c.configured[cfg.Workers[i].ID] = true
+	}
+	c.findLargest()
 	c.applyTeams(cfg)
 	c.capacity = vec{}
 	for _, w := range c.byPos {
