--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -24,8 +24,8 @@
 // files or the environment, never from the command line, which others can read.
 type clientFlags struct {
 	Server   []string `short:"s" env:"CUMINLOFT_SERVER" sep:"," placeholder:"HOST:PORT" help:"Entry hosts to talk to; the first that answers is used."`
-	KeyFile  string   `env:"CUMINLOFT_KEY_FILE" type:"path" placeholder:"FILE" help:"File with the key; else the key is in CUMINLOFT_KEY."`
-	Settings string   `name:"client-settings" env:"CUMINLOFT_CLIENT_SETTINGS" type:"path" placeholder:"FILE" help:"Client settings file (default: ${settings_default})."`
+	KeyFile  string   `env:"CUMINLOFT_KEY_FILE" placeholder:"FILE" help:"File with the key; else the key is in CUMINLOFT_KEY."`
+	Settings string   `name:"client-settings" env:"CUMINLOFT_CLIENT_SETTINGS" placeholder:"FILE" help:"Client settings file (default: ${settings_default})."`
 	Output   string   `short:"o" enum:"text,json" default:"text" help:"Format of results: ${enum}."`
 }
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -55,6 +55,8 @@
 	// Its workers run as stand-ins on ports of their own choice.
 	Config string
 	Dir    string // for the key files; empty takes a new temporary directory
+	// Platform is the platform's stand-in; nil takes a new one.
+	Platform *standin.Platform
 	Log    logr.Logger
 }
 
@@ -76,7 +78,14 @@
 		return trace.Wrap(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	cell := &cell{group: group, ctx: ctx, config: cfg, log: o.Log, operatorHash: config.HashKey(keys.operator)}
+	cell := &cell{
+		group:        group,
+		ctx:          ctx,
+		config:       cfg,
+		log:          o.Log,
+		operatorHash: config.HashKey(keys.operator),
+		platform:     o.Platform,
+	}
 	if err := cell.start(o.Listen); err != nil {
 		cell.close()
 		return trace.Wrap(err)
@@ -142,7 +151,9 @@
 	if err := c.startWorkers(); err != nil {
 		return err
 	}
-	c.platform = standin.NewPlatform()
+	if c.platform == nil {
+		c.platform = standin.NewPlatform()
+	}
 	for i, az := range c.config.AZs {
 		addr := "127.0.0.1:0"
 		if i == 0 {
