--- a/cmd/cuminloft/main_test.go
+++ b/cmd/cuminloft/main_test.go
@@ -52,7 +52,9 @@
 	}()
 	env.Defer(func() {
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			env.T().Log("the cell ended: ", err)
+		}
 	})
 	select {
 	case r := <-ready:
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -57,7 +57,7 @@
 	Dir    string // for the key files; empty takes a new temporary directory
 	// Platform is the platform's stand-in; nil takes a new one.
 	Platform *standin.Platform
-	Log    logr.Logger
+	Log      logr.Logger
 }
 
 // Ready tells where the cell can be reached.
