harness: ports below the ephemeral range, errors of applies, a probe that needs no owner

Two clusters in one process were handed the same port (TestMeasureStart: stand-in workers could not listen). The probe for a key listed jobs, which waits for frozen owners: 4.0 s in the trial were two of its own timeouts.

--- a/internal/harness/measure_test.go
+++ b/internal/harness/measure_test.go
@@ -164,16 +164,18 @@
 	}
 }
 
-// accepts reports whether a host accepts a key, by listing jobs with it.
+// accepts reports whether a host accepts a key. It asks for a queue that is not
+// there, so that no shard's owner is needed for the answer.
 func accepts(c *Cluster, h *Host, key string) (accepted, answered bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	err := get(ctx, c.keyed(Secret(key)), "http://"+h.Addr+"/v1/jobs?limit=1", nil)
+	err := httpjson.Call(ctx, c.keyed(Secret(key)), http.MethodPost, "http://"+h.Addr+"/v1/run/none", nil, nil)
 	var status *httpjson.StatusError
-	if errors.As(err, &status) && status.Status == http.StatusUnauthorized {
-		return false, true
+	if !errors.As(err, &status) {
+		return false, false
 	}
-	return err == nil, err == nil
+	known := status.Status == http.StatusUnauthorized || status.Status == http.StatusNotFound
+	return status.Status == http.StatusNotFound, known
 }
 
 // inForce returns how long after began every host accepts (or refuses) a key.
@@ -215,7 +217,7 @@
 			forced = append(forced, inForce(c, hosts, key, withdrawn == "", began).worst())
 			a := <-told
 			if a.State != "accepted" {
-				t.Errorf("%s: round %d ended as %q", name, i, a.State)
+				t.Errorf("%s: round %d ended as %q: %s", name, i, a.State, a.Error)
 			}
 			answered = append(answered, a.Answered.Sub(a.Sent))
 		}
@@ -226,14 +228,21 @@
 		}
 	}
 	apply("all well", 200, c.Hosts)
-	for _, frozen := range []*Host{c.Hosts[0], c.Hosts[7]} {
+	owner, _, ok := ownerOf(c, otherHost(c, AZs[0]), AZs[0])
+	if !ok {
+		t.Fatal("no owner")
+	}
+	idle := c.Hosts[slices.IndexFunc(c.Hosts, func(h *Host) bool { return h.AZ == AZs[0] && h != owner })]
+	for name, frozen := range map[string]*Host{"an owner frozen": owner, "a host without shard frozen": idle} {
 		frozen.Freeze()
 		rest := slices.DeleteFunc(slices.Clone(c.Hosts), func(h *Host) bool { return h == frozen })
-		apply(frozen.ID+" frozen", 10, rest)
+		apply(name, 11, rest) // ends with the key withdrawn
 		frozen.Thaw()
-		thawed := time.Now()
-		late := inForce(c, []*Host{frozen}, key, true, thawed)
-		t.Logf("%s thawed: acts on the last version after %s", frozen.ID, late)
+		late := inForce(c, []*Host{frozen}, key, false, time.Now())
+		t.Logf("%s, then thawed: refuses the withdrawn key after %s", name, late)
+		if err := Restore(t.Context(), c, log); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -1,9 +1,11 @@
 package harness
 
 import (
-	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 )
@@ -168,11 +170,25 @@
 	n.open = append(n.open, c)
 }
 
-// freeAddr returns an address at ip that nothing listens on.
+// Ports that freeAddr hands out, below the range from which the system takes the
+// ports of outgoing connections.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// nextPort is the port that freeAddr tries next.
+var nextPort atomic.Int64
+
+// freeAddr returns an address at ip that nothing listens on. No port is handed
+// out twice before all were.
 func freeAddr(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.FormatInt(port, 10)))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	return l.Addr().String(), errors.Join(l.Close())
+	return "", fmt.Errorf("no free port at %s", ip)
 }
--- a/internal/harness/operators.go
+++ b/internal/harness/operators.go
@@ -65,17 +65,19 @@
 	a := Applied{Out: present(out), Withdrawn: present(withdrawn)}
 	status, err := c.Status(ctx, h)
 	if err != nil {
+		a.Error = err.Error()
 		return a
 	}
 	a.Sent = time.Now()
 	n := log.Sending(a)
 	reply, err := c.Apply(ctx, h, status.Accepted, without(c.Config, out, withdrawn))
 	a.Answered = time.Now()
-	if err == nil {
-		a.State = reply.State
-		a.Version = reply.Version
-		log.Answered(n, a)
+	if err != nil {
+		a.Error = err.Error()
 	}
+	a.State = reply.State
+	a.Version = reply.Version
+	log.Answered(n, a)
 	return a
 }
 
@@ -110,6 +112,6 @@
 func Restore(ctx context.Context, c *Cluster, log *Log) error {
 	return poll(ctx, func() (bool, error) {
 		a := applyWithout(c, log, c.Hosts[0], "", "")
-		return a.State == api.ApplyAccepted, fmt.Errorf("apply ended as %q", a.State)
+		return a.State == api.ApplyAccepted, fmt.Errorf("apply ended as %q: %s", a.State, a.Error)
 	})
 }
--- a/internal/harness/record.go
+++ b/internal/harness/record.go
@@ -41,8 +41,9 @@
 	Answered  time.Time
 	Version   int64
 	State     api.ApplyState // empty: not answered
-	Out       []string       // AZs that the configuration takes out of service
-	Withdrawn []string       // keys that it does not grant
+	Error     string
+	Out       []string // AZs that the configuration takes out of service
+	Withdrawn []string // keys that it does not grant
 }
 
 // Span is a time during which something was forbidden.
