harness: time an apply from its sending, on the base of the last one

Asking a host for the accepted version first took 2 s while another was frozen, and hid in the figures: 'accepted' came out too fast, 'in force' too slow.

--- a/internal/harness/operators.go
+++ b/internal/harness/operators.go
@@ -68,9 +68,14 @@
 		a.Error = err.Error()
 		return a
 	}
+	return applyOn(ctx, c, log, h, status.Accepted, a)
+}
+
+// applyOn applies on a base version and logs what the operator was told.
+func applyOn(ctx context.Context, c *Cluster, log *Log, h *Host, base int64, a Applied) Applied {
 	a.Sent = time.Now()
 	n := log.Sending(a)
-	reply, err := c.Apply(ctx, h, status.Accepted, without(c.Config, out, withdrawn))
+	reply, err := c.Apply(ctx, h, base, without(c.Config, a.Out, a.Withdrawn))
 	a.Answered = time.Now()
 	if err != nil {
 		a.Error = err.Error()
@@ -88,21 +93,21 @@
 	return []string{s}
 }
 
-// without returns the configuration with a zone out of service and a key
-// withdrawn; empty names change nothing.
-func without(c *config.Config, az, key string) *config.Config {
+// without returns the configuration with zones out of service and keys
+// withdrawn.
+func without(c *config.Config, azs, keys []string) *config.Config {
 	next := *c
 	next.AZs = slices.Clone(c.AZs)
 	for i := range next.AZs {
-		next.AZs[i].InService = next.AZs[i].Name != az
+		next.AZs[i].InService = !slices.Contains(azs, next.AZs[i].Name)
 	}
 	next.Organisations = slices.Clone(c.Organisations)
 	for i := range next.Organisations {
 		o := &next.Organisations[i]
 		o.Teams = slices.Clone(o.Teams)
 		for j := range o.Teams {
-			keys := slices.Clone(o.Teams[j].Keys)
-			o.Teams[j].Keys = slices.DeleteFunc(keys, func(k config.Key) bool { return k.ID == key })
+			granted := slices.Clone(o.Teams[j].Keys)
+			o.Teams[j].Keys = slices.DeleteFunc(granted, func(k config.Key) bool { return slices.Contains(keys, k.ID) })
 		}
 	}
 	return &next
