--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -65,8 +65,8 @@
 type JobCancelled struct{ Job model.JobID }
 
 // TaskAdopted tells the core of a task that runs already, found in the journal
-// or in a worker's inventory after a takeover. A later attempt replaces the one
-// that the core believes to run: that one had ended unrecorded.
+// or in a worker's inventory after a takeover. It replaces the attempt that the
+// core believes to run: that one had ended unrecorded, or was never sent.
 type TaskAdopted struct {
 	Job     model.Job
 	Index   int
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -381,7 +381,7 @@
 		j.partial = true
 	}
 	tk := j.task(ev.Index)
-	if tk != nil && tk.running != nil && tk.running.number < ev.Attempt {
+	if tk != nil && tk.running != nil && (tk.running.number != ev.Attempt || tk.running.worker.spec.ID != ev.Worker) {
 		c.detach(tk.running)
 		tk.state = taskBackoff
 	}
