owner: tell a former owner's attempts from the own ones of the same number

Cause: two owners may use the same attempt number for an unrecorded start. A successor that had waited out a worker took the late report of that worker for its own attempt, or adopted the ended attempt in place of the one it ran, and started the task a second time (TestSuccessorWaitsForUnrecordedStarts). Change: a report counts only for the attempt's own worker, and an attempt that this owner has sent is never replaced.

--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -28,6 +28,7 @@
 	id         worker.Attempt
 	job        *model.Job
 	worker     string
+	own        bool // started by this owner, not adopted
 	phase      phase
 	recorded   bool   // its start record is durable
 	boot       string // of the worker at the start
@@ -48,6 +49,7 @@
 // track enters an attempt in the tables.
 func (l *loop) track(a *attempt) {
 	l.attempts[a.id] = a
+	l.current[a.id.Task] = a
 	l.active[a.id.Task.Job]++
 	l.notify(a.id.Task.Job)
 }
@@ -58,6 +60,9 @@
 		return
 	}
 	delete(l.attempts, a.id)
+	if l.current[a.id.Task] == a {
+		delete(l.current, a.id.Task)
+	}
 	l.active[a.id.Task.Job]--
 	if l.active[a.id.Task.Job] == 0 {
 		delete(l.active, a.id.Task.Job)
--- /dev/null
+++ b/internal/owner/fault_test.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/journal"
+	"cuminloft/internal/platform"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/standin"
+)
+
+// A worker that restarts forgets what it ran: its "never seen" must not let a
+// task that is not idempotent run again.
+func TestRestartedWorkerProvesNothing(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(1200 * time.Millisecond) // a heartbeat is under way
+		r.workers["w0"].Set(standin.FaultSet{LoseEvery: 1})
+		reply, err := o.Submit(t.Context(), r.job(1, false, time.Minute))
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond) // started, the answer is lost
+		is.Equal(len(r.records()), 1)
+		r.workers["w0"].Restart()
+		r.workers["w0"].Set(standin.FaultSet{})
+		time.Sleep(5 * time.Minute)
+		is.Equal(len(r.records()), 1)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "unknown")
+	})
+}
+
+// An owner without the table starts a restartable task unrecorded. A successor
+// that cannot reach the task's worker waits until its lease has lapsed.
+func TestSuccessorWaitsForUnrecordedStarts(t *testing.T) {
+	for _, tasks := range []int{1, 4} { // never started, and started in part
+		inBubble(t, 2, func(t *testing.T, r *rig) {
+			is := is.New(t)
+			first := r.start(t.Context())
+			time.Sleep(time.Second)
+			reply, err := first.Submit(t.Context(), r.job(tasks, true, 10*time.Minute))
+			is.NoErr(err)
+			if tasks > 1 {
+				time.Sleep(lazyDelay + writeSpacing) // the first starts are recorded
+			}
+			first.toTable.Set(true)
+			for _, w := range r.workers {
+				w.Restart() // what is recorded ends, and is started again unrecorded
+			}
+			time.Sleep(5 * time.Second)
+			m := &machine{rig: r, idem: map[string]bool{reply.GetJobId(): true}}
+			second := r.start(t.Context())
+			for _, c := range second.toWork {
+				c.Set(true)
+			}
+			time.Sleep(time.Second)
+			second.toWork["w1"].Set(false)
+			for range 60 {
+				time.Sleep(5 * time.Second)
+				is.NoErr(m.check())
+			}
+			second.toWork["w0"].Set(false)
+			time.Sleep(time.Hour / 2)
+			is.NoErr(m.check())
+			s, err := second.status(reply.GetJobId())
+			is.NoErr(err)
+			is.Equal(s.GetOutcome(), "done")
+		})
+	}
+}
+
+// With the platform down, running tasks' leases go on being renewed and direct
+// requests are served; afterwards the ends are journaled.
+func TestPlatformDownForLong(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		reply, err := o.Submit(t.Context(), r.job(2, false, 4*time.Minute))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		r.table.Set(standin.FaultSet{Down: true})
+		time.Sleep(5 * time.Minute)
+		ticket, err := o.Reserve(t.Context(), r.slip())
+		is.NoErr(err)
+		is.True(ticket.GetWorker() != "")
+		r.table.Set(standin.FaultSet{})
+		time.Sleep(time.Minute)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+		is.Equal(len(r.records()), 2)
+		loaded, err := journal.Load(t.Context(), r.table, r.objects, testShard)
+		is.NoErr(err)
+		is.Equal(len(loaded.State.Jobs), 1)
+	})
+}
+
+// A frozen owner that wakes up after its successor started the task again can
+// neither start, stop nor renew anything.
+func TestFrozenOwnerWakesUpLate(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		first := r.start(t.Context())
+		time.Sleep(time.Second)
+		reply, err := first.Submit(t.Context(), r.job(8, true, 20*time.Second))
+		is.NoErr(err)
+		first.freeze()
+		time.Sleep(2 * time.Minute)
+		second := r.start(t.Context())
+		time.Sleep(5 * time.Second)
+		first.thaw()
+		time.Sleep(2 * time.Minute)
+		m := &machine{rig: r, idem: map[string]bool{reply.GetJobId(): true}}
+		is.NoErr(m.check())
+		s, err := second.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+		err = <-first.ended
+		is.True(errors.Is(err, ErrLost))
+		first.ended <- err
+	})
+}
+
+// A shard whose journal is damaged is not owned.
+func TestDamagedJournalIsNotOwned(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		_, err := r.table.Apply(t.Context(), []platform.Write{{Key: journal.RowKey(testShard, 1), Value: []byte("not a record")}})
+		is.NoErr(err)
+		o := r.start(t.Context())
+		err = <-o.ended
+		is.True(errors.Is(err, journal.ErrUnknownFormat))
+		o.ended <- err
+	})
+}
+
+// Each of many cancellations stops its queued work at once.
+func TestCancelWave(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		const jobs = 200
+		var ids []string
+		for range jobs {
+			reply, err := o.Submit(t.Context(), r.job(3, true, time.Hour))
+			is.NoErr(err)
+			ids = append(ids, reply.GetJobId())
+		}
+		for _, id := range ids {
+			go func() {
+				_, _ = o.CancelJob(t.Context(), &rpc.CancelJobRequest{
+					JobId: id, Credential: &rpc.Credential{KeySha256: testKeyHash()},
+				})
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		for _, id := range ids {
+			s, err := o.status(id)
+			is.NoErr(err)
+			is.Equal(s.GetState(), "ended")
+		}
+		is.Equal(o.used(), int64(0))
+	})
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -33,7 +33,8 @@
 	state    *journal.State // as it will be once the queue is written
 	queue    writeQueue
 	attempts map[worker.Attempt]*attempt
-	active   map[model.JobID]int // attempts by job
+	current  map[model.TaskID]*attempt // newest attempt of each task
+	active   map[model.JobID]int       // attempts by job
 	direct   map[model.JobID]*reservation
 	workers  map[string]*link
 	watchers map[model.JobID][]watcher
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -30,7 +30,7 @@
 // was news.
 func (l *loop) reported(k *link, t worker.TaskReport) bool {
 	a, ok := l.attempts[t.Attempt]
-	if !ok {
+	if !ok || a.worker != k.spec.ID || a.phase == phaseHeld {
 		return l.stranger(k, t)
 	}
 	if t.Saved != "" {
@@ -77,23 +77,27 @@
 	return true
 }
 
-// isNewer reports whether the attempt belongs to a job that goes on and follows
-// the newest recorded one: the former owner started it before it could write
-// the record, after it had seen the end of the one before.
+// isNewer reports whether an unknown attempt is the newest of a task that goes
+// on: the former owner started it before it could write the record, after it had
+// seen the end of the one before. Attempts of a former owner may have the
+// numbers of this owner's; what this owner has sent counts.
 func (l *loop) isNewer(id worker.Attempt) bool {
 	j, ok := l.state.Jobs[id.Task.Job]
 	if !ok || j.Ended != nil || id.Task.Index < 0 || id.Task.Index >= j.Spec.Tasks {
 		return false
 	}
-	t, ok := j.Tasks[id.Task.Index]
-	return !ok || id.Number > t.Attempt
+	if t, ok := j.Tasks[id.Task.Index]; ok && id.Number <= t.Attempt {
+		return false
+	}
+	current := l.current[id.Task]
+	return current == nil || !current.own || current.phase == phaseHeld
 }
 
 // adoptUnrecorded takes over an attempt without a start record. It replaces an
 // older one whose end was not recorded either.
 func (l *loop) adoptUnrecorded(k *link, t worker.TaskReport) {
 	j := l.state.Jobs[t.Attempt.Task.Job]
-	l.replaceOlder(j, t.Attempt.Task)
+	l.replaceOlder(t.Attempt.Task)
 	a := &attempt{
 		id: t.Attempt, job: &j.Spec, worker: k.spec.ID, phase: phaseRunning,
 		boot: k.boot, size: t.Size, checkpoint: t.Saved,
@@ -106,18 +110,16 @@
 	}
 }
 
-// replaceOlder ends the recorded attempt of a task without telling the core,
-// which learns of the newer attempt by its adoption.
-func (l *loop) replaceOlder(j *journal.Job, id model.TaskID) {
-	t, ok := j.Tasks[id.Index]
-	if !ok || t.End != "" {
-		return
-	}
-	older := l.attempts[worker.Attempt{Task: id, Number: t.Attempt}]
+// replaceOlder removes the attempt that a later one replaces, without telling
+// the core, which learns of the later one by its adoption.
+func (l *loop) replaceOlder(id model.TaskID) {
+	older := l.current[id]
 	if older == nil {
 		return
 	}
-	l.append(nil, false, endRecord(older, string(sched.EndLapsed), worker.TaskReport{Error: "a later attempt runs"}))
+	if l.isRecorded(older) {
+		l.append(nil, false, endRecord(older, string(sched.EndLapsed), worker.TaskReport{Error: "a later attempt runs"}))
+	}
 	l.untrack(older)
 }
 
--- a/internal/owner/start.go
+++ b/internal/owner/start.go
@@ -26,7 +26,7 @@
 		return
 	}
 	a := &attempt{
-		id: id, job: &j.Spec, worker: d.Worker, phase: phaseHeld,
+		id: id, job: &j.Spec, worker: d.Worker, own: true, phase: phaseHeld,
 		size: d.Size, restore: d.Checkpoint, checkpoint: d.Checkpoint,
 	}
 	l.track(a)
