sched: relieve workers whose tasks use more than they have

Cause: a running task measured above its size can bring a worker over its capacity; the core only started nothing more there. Change: the youngest restartable work is preempted, within the half of the budget that shares have.

--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -107,6 +107,7 @@
 	c.charge(a.job.team, &delta, 1)
 	c.direct.grown(a, &delta)
 	c.refresh(a.worker)
+	c.relieve(a.worker)
 }
 
 // observeSize moves the mean and the spread towards a measurement. The first
--- a/internal/sched/policy_test.go
+++ b/internal/sched/policy_test.go
@@ -341,3 +341,13 @@
 	}
 	is.Equal(refused, minQueue) // nothing ends, so no more than a trusted queue waits
 }
+
+// A worker whose tasks turn out to use more than it has gets relief.
+func TestOverusedWorkerIsRelieved(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, testConfig(), 1)
+	st := s.confirm(s.handle(JobAdded{Job: testJob("j", "a", model.PolicyBatch, 8)}))
+	ds := s.handle(UsageReported{st[0].Task, 1, model.Resources{MilliCores: 7000, MemoryMB: 16_000}})
+	is.Equal(len(only[PreemptTask](ds)), 1) // 3,000 too many: one task of 4,000 is enough
+	is.Equal(len(starts(s.end(st[7], EndStopped))), 0)
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -256,13 +256,34 @@
 	return 0, false
 }
 
+// relieve takes the youngest work that may be taken from a worker whose tasks
+// were measured to use more than it has.
+func (c *Core) relieve(w *worker) {
+	free := w.free()
+	nothing := vec{}
+	for i := len(w.attempts) - 1; i >= 0 && !nothing.fits(&free); i-- {
+		a := w.attempts[i]
+		if a.stopping {
+			free.add(&a.size)
+			continue
+		}
+		if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) <= 0 || !a.preemptible() {
+			continue
+		}
+		c.preempt(a, false, "the worker's tasks use more than it has")
+		free.add(&a.size)
+	}
+}
+
+// preemptible reports whether a may be stopped and started again.
+func (a *attempt) preemptible() bool {
+	return !a.stopping && a.confirmed && a.job.restartable() && a.job.spec.Policy != model.PolicyGang
+}
+
 // mayPreempt reports whether a may be stopped for j: only work that can be
 // started again, and for shares only of teams that stay ahead of j's.
 func (c *Core) mayPreempt(a *attempt, j *job, urgent bool) bool {
-	if a.stopping || !a.confirmed || !a.job.restartable() || a.job.spec.Policy == model.PolicyGang {
-		return false
-	}
-	return urgent || c.aheadAfter(a, j)
+	return a.preemptible() && (urgent || c.aheadAfter(a, j))
 }
 
 // aheadAfter reports whether a's team would still not be behind j's team after
