--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -64,6 +64,8 @@
 		return s.startTask(k.TaskStarted)
 	case *Record_TaskEnded:
 		return s.endTask(k.TaskEnded)
+	case *Record_JobMoved:
+		return s.move(model.JobID(k.JobMoved.GetJobId()))
 	}
 	return trace.Wrap(ErrUnknownFormat, "record kind")
 }
@@ -89,6 +91,21 @@
 	return nil
 }
 
+func (s *State) move(id model.JobID) error {
+	j, ok := s.Jobs[id]
+	if !ok || !j.Movable() {
+		return trace.Wrap(ErrCorrupt, "moved job %s is unknown or was started", id)
+	}
+	delete(s.Jobs, id)
+	return nil
+}
+
+// Movable reports whether the job waits and nothing of it is recorded as
+// started, so that another shard may take it.
+func (j *Job) Movable() bool {
+	return j.Ended == nil && !j.Cancelled && len(j.Tasks) == 0
+}
+
 func (s *State) change(id string, f func(*Job)) error {
 	j, ok := s.Jobs[model.JobID(id)]
 	if !ok {
--- /dev/null
+++ b/internal/journal/transfer.go
@@ -0,0 +1,72 @@
+package journal
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/platform"
+)
+
+// Transfer is the part of a transaction that takes jobs out of another shard's
+// journal, in which their acceptance by this shard is written as well: each job
+// is in exactly one journal at any time.
+type Transfer struct {
+	from   *Writer
+	row    *newRow
+	writes []platform.Write
+}
+
+// TransferLostError tells that the shard out of which an entry's jobs were to be
+// moved has another owner. Nothing of the batch was written.
+type TransferLostError struct {
+	Entry int // index in the batch
+}
+
+// Error names the cause.
+func (e *TransferLostError) Error() string { return "the jobs' shard was taken over" }
+
+// Transfer prepares to move jobs from w's shard to another one. At most one
+// transfer of a writer is under way at a time; Moved is called after it.
+func (w *Writer) Transfer(jobs []*Job, to string) (*Transfer, error) {
+	var records []*Record
+	var claims []platform.Write
+	for _, j := range jobs {
+		id := string(j.Spec.ID)
+		records = append(records, &Record{Kind: &Record_JobMoved{JobMoved: &JobMoved{JobId: id, ToShard: to}}})
+		if j.IdempotencyRow == "" {
+			continue
+		}
+		value, err := encode(&IdempotencyRow{JobId: id, Shard: to})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		claims = append(claims, platform.Write{Key: j.IdempotencyRow, Value: value, IfVersion: platform.AnyVersion})
+	}
+	row, err := w.newRow([]Entry{{Records: records}})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Transfer{from: w, row: row, writes: append(row.writes, claims...)}, nil
+}
+
+// Moved notes that the transfer is durable.
+func (t *Transfer) Moved() error { return trace.Wrap(t.from.committed(t.row)) }
+
+// checkTransfers finds the entries whose source has another owner.
+func (w *Writer) checkTransfers(ctx context.Context, entries []Entry) error {
+	for i, e := range entries {
+		if e.Transfer == nil {
+			continue
+		}
+		err := w.checkOwner(ctx, e.Transfer.from.owned)
+		if errors.Is(err, ErrDeposed) {
+			return &TransferLostError{Entry: i}
+		}
+		if err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -23,6 +23,8 @@
 	Idempotency *Idempotency
 	// Delete names a row that is deleted with the entry; empty: none.
 	Delete string
+	// Transfer moves the entry's jobs out of another shard; nil: none.
+	Transfer *Transfer
 }
 
 // Idempotency claims a caller's key for a job.
@@ -150,6 +152,9 @@
 	if e.Delete != "" {
 		out = append(out, platform.Write{Key: e.Delete, Delete: true, IfVersion: platform.AnyVersion})
 	}
+	if e.Transfer != nil {
+		out = append(out, e.Transfer.writes...)
+	}
 	if e.Idempotency == nil {
 		return out, nil
 	}
@@ -179,7 +184,10 @@
 	if mine {
 		return trace.Wrap(w.committed(row))
 	}
-	if err := w.checkOwner(ctx); err != nil {
+	if err := w.checkOwner(ctx, w.owned); err != nil {
+		return err
+	}
+	if err := w.checkTransfers(ctx, entries); err != nil {
 		return err
 	}
 	return w.findClaim(ctx, entries)
@@ -204,13 +212,13 @@
 	return false, trace.Wrap(ErrDeposed, "row %s was written under fence %d", row.key, b.GetFence())
 }
 
-func (w *Writer) checkOwner(ctx context.Context) error {
-	found, err := getRow(ctx, w.table, OwnerKey(w.owned.Shard))
+func (w *Writer) checkOwner(ctx context.Context, o Owned) error {
+	found, err := getRow(ctx, w.table, OwnerKey(o.Shard))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	if found.Version != w.owned.Version {
-		return trace.Wrap(ErrDeposed, "owner row has version %d, not %d", found.Version, w.owned.Version)
+	if found.Version != o.Version {
+		return trace.Wrap(ErrDeposed, "owner row of %s has version %d, not %d", o.Shard, found.Version, o.Version)
 	}
 	return nil
 }
--- a/internal/owner/jobs.go
+++ b/internal/owner/jobs.go
@@ -315,9 +315,9 @@
 	})
 }
 
-// jobsInOrder returns all jobs in the order in which they were submitted.
-func (l *loop) jobsInOrder() []*journal.Job {
-	jobs := slices.Collect(maps.Values(l.state.Jobs))
+// inOrder returns all jobs in the order in which they were submitted.
+func inOrder(s *journal.State) []*journal.Job {
+	jobs := slices.Collect(maps.Values(s.Jobs))
 	slices.SortFunc(jobs, func(a, b *journal.Job) int {
 		return cmp.Or(a.Spec.Submitted.Compare(b.Spec.Submitted), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -24,6 +24,9 @@
 	Nonce       string       `json:"nonce"`
 	// Released is true after a clean hand-over: a successor need not wait.
 	Released bool `json:"released,omitempty"`
+	// Adopted is true if another AZ's host released the shard after it had moved
+	// the waiting jobs: work of an earlier owner may still run.
+	Adopted bool `json:"adopted,omitempty"`
 }
 
 // Alive is the value of the row shard/<shard>/alive, the owner's last sign of
@@ -80,7 +83,7 @@
 		Nonce:       rand.Text(),
 	}
 	h, err := replaceOwnership(ctx, table, shard, next, version)
-	h.clean = last.Released || version == platform.MustBeAbsent
+	h.clean = (last.Released && !last.Adopted) || version == platform.MustBeAbsent
 	return h, err
 }
 
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -152,6 +152,7 @@
 func (m writtenMessage) handle(l *loop) {
 	batch := l.queue.writing
 	var claimed *journal.ClaimedError
+	var transfer *journal.TransferLostError
 	switch {
 	case m.err == nil:
 		l.wrote(batch, m.sent)
@@ -159,6 +160,9 @@
 		l.queue.putBack(without(batch, claimed.Entry))
 		l.queue.next = time.Time{}
 		batch[claimed.Entry].claimed(claimed.First)
+	case errors.As(m.err, &transfer):
+		l.queue.putBack(without(batch, transfer.Entry))
+		batch[transfer.Entry].refused(notReady())
 	case errors.Is(m.err, platform.ErrUnavailable):
 		l.queue.next = time.Now().Add(writeBackoff)
 		l.refuse(batch)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -144,7 +144,7 @@
 // restore feeds the core what the journal knows, in the order in which jobs
 // were submitted.
 func (l *loop) restore() {
-	for _, j := range l.jobsInOrder() {
+	for _, j := range inOrder(l.state) {
 		switch {
 		case j.Ended != nil:
 			l.history = append(l.history, endedJob{j.Spec.ID, time.Unix(0, j.Ended.GetEndedNs())})
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -77,14 +77,17 @@
 }
 
 // start runs a new owner on another host.
-func (r *rig) start(ctx context.Context) *testOwner {
+func (r *rig) start(ctx context.Context) *testOwner { return r.startShard(ctx, "keller") }
+
+// startShard runs a new owner of the AZ's shard on another host.
+func (r *rig) startShard(ctx context.Context, az string) *testOwner {
 	o := &testOwner{toWork: map[string]*standin.Cut{}, ended: make(chan error, 1)}
 	for id := range r.workers {
 		o.toWork[id] = &standin.Cut{}
 	}
 	host := fmt.Sprintf("host%d", len(r.owners))
 	o.Owner = New(Options{
-		Shard: testShard, AZ: "keller", Self: &rpc.Member{Host: host, Incarnation: host},
+		Shard: az + "-0", AZ: az, Self: &rpc.Member{Host: host, Incarnation: host},
 		Table: gatedTable{&o.gate, o.toTable.Table(r.table)}, Objects: o.toTable.Objects(r.objects),
 		Connect: func(s model.WorkerSpec) worker.Client {
 			return gatedWorker{&o.gate, o.toWork[s.ID].Worker(r.workers[s.ID])}
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -47,6 +47,7 @@
 
 	historyKeep = time.Hour // ended jobs
 	historyMax  = 20_000    // ended jobs
+	adoptBatch  = 100       // jobs moved in one transaction
 	forgetBatch = 50        // ended jobs forgotten in one pass
 
 	maxTasks       = 10_000    // of a job
