--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -231,5 +231,7 @@
 	})
 	b.StopTimer()
 	o.stop()
-	<-o.ended
+	if err := <-o.ended; err != nil {
+		b.Error(err)
+	}
 }
