owner: ask idle workers every 5 s and read the clock before a start there

Cause: a heartbeat a second to every worker costs control traffic that grows with the workers, whether they run anything or not. A start on a worker whose last clock reading is older than half the start window reads the clock first; only then are configuration and solo window checked, in the order that the model demands.

--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -17,6 +17,7 @@
 	phaseHeld      phase = "held"      // waits for the table or the workers
 	phaseRecording phase = "recording" // its start record is being written
 	phaseSending   phase = "sending"   // the start command is under way
+	phaseClock     phase = "clock"     // a ticket waits for the worker's clock
 	phaseTicket    phase = "ticket"    // the door may start it
 	phaseSettling  phase = "settling"  // the worker is asked what became of it
 	phaseRunning   phase = "running"   // or may be
@@ -43,7 +44,7 @@
 
 // mayRun reports whether the worker may have got the start.
 func (a *attempt) mayRun() bool {
-	return a.phase != phaseHeld && a.phase != phaseRecording && a.phase != phaseEnded
+	return a.phase != phaseHeld && a.phase != phaseClock && a.phase != phaseRecording && a.phase != phaseEnded
 }
 
 // track enters an attempt in the tables.
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -19,22 +19,46 @@
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
 		o := r.start(t.Context())
-		time.Sleep(1200 * time.Millisecond) // a heartbeat is under way
+		time.Sleep(time.Second)
+		_, err := o.Submit(t.Context(), r.job(1, false, time.Minute))
+		is.NoErr(err)
+		time.Sleep(200 * time.Millisecond) // the worker's clock was read for it
 		r.workers["w0"].Set(standin.FaultSet{LoseEvery: 1})
 		reply, err := o.Submit(t.Context(), r.job(1, false, time.Minute))
 		is.NoErr(err)
-		time.Sleep(100 * time.Millisecond) // started, the answer is lost
-		is.Equal(len(r.records()), 1)
+		time.Sleep(200 * time.Millisecond) // started, the answer is lost
+		is.Equal(len(r.records()), 2)
 		r.workers["w0"].Restart()
 		r.workers["w0"].Set(standin.FaultSet{})
 		time.Sleep(5 * time.Minute)
-		is.Equal(len(r.records()), 1)
+		is.Equal(len(r.records()), 2)
 		s, err := o.status(reply.GetJobId())
 		is.NoErr(err)
 		is.Equal(s.GetOutcome(), "unknown")
 	})
 }
 
+// An idle worker is asked seldom, and a start on it is still within its window.
+func TestIdleWorkerIsAskedSeldom(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		before := o.heartbeats.Load()
+		time.Sleep(time.Minute)
+		is.True(o.heartbeats.Load()-before <= int64(time.Minute/idleWait)+1)
+		time.Sleep(idleWait / 2)
+		_, err := o.Reserve(t.Context(), r.slip())
+		is.NoErr(err)
+		reply, err := o.Submit(t.Context(), r.job(1, false, time.Second))
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetTasks()[0].GetAttempt(), int32(1)) // no start was refused
+	})
+}
+
 // An owner without the table starts restartable tasks unrecorded. A successor
 // that cannot reach the tasks' worker waits until the leases have lapsed.
 func TestSuccessorWaitsForUnrecordedStarts(t *testing.T) {
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"cuminloft/internal/platform"
 	"cuminloft/internal/worker"
@@ -12,6 +13,8 @@
 // gate holds back every call of a frozen process and sends it late, after the
 // thaw, as a process does that was paused between a decision and its send.
 type gate struct {
+	heartbeats atomic.Int64 // sent through the gate
+
 	mu     sync.Mutex
 	frozen chan struct{} // closed at the thaw; nil: not frozen
 }
@@ -91,6 +94,7 @@
 }
 
 func (w gatedWorker) Heartbeat(ctx context.Context, h worker.Heartbeat) (worker.HeartbeatReply, error) {
+	w.heartbeats.Add(1)
 	ctx, cancel := w.pass(ctx)
 	defer cancel()
 	return w.to.Heartbeat(ctx, h)
--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -26,6 +26,7 @@
 	leaving bool              // says the worker
 	removed bool              // no longer in the configuration
 	clock   int64             // newest reading of the worker's clock
+	clockAt time.Time         // when it was received
 	boot    string
 	silent  time.Time // since when nothing is heard; zero: it answers
 	// renewed is the end of the last heartbeat that may have renewed leases.
@@ -166,6 +167,7 @@
 
 func (k *link) heard(clock int64, boot string, leaving bool) {
 	k.clock, k.boot, k.leaving = clock, boot, leaving
+	k.clockAt = time.Now()
 	k.reached, k.everMet = true, true
 	k.silent = time.Time{}
 }
@@ -186,10 +188,63 @@
 		Lease: l.lease(),
 		Renew: l.renewals(k),
 		Ack:   k.acking,
-		Wait:  l.startWindow() / 2,
+		Wait:  l.beatWait(k),
 	}}
 }
 
+// beatWait is how long the next heartbeat may wait. A worker that runs nothing
+// is asked less often; its clock is read anew before something starts there.
+func (l *loop) beatWait(k *link) time.Duration {
+	if l.uses(k.spec.ID) {
+		return l.startWindow() / 2
+	}
+	return idleWait
+}
+
+// clockFresh reports whether the last reading of the worker's clock leaves at
+// least half of the start window.
+func (l *loop) clockFresh(k *link) bool {
+	return time.Since(k.clockAt) < l.startWindow()/2
+}
+
+// clockMessage carries a worker's answer to a request for its clock.
+type clockMessage struct {
+	link  *link
+	reply worker.HeartbeatReply
+}
+
+func (m clockMessage) handle(l *loop) {
+	k := m.link
+	if l.workers[k.spec.ID] != k || !k.reached || k.boot != m.reply.Boot {
+		return // the next heartbeat finds out
+	}
+	k.heard(m.reply.Clock, m.reply.Boot, m.reply.Leaving)
+	for _, t := range m.reply.Changed {
+		l.reported(k, t)
+	}
+}
+
+// errRestarted proves that a start was not sent: the worker has restarted.
+var errRestarted = errors.New("worker has restarted")
+
+// readClock asks a worker for its clock and passes its news to the loop. The
+// boot must be the one that the start was decided for.
+func (l *loop) readClock(ctx context.Context, k *link, client worker.Client, boot string) (int64, error) {
+	var reply worker.HeartbeatReply
+	err := command(ctx, func(ctx context.Context) (err error) {
+		reply, err = client.Heartbeat(ctx, worker.Heartbeat{Fence: l.held.Fence})
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	l.post(ctx, clockMessage{k, reply})
+	if reply.Boot != boot {
+		return 0, errRestarted
+	}
+	return reply.Clock, nil
+}
+
 // renewals lists the attempts whose leases are extended. Without the table the
 // leases of tasks without a start record are not extended beyond the solo
 // window, and no other job's beyond renewWithoutTable: a successor that cannot
--- a/internal/owner/reserve.go
+++ b/internal/owner/reserve.go
@@ -108,7 +108,7 @@
 		delete(l.direct, m.of.job.ID)
 		return
 	}
-	if r.attempt.phase == phaseTicket {
+	if r.attempt.phase == phaseTicket || r.attempt.phase == phaseClock {
 		l.refuseStart(r.attempt, "its caller waits no longer", false)
 	}
 }
@@ -116,26 +116,60 @@
 // grantTicket answers a reservation for which the core has found room.
 func (l *loop) grantTicket(r *reservation, id worker.Attempt, d sched.StartTask) {
 	k, ok := l.workers[d.Worker]
-	a := &attempt{id: id, job: &r.job, worker: d.Worker, phase: phaseTicket, size: d.Size}
+	a := &attempt{id: id, job: &r.job, worker: d.Worker, own: true, phase: phaseClock, size: d.Size}
 	r.attempt = a
 	l.track(a)
 	if !ok || !k.reached {
 		l.refuseStart(a, "worker cannot be reached", true)
 		return
 	}
+	a.boot = k.boot
+	if l.clockFresh(k) {
+		l.issueTicket(r, a, k)
+		return
+	}
+	client, boot := k.client, k.boot
+	l.spawn(func(ctx context.Context) {
+		_, err := l.readClock(ctx, k, client, boot)
+		l.post(ctx, ticketMessage{a, k, err})
+	})
+}
+
+// ticketMessage tells that the clock for a ticket was read.
+type ticketMessage struct {
+	attempt *attempt
+	link    *link
+	err     error
+}
+
+func (m ticketMessage) handle(l *loop) {
+	a, r := m.attempt, l.direct[m.attempt.id.Task.Job]
+	if l.attempts[a.id] != a || a.phase != phaseClock || r == nil || r.reply == nil {
+		return
+	}
+	if m.err != nil || l.workers[a.worker] != m.link || m.link.boot != a.boot {
+		l.refuseStart(a, "worker cannot be reached", true)
+		return
+	}
+	l.issueTicket(r, a, m.link)
+}
+
+// issueTicket answers a reservation, if the configuration still allows it. The
+// ticket's start window begins with the newest reading of the worker's clock.
+func (l *loop) issueTicket(r *reservation, a *attempt, k *link) {
 	if reason := forbidden(l.cfg, a.job, l.opts.Shard, l.opts.AZ, a.worker); reason != "" {
 		l.refuseStart(a, reason, false)
 		return
 	}
-	a.boot = k.boot
+	a.phase = phaseTicket
 	a.startBy = k.clock + int64(l.startWindow())
 	counters.Add("tickets", 1)
 	r.answer(&rpc.Ticket{
 		Shard:      l.opts.Shard,
 		Worker:     k.spec.ID,
 		WorkerAddr: k.spec.Addr,
-		Task:       id.Task.String(),
-		Attempt:    int32(id.Number),
+		Task:       a.id.Task.String(),
+		Attempt:    int32(a.id.Number),
 		Fence:      int64(l.held.Fence),
 		StartBy:    a.startBy,
 		LeaseNs:    int64(l.lease()),
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -28,6 +28,7 @@
 	commandTimeout  = 2 * time.Second
 	fenceTimeout    = time.Second
 	fenceRetry      = 250 * time.Millisecond
+	idleWait        = 5 * time.Second        // heartbeat of a worker that runs nothing
 	heartbeatPause  = 50 * time.Millisecond  // between two heartbeats
 	knownPause      = 250 * time.Millisecond // after a reply without news
 	leaseMargin     = 2 * time.Second        // on top of lease and start window
--- a/internal/owner/start.go
+++ b/internal/owner/start.go
@@ -106,8 +106,16 @@
 		Lease: l.lease(), Resources: a.size, Team: a.job.Team,
 		RunTime: a.job.Task.RunTime, Payload: a.job.Task.Payload, Restore: a.restore,
 	}
-	solo, client, job := l.soloUntil(), k.client, a.job
+	solo, client, job, boot, window, fresh := l.soloUntil(), k.client, a.job, a.boot, l.startWindow(), l.clockFresh(k)
 	l.spawn(func(ctx context.Context) {
+		if !fresh {
+			clock, err := l.readClock(ctx, k, client, boot)
+			if err != nil {
+				l.post(ctx, startedMessage{a, &errNotSent{err}})
+				return
+			}
+			s.StartBy = clock + int64(window)
+		}
 		err := l.allowStart(ctx, job, a.worker, solo)
 		if err == nil {
 			err = command(ctx, func(ctx context.Context) error { return client.Start(ctx, s) })
@@ -116,6 +124,13 @@
 	})
 }
 
+// errNotSent proves that a start was not sent, because its worker did not tell
+// its clock before. It does not unwrap: the cause says nothing about the start.
+type errNotSent struct{ cause error }
+
+// Error returns the cause.
+func (e *errNotSent) Error() string { return "start was not sent: " + e.cause.Error() }
+
 // errNotAllowed proves that a start was not sent, because the configuration or
 // the solo window forbids it.
 type errNotAllowed struct{ reason string }
@@ -209,7 +224,7 @@
 func (l *loop) stop(a *attempt) {
 	a.stopped = true
 	switch a.phase {
-	case phaseHeld:
+	case phaseHeld, phaseClock:
 		l.refuseStart(a, "not wanted any more", false)
 	case phaseRunning, phaseTicket, phaseSettling:
 		l.commandWorker(a, func(ctx context.Context, c worker.Client) error {
