owner: a slow table is not a lost one, overdue submissions are refused, a cancelled task is not unknown

A sign of life may take 8 s, so that a table of 3 s a call neither ends the solo window nor refuses jobs. A submission whose write has not begun within 5 s is refused as not run. A task that is not idempotent and was stopped because its team cancelled the job ends as stopped.

--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -162,19 +162,19 @@
 }
 
 // endOf translates a worker's word for an ended attempt. Work that is not
-// idempotent and ended otherwise than by itself may have had its effect.
-func endOf(job *model.Job, s worker.TaskState) sched.End {
-	switch s {
-	case worker.TaskDone:
+// idempotent and ended otherwise than by itself may have had its effect; only if
+// its team has cancelled it is that the end that was asked for.
+func (l *loop) endOf(a *attempt, s worker.TaskState) sched.End {
+	j := l.state.Jobs[a.id.Task.Job]
+	switch {
+	case s == worker.TaskDone:
 		return sched.EndDone
-	case worker.TaskFailed:
+	case s == worker.TaskFailed:
 		return sched.EndFailed
-	}
-	if !job.Task.Idempotent {
-		return sched.EndAbandoned
-	}
-	if s == worker.TaskStopped {
+	case s == worker.TaskStopped && (a.job.Task.Idempotent || (j != nil && j.Cancelled)):
 		return sched.EndStopped
+	case !a.job.Task.Idempotent:
+		return sched.EndAbandoned
 	}
 	return sched.EndLapsed
 }
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -206,3 +206,62 @@
 		is.Equal(o.used(), int64(0))
 	})
 }
+
+// A job that is not idempotent and was cancelled while it ran is not "unknown":
+// it was started and stopped as asked.
+func TestCancelOfWhatRuns(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		reply, err := o.Submit(t.Context(), r.job(1, false, time.Hour))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		_, err = o.CancelJob(t.Context(), &rpc.CancelJobRequest{
+			JobId: reply.GetJobId(), Credential: &rpc.Credential{KeySha256: testKeyHash()},
+		})
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetState(), "ended")
+		is.Equal(s.GetOutcome(), "failed")
+		is.Equal(o.used(), int64(0))
+	})
+}
+
+// A table that takes 3 s a call is slow, not down: jobs are accepted, and start
+// also after the solo window.
+func TestSlowTable(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		r.table.Set(standin.FaultSet{SlowMillis: 3000})
+		time.Sleep(3 * time.Minute)
+		reply, err := o.Submit(t.Context(), r.job(1, false, time.Second))
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+	})
+}
+
+// When the table hangs, what was not sent to it is refused soon and truthfully.
+func TestHangingTable(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		r.table.Set(standin.FaultSet{Freeze: true})
+		go func() { _, _ = o.Submit(t.Context(), r.job(1, true, time.Second)) }() // its write hangs
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, err := o.Submit(t.Context(), r.job(1, true, time.Second))
+		refusal, ok := rpc.RefusalFromTwirp(err)
+		is.True(ok)
+		is.Equal(refusal.Code, rpc.CodeTableUnreachable)
+		is.True(time.Since(began) <= submitPatience+2*housekeeping)
+	})
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -112,6 +112,7 @@
 	l.checkWorkers()
 	l.releaseRestored()
 	l.releaseHeld()
+	l.refuseOverdue()
 	l.forgetHistory()
 	l.readFleet()
 }
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -199,6 +199,23 @@
 	l.queue.putBack(kept)
 }
 
+// refuseOverdue refuses what waits too long for a write to begin: nothing of it
+// was sent to the table.
+func (l *loop) refuseOverdue() {
+	var kept []*queued
+	overdue := time.Now().Add(-submitPatience)
+	for _, e := range l.queue.waiting {
+		if e.refused == nil || e.since.After(overdue) {
+			kept = append(kept, e)
+			continue
+		}
+		l.queue.records -= len(e.entry.Records)
+		e.refused(tableUnreachable())
+	}
+	l.queue.waiting = kept
+	l.queue.recount()
+}
+
 func without(batch []*queued, i int) []*queued {
 	kept := append([]*queued(nil), batch[:i]...)
 	return append(kept, batch[i+1:]...)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -45,7 +45,7 @@
 		return false // the worker repeats it until it is acknowledged
 	}
 	k.known[t.Attempt] = true
-	l.endAttempt(a, endOf(a.job, t.State), t)
+	l.endAttempt(a, l.endOf(a, t.State), t)
 	return true
 }
 
@@ -209,6 +209,7 @@
 	case sched.EndFailed:
 		return !j.Spec.Task.Idempotent || (!service && t.Failures > l.cfg.Policy.RestartLimit())
 	case sched.EndStopped, sched.EndLapsed:
+		return !j.Spec.Task.Idempotent
 	}
 	return false
 }
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -57,5 +57,8 @@
 	maxListedTasks = 1000      // tasks in one reply
 	maxLongPoll    = time.Minute
 	maxReserveWait = 10 * time.Minute
-	tableSilence   = 5 * time.Second // without a sign the table counts as unreachable
+	tableSilence   = 10 * time.Second // without a sign the table counts as unreachable
+	aliveTimeout   = 8 * time.Second  // of one sign of life; a slow table still counts
+	// submitPatience is how long a submission waits for its write to begin.
+	submitPatience = 5 * time.Second
 )
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -52,11 +52,11 @@
 	case m.report.State == worker.TaskRunning:
 		l.confirm(a)
 	case m.report.State != worker.TaskNeverSeen:
-		l.endAttempt(a, endOf(a.job, m.report.State), m.report)
+		l.endAttempt(a, l.endOf(a, m.report.State), m.report)
 	case a.direct(), m.report.Boot == a.boot:
 		l.refuseStart(a, "the worker never saw the start", false)
 	default:
-		l.endAttempt(a, endOf(a.job, worker.TaskLapsed), worker.TaskReport{Error: "the worker restarted"})
+		l.endAttempt(a, l.endOf(a, worker.TaskLapsed), worker.TaskReport{Error: "the worker restarted"})
 	}
 }
 
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	_, err = l.opts.Table.Apply(ctx, []platform.Write{
 		l.owned().Guard(),
