shared: serve: adopt the shards of a lost AZ

The choice among the living shards is by rendezvous hashing; safety rests on the table and the watched silence alone. One line wires it into the process.

--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -217,6 +217,23 @@
 	return err == nil && (o.Host == "" || o.Released)
 }
 
+// newAdopter returns the adopter of lost AZs' shards.
+func (p *Process) newAdopter() *adopter {
+	return newAdopter(adopter{
+		az:        p.self.GetAz(),
+		shards:    p.shards,
+		directory: p.tracker,
+		adopt: func(ctx context.Context, by, from string) (int, error) {
+			o, ok := (*p.keeper.held.Load())[by].(*owner.Owner)
+			if !ok {
+				return 0, trace.NotFound("shard %s is no longer owned here", by)
+			}
+			return o.Adopt(ctx, from)
+		},
+		log: p.log.WithName("adopter"),
+	})
+}
+
 func (p *Process) newOwner(shard member.Shard) shardOwner {
 	return owner.New(owner.Options{
 		Shard:    shard.Name,
@@ -298,6 +315,7 @@
 		defer close(handedOver)
 		return p.keeper.run(shardsCtx)
 	})
+	group.Go(func() error { return p.newAdopter().run(shardsCtx) })
 	p.state.Store(StateServing)
 	p.log.Info("serving", "callers", p.Addr(), "entry_hosts", p.peers.Addr().String())
 
