--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -17,6 +17,7 @@
 	phaseHeld      phase = "held"      // waits for the table or the workers
 	phaseRecording phase = "recording" // its start record is being written
 	phaseSending   phase = "sending"   // the start command is under way
+	phaseClock     phase = "clock"     // a ticket waits for the worker's clock
 	phaseTicket    phase = "ticket"    // the door may start it
 	phaseSettling  phase = "settling"  // the worker is asked what became of it
 	phaseRunning   phase = "running"   // or may be
@@ -43,7 +44,7 @@
 
 // mayRun reports whether the worker may have got the start.
 func (a *attempt) mayRun() bool {
-	return a.phase != phaseHeld && a.phase != phaseRecording && a.phase != phaseEnded
+	return a.phase != phaseHeld && a.phase != phaseClock && a.phase != phaseRecording && a.phase != phaseEnded
 }
 
 // track enters an attempt in the tables.
@@ -161,19 +162,19 @@
 }
 
 // endOf translates a worker's word for an ended attempt. Work that is not
-// idempotent and ended otherwise than by itself may have had its effect.
-func endOf(job *model.Job, s worker.TaskState) sched.End {
-	switch s {
-	case worker.TaskDone:
+// idempotent and ended otherwise than by itself may have had its effect; only if
+// its team has cancelled it is that the end that was asked for.
+func (l *loop) endOf(a *attempt, s worker.TaskState) sched.End {
+	j := l.state.Jobs[a.id.Task.Job]
+	switch {
+	case s == worker.TaskDone:
 		return sched.EndDone
-	case worker.TaskFailed:
+	case s == worker.TaskFailed:
 		return sched.EndFailed
-	}
-	if !job.Task.Idempotent {
-		return sched.EndAbandoned
-	}
-	if s == worker.TaskStopped {
+	case s == worker.TaskStopped && (a.job.Task.Idempotent || (j != nil && j.Cancelled)):
 		return sched.EndStopped
+	case !a.job.Task.Idempotent:
+		return sched.EndAbandoned
 	}
 	return sched.EndLapsed
 }
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -152,6 +152,7 @@
 func (m writtenMessage) handle(l *loop) {
 	batch := l.queue.writing
 	var claimed *journal.ClaimedError
+	var transfer *journal.TransferLostError
 	switch {
 	case m.err == nil:
 		l.wrote(batch, m.sent)
@@ -159,6 +160,9 @@
 		l.queue.putBack(without(batch, claimed.Entry))
 		l.queue.next = time.Time{}
 		batch[claimed.Entry].claimed(claimed.First)
+	case errors.As(m.err, &transfer):
+		l.queue.putBack(without(batch, transfer.Entry))
+		batch[transfer.Entry].refused(notReady())
 	case errors.Is(m.err, platform.ErrUnavailable):
 		l.queue.next = time.Now().Add(writeBackoff)
 		l.refuse(batch)
@@ -195,6 +199,23 @@
 	l.queue.putBack(kept)
 }
 
+// refuseOverdue refuses what waits too long for a write to begin: nothing of it
+// was sent to the table.
+func (l *loop) refuseOverdue() {
+	var kept []*queued
+	overdue := time.Now().Add(-submitPatience)
+	for _, e := range l.queue.waiting {
+		if e.refused == nil || e.since.After(overdue) {
+			kept = append(kept, e)
+			continue
+		}
+		l.queue.records -= len(e.entry.Records)
+		e.refused(tableUnreachable())
+	}
+	l.queue.waiting = kept
+	l.queue.recount()
+}
+
 func without(batch []*queued, i int) []*queued {
 	kept := append([]*queued(nil), batch[:i]...)
 	return append(kept, batch[i+1:]...)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -45,7 +45,7 @@
 		return false // the worker repeats it until it is acknowledged
 	}
 	k.known[t.Attempt] = true
-	l.endAttempt(a, endOf(a.job, t.State), t)
+	l.endAttempt(a, l.endOf(a, t.State), t)
 	return true
 }
 
@@ -144,7 +144,7 @@
 // restore feeds the core what the journal knows, in the order in which jobs
 // were submitted.
 func (l *loop) restore() {
-	for _, j := range l.jobsInOrder() {
+	for _, j := range inOrder(l.state) {
 		switch {
 		case j.Ended != nil:
 			l.history = append(l.history, endedJob{j.Spec.ID, time.Unix(0, j.Ended.GetEndedNs())})
@@ -209,6 +209,7 @@
 	case sched.EndFailed:
 		return !j.Spec.Task.Idempotent || (!service && t.Failures > l.cfg.Policy.RestartLimit())
 	case sched.EndStopped, sched.EndLapsed:
+		return !j.Spec.Task.Idempotent
 	}
 	return false
 }
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -28,6 +28,7 @@
 	commandTimeout  = 2 * time.Second
 	fenceTimeout    = time.Second
 	fenceRetry      = 250 * time.Millisecond
+	idleWait        = 5 * time.Second        // heartbeat of a worker that runs nothing
 	heartbeatPause  = 50 * time.Millisecond  // between two heartbeats
 	knownPause      = 250 * time.Millisecond // after a reply without news
 	leaseMargin     = 2 * time.Second        // on top of lease and start window
@@ -47,6 +48,7 @@
 
 	historyKeep = time.Hour // ended jobs
 	historyMax  = 20_000    // ended jobs
+	adoptBatch  = 100       // jobs moved in one transaction
 	forgetBatch = 50        // ended jobs forgotten in one pass
 
 	maxTasks       = 10_000    // of a job
@@ -55,5 +57,8 @@
 	maxListedTasks = 1000      // tasks in one reply
 	maxLongPoll    = time.Minute
 	maxReserveWait = 10 * time.Minute
-	tableSilence   = 5 * time.Second // without a sign the table counts as unreachable
+	tableSilence   = 10 * time.Second // without a sign the table counts as unreachable
+	aliveTimeout   = 8 * time.Second  // of one sign of life; a slow table still counts
+	// submitPatience is how long a submission waits for its write to begin.
+	submitPatience = 5 * time.Second
 )
