--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -40,6 +40,9 @@
 	l.restore()
 	l.spawn(func(ctx context.Context) { l.writeJournal(ctx, writer, l.queue.out) })
 	l.spawn(l.signAlive)
+	if o.opts.Grants != nil {
+		l.spawn(l.runGrants)
+	}
 	counters.Add("takeovers", 1)
 	return l, nil
 }
@@ -53,6 +56,7 @@
 		core:      sched.New(o.opts.Shard, o.opts.Seed),
 		queue:     writeQueue{out: make(chan []journal.Entry, 1)},
 		attempts:  map[worker.Attempt]*attempt{},
+		current:   map[model.TaskID]*attempt{},
 		active:    map[model.JobID]int{},
 		direct:    map[model.JobID]*reservation{},
 		workers:   map[string]*link{},
@@ -69,8 +73,14 @@
 	return journal.Owned{Shard: l.opts.Shard, Fence: l.held.Fence, Version: l.held.version}
 }
 
-// awaitConfig waits until the view holds a configuration.
+// awaitConfig waits until the view holds a configuration that was read after
+// the takeover was written.
 func (o *Owner) awaitConfig(ctx context.Context) error {
+	for o.opts.View.Refresh(ctx) != nil {
+		if err := pause(ctx, ownerRowRetry); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	for {
 		changed := o.opts.View.Changed()
 		if cfg, _ := o.opts.View.Effective(); cfg != nil {
@@ -123,7 +133,7 @@
 	defer deadline.Stop()
 	for l.lost == nil && (!l.queue.empty() || l.sends > 0) {
 		l.flush()
-		timer := time.NewTimer(l.sleep())
+		timer := time.NewTimer(l.queue.sleep())
 		select {
 		case m := <-l.inbox:
 			m.handle(l)
@@ -163,6 +173,7 @@
 		return
 	}
 	l.digestAt = now
+	l.publishWorkers(now)
 	direct, jobs := l.core.Pending()
 	d := &rpc.ShardDigest{
 		Shard:          l.opts.Shard,
@@ -175,7 +186,7 @@
 		Used:           rpc.FromResources(l.core.Used()),
 		DirectPending:  int64(direct),
 		JobsPending:    int64(jobs),
-		TakenNs:        l.takenAt.UnixNano(),
+		TakenNs:        now.UnixNano(),
 		Confirmed:      l.confirmed,
 	}
 	for _, u := range l.core.TeamUsage() {
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -45,18 +45,20 @@
 	limit     vec // upper limit
 	grant     vec
 	noGrant   bool
+	requests  int       // direct requests that run
 	asked     time.Time // when the grant was last asked for
 	used      vec       // on this shard
 	elsewhere vec       // on other shards
 	key       float64   // weighted share within the organisation
 
-	lanes   [lanes]jobList
-	pending [lanes]int    // tasks that may start, per lane
-	waiting vec           // their sizes added up
-	active  [tiers]bool   // in Core.active, per tier
-	tried   [tiers]uint64 // the pass in which it was found to be blocked
-	dirty   bool          // has new pending work since the last pass
-	atLimit bool          // its limit or grant kept a task from starting
+	lanes    [lanes]jobList
+	pending  [lanes]int    // tasks that may start, per lane
+	waiting  vec           // their sizes added up
+	smallest [tiers]vec    // at most the size of any waiting task, per tier
+	active   [tiers]bool   // in Core.active, per tier
+	tried    [tiers]uint64 // the pass in which it was found to be blocked
+	dirty    bool          // has new pending work since the last pass
+	atLimit  bool          // its limit or grant kept a task from starting
 }
 
 // team returns the team of that name and adds an unknown one.
@@ -178,6 +180,20 @@
 	return t.order < u.order
 }
 
+// beforeIn is before for the work of a tier. Direct requests go by the direct
+// requests that run for each team, not by all that it runs: a team's batch
+// work must not delay its requests.
+func (t *team) beforeIn(u *team, k tier) bool {
+	if k == tierShared {
+		return t.before(u)
+	}
+	a, b := float64(t.requests)/t.weight, float64(u.requests)/u.weight
+	if a != b {
+		return a < b
+	}
+	return t.order < u.order
+}
+
 // mayRun reports whether t may run one more of size, and if not, why.
 func (t *team) mayRun(size *vec, count int64) blockReason {
 	need := vec{}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// A worker is taken out when the failures held against it reach minBlame
-	// and are at least blamePart of what it ran of late.
+	// A worker is taken out when the failures held against it reach minBlame,
+	// either since its last success, or if they are at least blamePart of what
+	// it ran of late.
 	minBlame  = 3.0
 	blamePart = 0.8
 	// healthDecay is how much each new end lessens the weight of older ones.
@@ -26,6 +27,7 @@
 // health is a worker's own success rate.
 type health struct {
 	good, blame float64 // decaying counts
+	streak      float64 // blame since the last success
 	out         bool
 	probing     bool // back in for one restartable task at a time
 	probes      pauser
@@ -43,14 +45,18 @@
 		return
 	}
 	est := a.job.est
-	failed := end == EndFailed
+	failed, blame := end == EndFailed, unknownKindBlame
+	if !failed {
+		a.job.longest = max(a.job.longest, c.now.Sub(a.started))
+	}
 	if est != nil {
 		if !failed {
 			est.observeRunTime(c.now.Sub(a.started))
 		}
+		blame = est.blame(a.worker)
 		est.observeEnd(a.worker, failed)
 	}
-	c.judge(a.worker, est, failed)
+	c.judge(a.worker, failed, blame)
 }
 
 // observeEnd remembers the last end on each worker, so that one worker that
@@ -67,12 +73,14 @@
 	e.ends = append(e.ends, kindEnd{w, failed})
 }
 
-// failsElsewhere returns the part of the other workers on which the kind
-// failed last.
-func (e *estimate) failsElsewhere(w *worker) float64 {
-	failed, others := 0, 0
+// blame returns how much of a failure on w is held against w: the part of the
+// other workers on which the kind ended well last. If it ran on no other, only
+// its first failure counts.
+func (e *estimate) blame(w *worker) float64 {
+	failed, others, failedHere := 0, 0, false
 	for _, k := range e.ends {
 		if k.worker == w {
+			failedHere = k.failed
 			continue
 		}
 		others++
@@ -80,34 +88,35 @@
 			failed++
 		}
 	}
-	if others == 0 {
-		return 1 - unknownKindBlame
+	switch {
+	case others > 0:
+		return 1 - float64(failed)/float64(others)
+	case failedHere:
+		return 0
 	}
-	return float64(failed) / float64(others)
+	return unknownKindBlame
 }
 
 // judge counts an end for or against the worker.
-func (c *Core) judge(w *worker, est *estimate, failed bool) {
+func (c *Core) judge(w *worker, failed bool, blame float64) {
 	h := &w.health
 	if !failed {
 		h.good = h.good*healthDecay + 1
 		h.blame *= healthDecay
+		h.streak = 0
 		if h.probing {
 			c.probed(w)
 		}
 		return
 	}
-	blame := unknownKindBlame
-	if est != nil {
-		blame = 1 - est.failsElsewhere(w)
-	}
 	h.good *= healthDecay
 	h.blame = h.blame*healthDecay + blame
+	h.streak += blame
 	if h.probing && blame >= unknownKindBlame {
 		c.takeOut(w, "the task that probed the worker failed")
 		return
 	}
-	if h.blame >= minBlame && h.blame >= blamePart*(h.good+h.blame) {
+	if h.streak >= minBlame || h.blame >= minBlame && h.blame >= blamePart*(h.good+h.blame) {
 		c.takeOut(w, "tasks fail on this worker that run elsewhere")
 	}
 }
@@ -131,7 +140,7 @@
 // probed ends the probe of a worker that ran a task well.
 func (c *Core) probed(w *worker) {
 	w.health.probing = false
-	w.health.blame = 0
+	w.health.blame, w.health.streak = 0, 0
 	c.suspects--
 	c.grew(w)
 }
