cli: bench load measures the plain handler on a stand-in worker of its own

Cause: the yardstick ran on a worker of the cell: its 8 slots refused requests at 100 connections, and its attempts were strangers that the cell's owner adopted.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -15,6 +16,8 @@
 	"cuminloft/internal/bench/decide"
 	"cuminloft/internal/bench/load"
 	"cuminloft/internal/config"
+	"cuminloft/internal/model"
+	"cuminloft/internal/standin"
 )
 
 type benchCommand struct {
@@ -77,13 +80,8 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	defer stop()
 	var plain errgroup.Group
-	if len(options.Workers) > 0 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		options.Plain = listener.Addr().String()
-		plain.Go(func() error { return load.ServePlain(ctx, listener, options.Workers[0]) })
+	if options.Plain, err = startPlain(ctx, &plain); err != nil {
+		return err
 	}
 	s.note("measuring %s", strings.Join(options.Servers, ", "))
 	report, err := load.Run(ctx, options)
@@ -97,6 +95,38 @@
 	return report.WriteText(s.stdout)
 }
 
+// startPlain serves the plain reverse handler and a stand-in worker of its own,
+// so that the yardstick takes nothing from the cell's workers.
+func startPlain(ctx context.Context, group *errgroup.Group) (addr string, err error) {
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Join(err, backend.Close())
+	}
+	spec := model.WorkerSpec{ID: "plain", Addr: backend.Addr().String(), Capacity: model.Resources{Slots: plainSlots}}
+	worker := &http.Server{
+		Handler:           standin.WorkerHandler(standin.NewWorker(spec, standin.Options{})),
+		ReadHeaderTimeout: plainHeaderTimeout,
+	}
+	context.AfterFunc(ctx, func() { _ = worker.Close() })
+	group.Go(func() error {
+		if err := worker.Serve(backend); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error { return load.ServePlain(ctx, front, spec.Addr) })
+	return front.Addr().String(), nil
+}
+
+const (
+	plainSlots         = 1 << 20 // the yardstick's worker never refuses
+	plainHeaderTimeout = 5 * time.Second
+)
+
 // options takes servers and keys from the client's flags and the workers'
 // addresses from the configuration.
 func (c *loadCommand) options(s *session) (load.Options, error) {
