--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -47,7 +47,9 @@
 	MaxSubmission          int64         // bytes of the body of POST /v1/jobs
 	MaxConfig              int64         // bytes of the body of POST /v1/config
 	MaxConnections         int           // open connections of callers
+	MaxIdleConnections     int           // connections that wait for their next request
 	MaxInFlight            int           // direct requests being served
+	MaxInFlightPerTeam     int           // direct requests of one team being served
 	MaxWaitingPerTeam      int           // direct requests of one team waiting to be served
 	KeptBody               int64         // bytes of a body that are kept for a retry
 	WholeAnswer            int64         // answers up to this size are checked whole before the status is sent
@@ -68,28 +70,30 @@
 
 // Defaults of Limits.
 const (
-	DefaultMaxHeaderBytes    = 16 << 10
-	DefaultMaxBody           = 4 << 30
-	DefaultMaxSubmission     = 1 << 20
-	DefaultMaxConfig         = 8 << 20
-	DefaultMaxConnections    = 20_000
-	DefaultMaxInFlight       = 4096
-	DefaultMaxWaitingPerTeam = 1024
-	DefaultKeptBody          = 256 << 10
-	DefaultWholeAnswer       = 64 << 10
-	DefaultStoredAnswer      = 16 << 10
-	DefaultTimeout           = 30 * time.Second
-	DefaultMaxTimeout        = time.Hour
-	DefaultHeaderTimeout     = 5 * time.Second
-	DefaultIdleTimeout       = 2 * time.Minute
-	DefaultProgressTimeout   = 10 * time.Second
-	DefaultSettleTimeout     = 2 * time.Second
-	DefaultMaxAttempts       = 4
-	DefaultRetryRatio        = 0.1
-	DefaultRetryFloorPerSec  = 1.0
-	DefaultRetryBackoff      = 5 * time.Millisecond
-	DefaultMaxJobWait        = time.Minute
-	DefaultMaxKeyBytes       = 256
+	DefaultMaxHeaderBytes     = 16 << 10
+	DefaultMaxBody            = 4 << 30
+	DefaultMaxSubmission      = 1 << 20
+	DefaultMaxConfig          = 8 << 20
+	DefaultMaxConnections     = 20_000
+	DefaultMaxIdleConnections = 1500
+	DefaultMaxInFlight        = 4096
+	DefaultMaxInFlightPerTeam = 2000
+	DefaultMaxWaitingPerTeam  = 1024
+	DefaultKeptBody           = 256 << 10
+	DefaultWholeAnswer        = 64 << 10
+	DefaultStoredAnswer       = 16 << 10
+	DefaultTimeout            = 30 * time.Second
+	DefaultMaxTimeout         = time.Hour
+	DefaultHeaderTimeout      = 5 * time.Second
+	DefaultIdleTimeout        = 2 * time.Minute
+	DefaultProgressTimeout    = 10 * time.Second
+	DefaultSettleTimeout      = 2 * time.Second
+	DefaultMaxAttempts        = 4
+	DefaultRetryRatio         = 0.1
+	DefaultRetryFloorPerSec   = 1.0
+	DefaultRetryBackoff       = 5 * time.Millisecond
+	DefaultMaxJobWait         = time.Minute
+	DefaultMaxKeyBytes        = 256
 )
 
 func (l Limits) withDefaults() Limits {
@@ -98,7 +102,9 @@
 	setDefault(&l.MaxSubmission, DefaultMaxSubmission)
 	setDefault(&l.MaxConfig, DefaultMaxConfig)
 	setDefault(&l.MaxConnections, DefaultMaxConnections)
+	setDefault(&l.MaxIdleConnections, DefaultMaxIdleConnections)
 	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&l.MaxInFlightPerTeam, DefaultMaxInFlightPerTeam)
 	setDefault(&l.MaxWaitingPerTeam, DefaultMaxWaitingPerTeam)
 	setDefault(&l.KeptBody, DefaultKeptBody)
 	setDefault(&l.WholeAnswer, DefaultWholeAnswer)
@@ -154,7 +160,7 @@
 		log:       o.Log,
 		budgets:   newBudgets(limits.RetryRatio, limits.RetryFloorPerSec),
 		router:    newRouter(o.Directory, o.Self.GetAz()),
-		admission: newAdmission(limits.MaxInFlight, limits.MaxWaitingPerTeam),
+		admission: newAdmission(limits.MaxInFlight, limits.MaxInFlightPerTeam, limits.MaxWaitingPerTeam),
 	}
 }
 
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -17,6 +17,7 @@
 	phaseHeld      phase = "held"      // waits for the table or the workers
 	phaseRecording phase = "recording" // its start record is being written
 	phaseSending   phase = "sending"   // the start command is under way
+	phaseClock     phase = "clock"     // a ticket waits for the worker's clock
 	phaseTicket    phase = "ticket"    // the door may start it
 	phaseSettling  phase = "settling"  // the worker is asked what became of it
 	phaseRunning   phase = "running"   // or may be
@@ -28,6 +29,7 @@
 	id         worker.Attempt
 	job        *model.Job
 	worker     string
+	own        bool // started by this owner, not adopted
 	phase      phase
 	recorded   bool   // its start record is durable
 	boot       string // of the worker at the start
@@ -42,12 +44,13 @@
 
 // mayRun reports whether the worker may have got the start.
 func (a *attempt) mayRun() bool {
-	return a.phase != phaseHeld && a.phase != phaseRecording && a.phase != phaseEnded
+	return a.phase != phaseHeld && a.phase != phaseClock && a.phase != phaseRecording && a.phase != phaseEnded
 }
 
 // track enters an attempt in the tables.
 func (l *loop) track(a *attempt) {
 	l.attempts[a.id] = a
+	l.current[a.id.Task] = a
 	l.active[a.id.Task.Job]++
 	l.notify(a.id.Task.Job)
 }
@@ -58,6 +61,9 @@
 		return
 	}
 	delete(l.attempts, a.id)
+	if l.current[a.id.Task] == a {
+		delete(l.current, a.id.Task)
+	}
 	l.active[a.id.Task.Job]--
 	if l.active[a.id.Task.Job] == 0 {
 		delete(l.active, a.id.Task.Job)
@@ -156,19 +162,19 @@
 }
 
 // endOf translates a worker's word for an ended attempt. Work that is not
-// idempotent and ended otherwise than by itself may have had its effect.
-func endOf(job *model.Job, s worker.TaskState) sched.End {
-	switch s {
-	case worker.TaskDone:
+// idempotent and ended otherwise than by itself may have had its effect; only if
+// its team has cancelled it is that the end that was asked for.
+func (l *loop) endOf(a *attempt, s worker.TaskState) sched.End {
+	j := l.state.Jobs[a.id.Task.Job]
+	switch {
+	case s == worker.TaskDone:
 		return sched.EndDone
-	case worker.TaskFailed:
+	case s == worker.TaskFailed:
 		return sched.EndFailed
-	}
-	if !job.Task.Idempotent {
-		return sched.EndAbandoned
-	}
-	if s == worker.TaskStopped {
+	case s == worker.TaskStopped && (a.job.Task.Idempotent || (j != nil && j.Cancelled)):
 		return sched.EndStopped
+	case !a.job.Task.Idempotent:
+		return sched.EndAbandoned
 	}
 	return sched.EndLapsed
 }
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -33,7 +33,8 @@
 	state    *journal.State // as it will be once the queue is written
 	queue    writeQueue
 	attempts map[worker.Attempt]*attempt
-	active   map[model.JobID]int // attempts by job
+	current  map[model.TaskID]*attempt // newest attempt of each task
+	active   map[model.JobID]int       // attempts by job
 	direct   map[model.JobID]*reservation
 	workers  map[string]*link
 	watchers map[model.JobID][]watcher
@@ -52,6 +53,7 @@
 	confirmed int64     // configuration version that nothing older can start under
 	confirmBy time.Time // when starts under the older version are void
 	digestAt  time.Time
+	workersAt time.Time
 	fleetAt   time.Time
 	// grantsSeen announces the next change after the grants in force.
 	grantsSeen <-chan struct{}
@@ -94,16 +96,13 @@
 	l.publish()
 }
 
+// sleep returns how long the loop may wait for a message.
 func (l *loop) sleep() time.Duration {
-	now := time.Now()
-	wait := housekeeping
+	wait := l.queue.sleep()
 	if at, ok := l.core.NextWake(); ok {
-		wait = min(wait, at.Sub(now))
-	}
-	if at, ok := l.queue.due(); ok {
-		wait = min(wait, at.Sub(now))
+		wait = min(wait, time.Until(at))
 	}
-	return max(wait, 0)
+	return max(wait, shortestSleep)
 }
 
 // tick lets time pass.
@@ -113,6 +112,7 @@
 	l.checkWorkers()
 	l.releaseRestored()
 	l.releaseHeld()
+	l.refuseOverdue()
 	l.forgetHistory()
 	l.readFleet()
 }
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -34,6 +34,7 @@
 	writing []*queued // nil: no write is under way
 	next    time.Time // no write before
 	records int       // in waiting
+	urgent  time.Time // since when the oldest urgent entry waits; zero: none
 	out     chan []journal.Entry
 }
 
@@ -44,6 +45,21 @@
 	}
 	q.records += len(e.entry.Records)
 	q.waiting = append(q.waiting, e)
+	q.noteUrgent(e)
+}
+
+func (q *writeQueue) noteUrgent(e *queued) {
+	if e.urgent && q.urgent.IsZero() {
+		q.urgent = e.since
+	}
+}
+
+// recount finds the oldest urgent entry after entries were moved.
+func (q *writeQueue) recount() {
+	q.urgent = time.Time{}
+	for _, e := range q.waiting {
+		q.noteUrgent(e)
+	}
 }
 
 // due returns when the next write may begin, and false if none has to.
@@ -52,11 +68,8 @@
 		return time.Time{}, false
 	}
 	at := q.waiting[0].since.Add(lazyDelay)
-	for _, e := range q.waiting {
-		if e.urgent {
-			at = e.since
-			break
-		}
+	if !q.urgent.IsZero() {
+		at = q.urgent
 	}
 	if at.Before(q.next) {
 		at = q.next
@@ -64,6 +77,15 @@
 	return at, true
 }
 
+// sleep returns how long no write has to begin, at most housekeeping.
+func (q *writeQueue) sleep() time.Duration {
+	at, ok := q.due()
+	if !ok {
+		return housekeeping
+	}
+	return max(min(housekeeping, time.Until(at)), shortestSleep)
+}
+
 // cut moves the oldest entries that fit one row to writing.
 func (q *writeQueue) cut() []journal.Entry {
 	n, records, size := 0, 0, 0
@@ -80,6 +102,7 @@
 	q.writing = q.waiting[:n:n]
 	q.waiting = q.waiting[n:]
 	q.records -= records
+	q.recount()
 	return batch
 }
 
@@ -90,6 +113,7 @@
 		q.records += len(e.entry.Records)
 	}
 	q.waiting = append(entries, q.waiting...)
+	q.recount()
 }
 
 func (q *writeQueue) empty() bool { return q.writing == nil && len(q.waiting) == 0 }
@@ -128,6 +152,7 @@
 func (m writtenMessage) handle(l *loop) {
 	batch := l.queue.writing
 	var claimed *journal.ClaimedError
+	var transfer *journal.TransferLostError
 	switch {
 	case m.err == nil:
 		l.wrote(batch, m.sent)
@@ -135,6 +160,9 @@
 		l.queue.putBack(without(batch, claimed.Entry))
 		l.queue.next = time.Time{}
 		batch[claimed.Entry].claimed(claimed.First)
+	case errors.As(m.err, &transfer):
+		l.queue.putBack(without(batch, transfer.Entry))
+		batch[transfer.Entry].refused(notReady())
 	case errors.Is(m.err, platform.ErrUnavailable):
 		l.queue.next = time.Now().Add(writeBackoff)
 		l.refuse(batch)
@@ -171,6 +199,23 @@
 	l.queue.putBack(kept)
 }
 
+// refuseOverdue refuses what waits too long for a write to begin: nothing of it
+// was sent to the table.
+func (l *loop) refuseOverdue() {
+	var kept []*queued
+	overdue := time.Now().Add(-submitPatience)
+	for _, e := range l.queue.waiting {
+		if e.refused == nil || e.since.After(overdue) {
+			kept = append(kept, e)
+			continue
+		}
+		l.queue.records -= len(e.entry.Records)
+		e.refused(tableUnreachable())
+	}
+	l.queue.waiting = kept
+	l.queue.recount()
+}
+
 func without(batch []*queued, i int) []*queued {
 	kept := append([]*queued(nil), batch[:i]...)
 	return append(kept, batch[i+1:]...)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -30,7 +30,7 @@
 // was news.
 func (l *loop) reported(k *link, t worker.TaskReport) bool {
 	a, ok := l.attempts[t.Attempt]
-	if !ok {
+	if !ok || a.worker != k.spec.ID || a.phase == phaseHeld {
 		return l.stranger(k, t)
 	}
 	if t.Saved != "" {
@@ -45,7 +45,7 @@
 		return false // the worker repeats it until it is acknowledged
 	}
 	k.known[t.Attempt] = true
-	l.endAttempt(a, endOf(a.job, t.State), t)
+	l.endAttempt(a, l.endOf(a, t.State), t)
 	return true
 }
 
@@ -77,21 +77,27 @@
 	return true
 }
 
-// isNewer reports whether the attempt belongs to a job that goes on and follows
-// the newest recorded one: the former owner started it before the record was
-// written.
+// isNewer reports whether an unknown attempt is the newest of a task that goes
+// on: the former owner started it before it could write the record, after it had
+// seen the end of the one before. Attempts of a former owner may have the
+// numbers of this owner's; what this owner has sent counts.
 func (l *loop) isNewer(id worker.Attempt) bool {
 	j, ok := l.state.Jobs[id.Task.Job]
 	if !ok || j.Ended != nil || id.Task.Index < 0 || id.Task.Index >= j.Spec.Tasks {
 		return false
 	}
-	t, ok := j.Tasks[id.Task.Index]
-	return !ok || (id.Number > t.Attempt && t.End != "")
+	if t, ok := j.Tasks[id.Task.Index]; ok && id.Number <= t.Attempt {
+		return false
+	}
+	current := l.current[id.Task]
+	return current == nil || !current.own || current.phase == phaseHeld
 }
 
-// adoptUnrecorded takes over an attempt without a start record.
+// adoptUnrecorded takes over an attempt without a start record. It replaces an
+// older one whose end was not recorded either.
 func (l *loop) adoptUnrecorded(k *link, t worker.TaskReport) {
 	j := l.state.Jobs[t.Attempt.Task.Job]
+	l.replaceOlder(t.Attempt.Task)
 	a := &attempt{
 		id: t.Attempt, job: &j.Spec, worker: k.spec.ID, phase: phaseRunning,
 		boot: k.boot, size: t.Size, checkpoint: t.Saved,
@@ -104,6 +110,19 @@
 	}
 }
 
+// replaceOlder removes the attempt that a later one replaces, without telling
+// the core, which learns of the later one by its adoption.
+func (l *loop) replaceOlder(id model.TaskID) {
+	older := l.current[id]
+	if older == nil {
+		return
+	}
+	if l.isRecorded(older) {
+		l.append(nil, false, endRecord(older, string(sched.EndLapsed), worker.TaskReport{Error: "a later attempt runs"}))
+	}
+	l.untrack(older)
+}
+
 // adoptDirect takes over a direct request that runs under a former owner's
 // ticket.
 func (l *loop) adoptDirect(k *link, t worker.TaskReport) {
@@ -118,14 +137,14 @@
 
 func (l *loop) adopt(a *attempt, started time.Time) {
 	l.feed(sched.TaskAdopted{
-		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started,
+		Job: *a.job, Index: a.id.Task.Index, Attempt: a.id.Number, Worker: a.worker, Started: started, Size: a.size,
 	})
 }
 
 // restore feeds the core what the journal knows, in the order in which jobs
 // were submitted.
 func (l *loop) restore() {
-	for _, j := range l.jobsInOrder() {
+	for _, j := range inOrder(l.state) {
 		switch {
 		case j.Ended != nil:
 			l.history = append(l.history, endedJob{j.Spec.ID, time.Unix(0, j.Ended.GetEndedNs())})
@@ -148,7 +167,7 @@
 
 func (l *loop) restoreJob(j *journal.Job) {
 	id := j.Spec.ID
-	l.feed(sched.JobAdded{Job: j.Spec})
+	l.feed(sched.JobAdded{Job: j.Spec, Restored: true})
 	for _, i := range slices.Sorted(maps.Keys(j.Tasks)) {
 		t := j.Tasks[i]
 		task := model.TaskID{Job: id, Index: i}
@@ -190,6 +209,7 @@
 	case sched.EndFailed:
 		return !j.Spec.Task.Idempotent || (!service && t.Failures > l.cfg.Policy.RestartLimit())
 	case sched.EndStopped, sched.EndLapsed:
+		return !j.Spec.Task.Idempotent
 	}
 	return false
 }
@@ -212,9 +232,10 @@
 
 // accounted reports whether nothing unrecorded of the former owner can run
 // unseen: it starts such work only within the solo window, and the leases lapse
-// afterwards.
+// afterwards. A lease counts twice: a renewal that was decided within the window
+// may be sent late by a frozen process, and extends a lease that still holds.
 func (l *loop) accounted() bool {
-	wait := l.cfg.Policy.SoloWindow() + l.lease() + l.startWindow() + leaseMargin
+	wait := l.cfg.Policy.SoloWindow() + 2*l.lease() + l.startWindow() + leaseMargin
 	if time.Since(l.takenAt) > wait {
 		return true
 	}
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -8,6 +8,7 @@
 	ownerRowRetry = 100 * time.Millisecond // between tries to write the owner row
 	inboxSize     = 1024                   // messages
 	housekeeping  = 250 * time.Millisecond // longest sleep of the event loop
+	shortestSleep = time.Millisecond       // keeps the event loop from spinning
 	digestEvery   = 50 * time.Millisecond  // least time between two digests
 	fleetEvery    = time.Second            // between reads of the other shards' use
 
@@ -27,6 +28,7 @@
 	commandTimeout  = 2 * time.Second
 	fenceTimeout    = time.Second
 	fenceRetry      = 250 * time.Millisecond
+	idleWait        = 5 * time.Second        // heartbeat of a worker that runs nothing
 	heartbeatPause  = 50 * time.Millisecond  // between two heartbeats
 	knownPause      = 250 * time.Millisecond // after a reply without news
 	leaseMargin     = 2 * time.Second        // on top of lease and start window
@@ -46,6 +48,7 @@
 
 	historyKeep = time.Hour // ended jobs
 	historyMax  = 20_000    // ended jobs
+	adoptBatch  = 100       // jobs moved in one transaction
 	forgetBatch = 50        // ended jobs forgotten in one pass
 
 	maxTasks       = 10_000    // of a job
@@ -54,5 +57,8 @@
 	maxListedTasks = 1000      // tasks in one reply
 	maxLongPoll    = time.Minute
 	maxReserveWait = 10 * time.Minute
-	tableSilence   = 5 * time.Second // without a sign the table counts as unreachable
+	tableSilence   = 10 * time.Second // without a sign the table counts as unreachable
+	aliveTimeout   = 8 * time.Second  // of one sign of life; a slow table still counts
+	// submitPatience is how long a submission waits for its write to begin.
+	submitPatience = 5 * time.Second
 )
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -56,6 +56,7 @@
 		core:      sched.New(o.opts.Shard, o.opts.Seed),
 		queue:     writeQueue{out: make(chan []journal.Entry, 1)},
 		attempts:  map[worker.Attempt]*attempt{},
+		current:   map[model.TaskID]*attempt{},
 		active:    map[model.JobID]int{},
 		direct:    map[model.JobID]*reservation{},
 		workers:   map[string]*link{},
@@ -113,7 +114,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	_, err = l.opts.Table.Apply(ctx, []platform.Write{
 		l.owned().Guard(),
@@ -132,7 +133,7 @@
 	defer deadline.Stop()
 	for l.lost == nil && (!l.queue.empty() || l.sends > 0) {
 		l.flush()
-		timer := time.NewTimer(l.sleep())
+		timer := time.NewTimer(l.queue.sleep())
 		select {
 		case m := <-l.inbox:
 			m.handle(l)
@@ -172,6 +173,7 @@
 		return
 	}
 	l.digestAt = now
+	l.publishWorkers(now)
 	direct, jobs := l.core.Pending()
 	d := &rpc.ShardDigest{
 		Shard:          l.opts.Shard,
@@ -184,7 +186,7 @@
 		Used:           rpc.FromResources(l.core.Used()),
 		DirectPending:  int64(direct),
 		JobsPending:    int64(jobs),
-		TakenNs:        l.takenAt.UnixNano(),
+		TakenNs:        now.UnixNano(),
 		Confirmed:      l.confirmed,
 	}
 	for _, u := range l.core.TeamUsage() {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -23,6 +23,7 @@
 	cfg          *config.Config
 	queues       map[string]*config.Queue
 	outOfService map[string]bool // AZs
+	configured   map[string]bool // workers
 
 	workers  map[string]*worker
 	byPos    []*worker
@@ -47,9 +48,12 @@
 	direct    direct
 	preempts  preempts
 	reserved  *reservation
-	suspects  int  // workers that are out or on probe
-	starved   *job // the first shared work of the pass that no worker had room for
+	suspects  int       // workers that are out or on probe
+	helpAt    time.Time // no help for blocked work before
+	helpArmed bool
+	helpDue   bool
 	plan      []hold
+	victims   []*attempt
 
 	// What the next pass has to look at.
 	active        [tiers][]*team // teams with ready tasks, per tier
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -7,19 +7,23 @@
 	"cuminloft/internal/model"
 )
 
-// reservationAge is how long work that is not next by share has to wait
-// before room is reserved for it.
+// reservationAge is how long a single task has to wait before room is
+// reserved for it.
 const reservationAge = 5 * time.Second
 
 // reservation keeps room free for a job that needs more at once than is free.
 // There is one at a time, so no two gangs can wait for each other's room.
 type reservation struct {
-	job   *job
-	holds []hold
-	held  int  // tasks for which room is held
-	need  int  // tasks that have to start together
-	moved bool // a hold was lost; look at all workers again
-	until time.Time
+	job         *job
+	holds       []hold
+	held        int  // tasks for which room is held
+	need        int  // tasks that have to start together
+	moved       bool // a hold was lost; look at all workers again
+	since       time.Time
+	until       time.Time
+	lent        int // attempts that run in the held room
+	largest     vec // held on one worker and not lent, as last seen
+	heldAtFirst int
 }
 
 // hold is room for count tasks on one worker.
@@ -33,9 +37,15 @@
 		r.held, r.need, len(r.holds), r.until.UTC().Format("15:04:05"))
 }
 
+// gangReady reports whether all tasks of a gang that are not over may start
+// now. The tasks of a gang that cannot be restarted start without those that run.
+func (j *job) gangReady() bool {
+	return j.ready > 0 && j.ready == j.unsettled-j.running && (j.running == 0 || !j.restartable())
+}
+
 // startGang starts all ready tasks of a gang, or none.
 func (c *Core) startGang(j *job) blockReason {
-	if j.ready < j.unsettled-j.running || (j.running > 0 && j.restartable()) {
+	if !j.gangReady() {
 		return blockedByGang
 	}
 	if reason := j.team.mayRun(&j.size, int64(j.ready)); reason != notBlocked {
@@ -62,7 +72,7 @@
 	plan := c.plan[:0]
 	for pos := c.index.next(&j.size, 0); pos >= 0 && count > 0; pos = c.index.next(&j.size, pos+1) {
 		w := c.byPos[pos]
-		if w.health.probing {
+		if w.health.probing || !c.accepts(w, j) {
 			continue
 		}
 		free := w.free()
@@ -85,17 +95,15 @@
 	}
 }
 
-// considerReservation reserves room for a blocked job if it is a gang that is
-// next by share, or if it has waited for long.
-func (c *Core) considerReservation(j *job) {
-	if c.reserved != nil || j.lane.tier() != tierShared || j.spec.Policy == model.PolicyService {
-		return
-	}
-	waited := c.now.Sub(j.waits)
-	if waited < reservationAge && (j.spec.Policy != model.PolicyGang || c.starved != j) {
+// reserve keeps room for a blocked job whose team is the farthest below its
+// share of all that wait: for a gang at once, for a single task when smaller
+// work has taken the room that it waits for long enough.
+func (c *Core) reserve(j *job) {
+	if c.reserved != nil || j.spec.Policy == model.PolicyService {
 		return
 	}
-	if !c.oldestBlocked(j) {
+	gang := j.spec.Policy == model.PolicyGang
+	if gang && !j.gangReady() || !gang && c.now.Sub(j.waits) < reservationAge {
 		return
 	}
 	need := 1
@@ -103,27 +111,13 @@
 		need = j.ready
 	}
 	j.gangWait = max(2*j.gangWait, c.cfg.Policy.GangTimeout())
-	c.reserved = &reservation{job: j, need: need, until: c.now.Add(j.gangWait)}
+	c.reserved = &reservation{job: j, need: need, since: c.now, until: c.now.Add(j.gangWait)}
 	j.reserved = c.reserved
 	c.timers.push(c.reserved.until, timerReservation, nil, j, nil)
 	for _, w := range c.byPos {
 		c.holdOn(w)
 	}
-}
-
-// oldestBlocked reports whether no other job of j's lane that is first in its
-// team's lane has waited for longer without having had a reservation as often.
-func (c *Core) oldestBlocked(j *job) bool {
-	for _, t := range c.active[tierShared] {
-		o := t.lanes[j.lane].head
-		if o == nil || o == j || o.blocked != blockedByRoom || o.spec.Policy != j.spec.Policy {
-			continue
-		}
-		if o.gangWait < j.gangWait {
-			return false
-		}
-	}
-	return true
+	c.reserved.heldAtFirst = c.reserved.held
 }
 
 // topUpReservation adds the room that became free to the reservation and
@@ -133,6 +127,10 @@
 	if r == nil {
 		return
 	}
+	if r.job.ready < r.need {
+		c.release(r)
+		return
+	}
 	grew := c.grewWorkers
 	if r.moved {
 		grew, r.moved = c.byPos, false
@@ -143,6 +141,10 @@
 	if r.held < r.need || r.job.team.mayRun(&r.job.size, int64(r.need)) != notBlocked {
 		return
 	}
+	if r.lent > 0 {
+		c.recall(r)
+		return
+	}
 	j, plan := r.job, r.holds
 	c.release(r)
 	c.beginGang(j, plan, "reserved room is complete")
@@ -151,7 +153,7 @@
 // holdOn holds as much of w's free room for the reservation as it needs.
 func (c *Core) holdOn(w *worker) {
 	r := c.reserved
-	if r == nil || r.held >= r.need || !c.usable(w) || w.health.probing {
+	if r == nil || r.held >= r.need || !c.usable(w) || w.health.probing || !c.accepts(w, r.job) {
 		return
 	}
 	free := w.free()
@@ -180,6 +182,7 @@
 // release gives the held room back, to be used at once.
 func (c *Core) release(r *reservation) {
 	for _, h := range r.holds {
+		c.endLoansOn(h.worker)
 		h.worker.held.addScaled(&r.job.size, -int64(h.count))
 		c.grew(h.worker)
 	}
@@ -217,6 +220,7 @@
 			break
 		}
 	}
+	c.endLoansOn(w)
 	w.held = vec{}
 	c.refresh(w)
 }
--- a/internal/sched/lifecycle.go
+++ b/internal/sched/lifecycle.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"cuminloft/internal/model"
@@ -9,6 +10,9 @@
 // maxBackoff bounds the delay before a failed task is started again.
 const maxBackoff = 5 * time.Minute
 
+// maxAvoid is how many workers a job avoids after its tasks failed there.
+const maxAvoid = 16
+
 // countReady adds n to the ready tasks of j and takes j in or out of its lane.
 func (c *Core) countReady(j *job, n int) {
 	j.ready += n
@@ -27,6 +31,7 @@
 		return
 	}
 	j.waits = c.now
+	t.noteSmallest(j)
 	if front {
 		t.lanes[j.lane].pushFront(j)
 	} else {
@@ -36,6 +41,18 @@
 	c.markDirty(t)
 }
 
+// noteSmallest keeps the component-wise minimum of the sizes that wait.
+func (t *team) noteSmallest(j *job) {
+	k := j.lane.tier()
+	if !t.active[k] {
+		t.smallest[k] = j.asked
+		return
+	}
+	for i := range j.asked {
+		t.smallest[k][i] = min(t.smallest[k][i], j.asked[i])
+	}
+}
+
 // markDirty has the next pass look at all pending work of t.
 func (c *Core) markDirty(t *team) {
 	if !t.dirty {
@@ -45,7 +62,7 @@
 }
 
 // begin starts the next ready task of j on w.
-func (c *Core) begin(j *job, w *worker, reason string) {
+func (c *Core) begin(j *job, w *worker, reason string) *attempt {
 	i := j.takeReady()
 	tk := &j.tasks[i]
 	c.countReady(j, -1)
@@ -53,12 +70,12 @@
 	a := &attempt{job: j, index: i, number: int(tk.lastAttempt), worker: w, size: j.size, started: c.now}
 	tk.state, tk.running = taskRunning, a
 	c.attach(a)
-	j.blocked = notBlocked
 	j.lastPlaced = reason
 	c.decide(StartTask{
 		Task: a.id(), Attempt: a.number, Worker: w.spec.ID,
 		Size: a.size.resources(), Checkpoint: tk.checkpoint, Reason: reason,
 	})
+	return a
 }
 
 // attach counts the room that a takes.
@@ -78,6 +95,7 @@
 func (c *Core) detach(a *attempt) {
 	w, j := a.worker, a.job
 	j.running--
+	c.endLoan(a)
 	j.tasks[a.index].running = nil
 	last := len(w.attempts) - 1
 	w.attempts[a.slot] = w.attempts[last]
@@ -175,6 +193,7 @@
 		}
 		c.settle(j, a.index, taskDone)
 	case EndFailed:
+		c.avoidNext(j, a.worker)
 		c.endedByItself(j, a.index)
 	case EndStopped, EndLapsed:
 		c.endedByOthers(j, a.index)
@@ -197,6 +216,18 @@
 	}
 }
 
+// avoidNext has the tasks of j tried elsewhere than on a worker on which one
+// failed; the oldest such worker is forgotten for it.
+func (c *Core) avoidNext(j *job, w *worker) {
+	if slices.Contains(j.avoid, w.spec.ID) {
+		return
+	}
+	j.avoid = append(j.avoid, w.spec.ID)
+	if len(j.avoid) > min(maxAvoid, len(c.byPos)/2) {
+		j.avoid = j.avoid[1:]
+	}
+}
+
 // endedByOthers handles a task that was stopped, or whose worker was lost.
 func (c *Core) endedByOthers(j *job, i int) {
 	switch {
@@ -349,6 +380,10 @@
 		j.partial = true
 	}
 	tk := j.task(ev.Index)
+	if tk != nil && tk.running != nil && (tk.running.number != ev.Attempt || tk.running.worker.spec.ID != ev.Worker) {
+		c.detach(tk.running)
+		tk.state = taskBackoff
+	}
 	if tk == nil || (tk.state != taskReady && tk.state != taskBackoff) {
 		return
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,6 +21,9 @@
 const (
 	// candidates is how many workers with enough room are compared for packing.
 	candidates = 4
+	// maxGrewExact is up to how many workers whose room grew are looked at one
+	// by one after each start.
+	maxGrewExact = 8
 	// backfillDepth is how many jobs of a lane are tried behind a blocked one.
 	backfillDepth = 16
 )
@@ -28,19 +31,21 @@
 // place starts what can start. Work that was blocked before is tried again
 // only if room grew that may hold it.
 func (c *Core) place() {
-	if !c.passAll && !c.roomGrew && len(c.dirtyTeams) == 0 {
+	if !c.passAll && !c.roomGrew && !c.helpDue && len(c.dirtyTeams) == 0 {
 		return
 	}
 	if c.sharesChanged {
 		c.recountShares()
 	}
 	c.pass++
+	c.direct.decay(c.now)
 	c.placeTier(tierUrgent)
 	c.reclaimUrgent()
 	c.placeTier(tierDirect)
+	c.noteDirectNeed()
 	c.topUpReservation()
 	c.placeTier(tierShared)
-	c.reclaimShares()
+	c.helpStarved()
 	c.endPass()
 }
 
@@ -51,8 +56,8 @@
 	}
 	c.dirtyTeams = c.dirtyTeams[:0]
 	c.grewWorkers = c.grewWorkers[:0]
-	c.passAll, c.roomGrew, c.roomMax = false, false, blockedRoom()
-	c.starved = nil
+	c.passAll, c.roomGrew, c.helpDue = false, false, false
+	c.roomMax = blockedRoom()
 }
 
 // updateActive enters t in the lists of teams with waiting work, or takes it out.
@@ -93,10 +98,32 @@
 		}
 		if !c.startOne(t, k) {
 			t.tried[k] = c.pass
+			continue
 		}
+		c.boundRoom()
+	}
+}
+
+// boundRoom lowers the bound on the room that grew to what is left of it. With
+// many workers the higher bound stays, which costs time but no correctness.
+func (c *Core) boundRoom() {
+	if !c.roomGrew || len(c.grewWorkers) > maxGrewExact {
+		return
+	}
+	c.roomMax = blockedRoom()
+	for _, w := range c.grewWorkers {
+		c.roomMax.raiseTo(&c.index.nodes[c.index.leaves+w.pos])
 	}
 }
 
+// bound returns room that no task of t can need more of and start in this pass.
+func (c *Core) bound(t *team) *vec {
+	if c.passAll || t.dirty {
+		return &c.index.nodes[1]
+	}
+	return &c.roomMax
+}
+
 // pick returns the team farthest below its share that may start something in
 // this pass. The order of the list does not matter: ties go by team.
 func (c *Core) pick(k tier) *team {
@@ -105,7 +132,10 @@
 		if t.tried[k] == c.pass || (!c.passAll && !c.roomGrew && !t.dirty) {
 			continue
 		}
-		if best == nil || t.before(best) {
+		if !t.smallest[k].fits(c.bound(t)) || (k == tierShared && c.headroomBlocks(&t.smallest[k])) {
+			continue
+		}
+		if best == nil || t.beforeIn(best, k) {
 			best = t
 		}
 	}
@@ -129,26 +159,15 @@
 	return false
 }
 
-// tryJob starts one task of j, or all of a gang, or says why not.
+// tryJob starts one task of j, or all of a gang, and reports whether it did.
 func (c *Core) tryJob(j *job) bool {
-	c.resize(j)
-	if c.knownBlocked(j) {
+	if !j.size.fits(c.bound(j.team)) {
 		return false
 	}
-	j.blocked = c.start(j)
-	if j.blocked != notBlocked {
-		c.noteBlocked(j)
-	}
-	return j.blocked == notBlocked
-}
-
-// knownBlocked reports whether nothing has changed for a job that was blocked
-// for want of room.
-func (c *Core) knownBlocked(j *job) bool {
-	if c.passAll || j.team.dirty || j.blocked == blockedByHeadroom {
-		return false
-	}
-	return !j.size.fits(&c.roomMax)
+	c.resize(j)
+	reason := c.start(j)
+	c.noteBlocked(j.team, reason)
+	return reason == notBlocked
 }
 
 func (c *Core) start(j *job) blockReason {
@@ -169,21 +188,17 @@
 	return notBlocked
 }
 
-// noteBlocked does what follows from a job that cannot start.
-func (c *Core) noteBlocked(j *job) {
-	switch j.blocked {
+// noteBlocked does what follows from a job of t that cannot start.
+func (c *Core) noteBlocked(t *team, reason blockReason) {
+	switch reason {
 	case blockedByLimit:
-		j.team.atLimit = true
+		t.atLimit = true
 	case blockedByGrant:
-		j.team.atLimit = true
-		c.wantGrant(j.team)
+		t.atLimit = true
+		c.wantGrant(t)
 	case blockedByHeadroom:
 		c.wakeForHeadroom()
-	case blockedByRoom:
-		if c.starved == nil && j.lane.tier() == tierShared {
-			c.starved = j
-		}
-		c.considerReservation(j)
+	case blockedByRoom, notBlocked, blockedByReservation, blockedByGang:
 	}
 }
 
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"cuminloft/internal/model"
@@ -11,11 +12,16 @@
 const (
 	urgentStepTime = 300 * time.Millisecond
 	sharesStepTime = 2 * time.Second
+	// helpPause is how often at most a blocked job is helped.
+	helpPause = 100 * time.Millisecond
+	// reclaimBatch is for how many urgent requests room is reclaimed at once, and
+	// reclaimPause how long the others wait for it.
+	reclaimBatch = 4
+	reclaimPause = 5 * time.Millisecond
 	// searchPause is how often at most victims are looked for in vain.
 	searchPause = 50 * time.Millisecond
-	// shareGap is by how much of the fleet a victim's organisation or team has
-	// to be ahead, so that room is not moved to and fro.
-	shareGap = 0.01
+	// shareTolerance is up to what difference two weighted shares are equal.
+	shareTolerance = 1e-9
 )
 
 // preempts bounds preemption.
@@ -100,31 +106,92 @@
 	var first *job
 	for _, t := range c.active[tierUrgent] {
 		waiting += t.pending[laneUrgent]
-		if j := t.lanes[laneUrgent].head; j != nil && j.blocked == blockedByRoom && (first == nil || j.waits.Before(first.waits)) {
+		j := t.lanes[laneUrgent].head
+		if t.mayRun(&j.size, 1) == notBlocked && (first == nil || j.waits.Before(first.waits)) {
 			first = j
 		}
 	}
 	if first == nil || c.preempts.urgent >= waiting {
 		return
 	}
-	for range waiting - c.preempts.urgent {
+	for range min(waiting-c.preempts.urgent, reclaimBatch) {
 		if !c.reclaim(first, true) {
 			return
 		}
 	}
+	c.timers.push(c.now.Add(reclaimPause), timerPass, nil, nil, nil)
 }
 
-// reclaimShares makes room for the blocked job that is farthest below its
-// share, at the cost of those that are ahead of theirs.
-func (c *Core) reclaimShares() {
-	j := c.starved
-	if j == nil || j.spec.Policy == model.PolicyGang || c.preempts.shares >= j.ready {
+// helpStarved reserves or reclaims room for the blocked job that is farthest
+// below its share, at most once in each helpPause.
+func (c *Core) helpStarved() {
+	if len(c.active[tierShared]) == 0 {
 		return
 	}
-	if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) <= 0 {
+	if c.now.Before(c.helpAt) {
+		c.wakeToHelp()
 		return
 	}
-	c.reclaim(j, false)
+	c.helpAt = c.now.Add(helpPause)
+	if j := c.starved(); j != nil {
+		c.reserve(j)
+		c.reclaimShares(j)
+	}
+	c.lend()
+	c.wakeToHelp()
+}
+
+// wakeToHelp has the next pass run at helpAt.
+func (c *Core) wakeToHelp() {
+	if !c.helpArmed {
+		c.helpArmed = true
+		c.timers.push(c.helpAt, timerHelp, nil, nil, nil)
+	}
+}
+
+// starved returns the first job of the team farthest below its share among
+// those that wait for room alone.
+func (c *Core) starved() *job {
+	var best *job
+	for _, t := range c.active[tierShared] {
+		if best != nil && !t.before(best.team) {
+			continue
+		}
+		j := t.firstShared()
+		if j.reserved == nil && t.mayRun(&j.size, j.atOnce()) == notBlocked {
+			best = j
+		}
+	}
+	return best
+}
+
+// firstShared returns the job that is next among those that are not direct.
+func (t *team) firstShared() *job {
+	for l := laneService; l < lanes; l++ {
+		if j := t.lanes[l].head; j != nil {
+			return j
+		}
+	}
+	return nil
+}
+
+// atOnce returns how many tasks of j have to start together.
+func (j *job) atOnce() int64 {
+	if j.spec.Policy == model.PolicyGang {
+		return int64(j.ready)
+	}
+	return 1
+}
+
+// reclaimShares makes room for a job at the cost of teams that are ahead of
+// its share. At most half of the budget goes to this.
+func (c *Core) reclaimShares(j *job) {
+	if j.spec.Policy == model.PolicyGang || c.preempts.shares >= j.ready {
+		return
+	}
+	if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) > 0 {
+		c.reclaim(j, false)
+	}
 }
 
 // reclaim preempts the victims on the one worker where the least work is lost.
@@ -152,47 +219,71 @@
 // cheapestVictims returns the attempts of one worker whose end makes room for
 // a task of j and which have run for the shortest time, or nil.
 func (c *Core) cheapestVictims(j *job, urgent bool, bound int) []*attempt {
-	var best []*attempt
-	bestCost := time.Duration(0)
+	var best *worker
+	bestCost := time.Duration(math.MaxInt64)
 	for _, w := range c.byPos {
 		if !c.usable(w) || w.health.probing || !j.size.fits(&w.capacity) || !c.accepts(w, j) {
 			continue
 		}
-		victims, cost := c.victimsOn(w, j, urgent, bound)
-		if victims != nil && (best == nil || cost < bestCost) {
-			best, bestCost = victims, cost
+		if cost, ok := c.victimsOn(w, j, urgent, bound); ok && cost < bestCost {
+			best, bestCost = w, cost
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	c.victimsOn(best, j, urgent, bound)
+	return c.victims
 }
 
-// victimsOn returns the youngest attempts on w that make enough room together.
-func (c *Core) victimsOn(w *worker, j *job, urgent bool, bound int) ([]*attempt, time.Duration) {
+// victimsOn puts the youngest attempts on w that make enough room together in
+// c.victims, and returns how much work their end costs.
+func (c *Core) victimsOn(w *worker, j *job, urgent bool, bound int) (cost time.Duration, ok bool) {
 	free := w.free()
-	var victims []*attempt
-	cost := time.Duration(0)
-	for i := len(w.attempts) - 1; i >= 0 && len(victims) < bound; i-- {
+	c.victims = c.victims[:0]
+	for i := len(w.attempts) - 1; i >= 0 && len(c.victims) < bound; i-- {
 		a := w.attempts[i]
 		if !c.mayPreempt(a, j, urgent) {
 			continue
 		}
-		victims = append(victims, a)
+		c.victims = append(c.victims, a)
 		cost += c.now.Sub(a.started) + time.Second
 		free.add(&a.size)
 		if j.size.fits(&free) {
-			return victims, cost
+			return cost, true
 		}
 	}
-	return nil, 0
+	return 0, false
+}
+
+// relieve takes the youngest work that may be taken from a worker whose tasks
+// were measured to use more than it has.
+func (c *Core) relieve(w *worker) {
+	free := w.free()
+	nothing := vec{}
+	for i := len(w.attempts) - 1; i >= 0 && !nothing.fits(&free); i-- {
+		a := w.attempts[i]
+		if a.stopping {
+			free.add(&a.size)
+			continue
+		}
+		if c.preempts.left(c.now, c.cfg.Policy.PreemptionBudget()/2) <= 0 || !a.preemptible() {
+			continue
+		}
+		c.preempt(a, false, "the worker's tasks use more than it has")
+		free.add(&a.size)
+	}
+}
+
+// preemptible reports whether a may be stopped and started again.
+func (a *attempt) preemptible() bool {
+	return !a.stopping && a.confirmed && a.job.restartable() && a.job.spec.Policy != model.PolicyGang
 }
 
 // mayPreempt reports whether a may be stopped for j: only work that can be
 // started again, and for shares only of teams that stay ahead of j's.
 func (c *Core) mayPreempt(a *attempt, j *job, urgent bool) bool {
-	if a.stopping || !a.confirmed || !a.job.restartable() || a.job.spec.Policy == model.PolicyGang {
-		return false
-	}
-	return urgent || c.aheadAfter(a, j)
+	return a.preemptible() && (urgent || c.aheadAfter(a, j))
 }
 
 // aheadAfter reports whether a's team would still not be behind j's team after
@@ -204,7 +295,7 @@
 	}
 	gives, takes := a.size.dominant(&c.total), j.size.dominant(&c.total)
 	if v.org != t.org {
-		return v.org.key-gives/v.org.weight-shareGap/v.org.weight > t.org.key+takes/t.org.weight
+		return v.org.key-gives/v.org.weight >= t.org.key+takes/t.org.weight-shareTolerance
 	}
-	return v.key-gives/v.weight-shareGap/v.weight > t.key+takes/t.weight
+	return v.key-gives/v.weight >= t.key+takes/t.weight-shareTolerance
 }
