--- a/internal/serve/servers.go
+++ b/internal/serve/servers.go
@@ -11,14 +11,13 @@
 	"github.com/gravitational/trace"
 
 	"cuminloft/internal/door"
+	"cuminloft/internal/httpjson"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/settings"
 )
 
 // Settings of connections between entry hosts.
 const (
-	rpcDialTimeout  = time.Second
-	rpcIdlePerHost  = 32
 	rpcIdleTimeout  = 90 * time.Second
 	rpcReadHeader   = 5 * time.Second
 	rpcMaxBodyBytes = 16 << 20
@@ -29,14 +28,10 @@
 	http *http.Client
 }
 
-func newRPCClients() *rpcClients {
-	dialer := &net.Dialer{Timeout: rpcDialTimeout}
-	return &rpcClients{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: rpcIdlePerHost,
-		IdleConnTimeout:     rpcIdleTimeout,
-		DisableCompression:  true,
-	}}}
+// newRPCClients returns clients whose connections leave from the local IP
+// address ip; an empty ip leaves the choice to the system.
+func newRPCClients(ip string) *rpcClients {
+	return &rpcClients{http: httpjson.NewClientFrom(ip)}
 }
 
 func (c *rpcClients) peer(addr string) rpc.Peer {
