--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -295,6 +295,26 @@
 	test(ctx, f)
 }
 
+// The owner asks Held when it takes a configuration in, perhaps before the
+// holder has seen it.
+func TestHeldObeysALowerLimitAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLimits(fleetLimit)
+	h := New(Options{Limits: l})
+	h.public.Store(&public{grants: map[string]grant{"t": {amount: slots(20), limit: slots(fleetLimit)}}})
+	held, ok := h.Held("t")
+	is.True(ok)
+	is.Equal(held, slots(20))
+	l.set(fleetLimit+1, fleetLimit+1)
+	_, ok = h.Held("t")
+	is.True(ok)
+	l.set(fleetLimit-1, fleetLimit)
+	_, ok = h.Held("t")
+	is.True(!ok) // also below 20: other shards may hold the rest
+	_, ok = h.Held("nobody")
+	is.True(!ok)
+}
+
 func TestFirstUseTakesAnEvenPartWithOneWrite(t *testing.T) {
 	inFleet(t, func(_ context.Context, f *fleet) {
 		is := is.New(t)
