configsync: an apply does not wait for the push of its acceptance

The acceptance is certain before it, and a host that does not hear it obeys the stricter version until it polls.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -177,7 +177,10 @@
 	if err := d.run(ctx, interval); err != nil {
 		return trace.Wrap(err)
 	}
-	s.pushAccepted(context.WithoutCancel(ctx), d.staged.Version)
+	select {
+	case s.announce <- d.staged.Version:
+	default: // polling reaches the peers
+	}
 	return nil
 }
 
--- a/internal/configsync/drive.go
+++ b/internal/configsync/drive.go
@@ -309,6 +309,19 @@
 	return peer.RPC.Stage(ctx, r)
 }
 
+// runAnnouncer tells the peers of versions that were accepted here. An apply
+// does not wait for it: a peer that does not answer acts on nothing.
+func (s *Sync) runAnnouncer(ctx context.Context) error {
+	for {
+		select {
+		case v := <-s.announce:
+			s.pushAccepted(ctx, v)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // pushAccepted tells all peers once that the version is accepted. Polling
 // reaches those that do not hear it.
 func (s *Sync) pushAccepted(ctx context.Context, v config.Version) {
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -53,7 +53,8 @@
 	inbox    chan message
 	current  atomic.Pointer[snapshot]
 	polled   atomic.Pointer[pollTimes]
-	applying atomic.Int32 // applies that run in this process
+	applying atomic.Int32        // applies that run in this process
+	announce chan config.Version // accepted here; peers are told
 }
 
 var _ config.View = (*Sync)(nil)
@@ -104,7 +105,7 @@
 	if opts.Recorder == nil {
 		opts.Recorder = timeline.Discard{}
 	}
-	s := &Sync{opts: opts, store: NewStore(opts.Table), inbox: make(chan message)}
+	s := &Sync{opts: opts, store: NewStore(opts.Table), inbox: make(chan message), announce: make(chan config.Version, 16)}
 	s.current.Store(&snapshot{changed: make(chan struct{})})
 	s.polled.Store(&pollTimes{})
 	return s
@@ -116,6 +117,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.runLoop(ctx) })
 	group.Go(func() error { return s.runFinisher(ctx) })
+	group.Go(func() error { return s.runAnnouncer(ctx) })
 	return group.Wait()
 }
 
