grant: mend a data race in the rapid test's stand-in of the owner

The race detector saw it in one of four runs: the test replaced a shard's holder while the holder's goroutine compared itself with it. The access is guarded now; nothing of the checks changed.

--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -101,11 +101,11 @@
 // shard is a stand-in of one shard's owner: it starts tasks of one slot as far
 // as the amount in force allows.
 type shard struct {
-	*Holder
 	fleet   *fleet
 	name    string
 	mu      sync.Mutex
-	force   int64 // slots in force; as after the last Use or Changed
+	holder  *Holder // of the present owner
+	force   int64   // slots in force; as after the last Use or Changed
 	used    int64
 	pending int64
 	stop    context.CancelFunc
@@ -172,13 +172,22 @@
 			version = versions[0]
 		}
 	}
-	s.Holder = New(Options{Shard: s.name, Table: s.table, Limits: f.limits, Ask: f.ask, Log: logr.Discard()})
+	holder := New(Options{Shard: s.name, Table: s.table, Limits: f.limits, Ask: f.ask, Log: logr.Discard()})
+	s.mu.Lock()
+	s.holder = holder
+	s.mu.Unlock()
 	ctx, s.stop = context.WithCancel(ctx)
-	holder := s.Holder
 	f.group.Go(func() { _ = holder.Run(ctx, s, key, version) })
 	f.group.Go(func() { s.follow(ctx, holder) })
 }
 
+// current returns the holder of the present owner.
+func (s *shard) current() *Holder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder
+}
+
 // follow puts raised amounts in force some time after they are announced.
 func (s *shard) follow(ctx context.Context, h *Holder) {
 	for ctx.Err() == nil {
@@ -196,7 +205,7 @@
 	held, ok := h.Held("t")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h != s.Holder {
+	if h != s.holder {
 		return
 	}
 	s.force = 0
@@ -210,7 +219,7 @@
 	if err := pause(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
-	s.put(s.Holder)
+	s.put(s.current())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return []TeamUse{{Team: "t", Used: slots(s.used), Pending: slots(s.pending)}}, nil
@@ -224,7 +233,7 @@
 	s.pending -= n
 	s.used += n
 	if s.pending > 0 {
-		s.Want("t", slots(s.used+s.pending))
+		s.holder.Want("t", slots(s.used+s.pending))
 	}
 }
 
@@ -243,7 +252,7 @@
 func (f *fleet) ask(ctx context.Context, r *rpc.GiveBackRequest) (*rpc.GiveBackReply, error) {
 	for _, s := range f.shards {
 		if s.name == r.GetShard() {
-			given, err := s.GiveBack(ctx, r.GetTeam(), r.GetWant().Model())
+			given, err := s.current().GiveBack(ctx, r.GetTeam(), r.GetWant().Model())
 			return &rpc.GiveBackReply{Given: rpc.FromResources(given)}, err
 		}
 	}
@@ -377,7 +386,7 @@
 		is := is.New(t)
 		f.shards[0].submit(5)
 		f.live(time.Second)
-		old := f.shards[0].Holder
+		old := f.shards[0].current()
 		key := "shard/az0-0/owner"
 		_, err := f.table.Apply(ctx, []platform.Write{{Key: key, IfVersion: platform.AnyVersion}})
 		is.NoErr(err)
@@ -485,7 +494,7 @@
 			f.limits.set(min(limit, next), limit)
 			f.watch(t, time.Duration(draw("staged for", 0, 2000))*time.Millisecond, limit)
 			for _, s := range f.shards {
-				s.put(s.Holder) // owners confirm before a version is accepted
+				s.put(s.current()) // owners confirm before a version is accepted
 			}
 			f.limits.set(next, next)
 			limit = next
