member: of each pair one side pings, and teams' use travels every 10 s

Cause: every host pinged every other, though one ping tells both sides; each ping carried what every team uses. Now a host is pinged only when it was not heard for 1 s (own AZ) or 4 s (others), with retries every 250 ms until it counts as dead after 2 s (9 s); the teams' use is left out but for every 10 s.

--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -15,21 +15,29 @@
 	"cuminloft/internal/timeline"
 )
 
-// Intervals and timeouts of the membership protocol.
+// Intervals and timeouts of the membership protocol. One ping tells both sides
+// that the other lives, so of each pair only the side that has waited longer
+// sends it.
 const (
-	// PingInterval separates pings between entry hosts of one AZ.
-	PingInterval = 500 * time.Millisecond
-	// FarPingEvery is how many ping intervals separate pings to other AZs.
-	FarPingEvery = 4
+	// tickInterval separates two looks at the peers.
+	tickInterval = 250 * time.Millisecond
+	// PingInterval is how long an entry host of the own AZ may be unheard before
+	// it is pinged.
+	PingInterval = time.Second
+	// FarPingInterval is the same for hosts of other AZs.
+	FarPingInterval = 4 * time.Second
 	// PingTimeout bounds one ping.
 	PingTimeout = 400 * time.Millisecond
 	// FarPingTimeout bounds one ping to another AZ.
 	FarPingTimeout = 1500 * time.Millisecond
 	// Silence is how long a member of the own AZ may be unheard before it
-	// counts as dead.
+	// counts as dead. It leaves time for several pings after the first is lost.
 	Silence = 2 * time.Second
 	// FarSilence is the same for members of other AZs.
-	FarSilence = 6 * time.Second
+	FarSilence = 9 * time.Second
+	// TeamsInterval separates two messages to one host that carry what each
+	// team uses; the others leave it out.
+	TeamsInterval = 10 * time.Second
 	// pauseLimit is the gap between two ticks from which on this process
 	// assumes that it was paused itself and gives every peer a new chance.
 	pauseLimit = 1500 * time.Millisecond
@@ -72,6 +80,7 @@
 	client  rpc.Peer
 	shard   rpc.Shard
 	heard   time.Time
+	teamsAt time.Time // when the last ping with the teams' use was sent to it
 	alive   bool
 	pinging bool
 	digests []*rpc.ShardDigest
@@ -102,7 +111,6 @@
 	peers    map[string]*peer
 	seeds    map[string]bool // addr -> a ping is on its way
 	lastTick time.Time
-	ticks    int
 	pings    *errgroup.Group
 }
 
@@ -146,7 +154,7 @@
 
 // Run pings the other members until ctx ends.
 func (t *Tracker) Run(ctx context.Context) error {
-	ticker := time.NewTicker(PingInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	group, pingCtx := errgroup.WithContext(ctx)
 	t.pings = group
@@ -190,7 +198,7 @@
 	}
 	p.member = m.member
 	p.heard = time.Now()
-	p.digests = m.digests
+	p.digests = keepTeams(p.digests, m.digests)
 	if !p.alive {
 		p.alive = true
 		counters.Add("members_up", 1)
@@ -215,22 +223,21 @@
 	now := time.Now()
 	paused := now.Sub(t.lastTick) > pauseLimit
 	t.lastTick = now
-	t.ticks++
 	for _, host := range slices.Sorted(maps.Keys(t.peers)) {
 		p := t.peers[host]
 		if paused {
 			p.heard = now
 		}
 		t.checkSilence(p, now)
-		if t.wantsPing(p) {
+		if t.wantsPing(p, now) {
 			p.pinging = true
-			t.ping(ctx, p.client, pingEnded{host: host}, t.near(p.member))
+			t.pingPeer(ctx, host, p)
 		}
 	}
 	for addr, busy := range t.seeds {
 		if !busy {
 			t.seeds[addr] = true
-			t.ping(ctx, t.opts.DialPeer(addr), pingEnded{seed: addr}, false)
+			t.ping(ctx, t.opts.DialPeer(addr), pingEnded{seed: addr}, false, true)
 		}
 	}
 	t.publish()
@@ -241,19 +248,30 @@
 func (t *Tracker) pingAll(ctx context.Context) {
 	for host, p := range t.peers {
 		if p.alive {
-			t.ping(ctx, p.client, pingEnded{host: host}, t.near(p.member))
+			t.pingPeer(ctx, host, p)
 		}
 	}
 	t.publish()
 }
 
+// pingPeer pings a known host, with the teams' use if it is due.
+func (t *Tracker) pingPeer(ctx context.Context, host string, p *peer) {
+	now := time.Now()
+	withTeams := now.Sub(p.teamsAt) >= TeamsInterval
+	if withTeams {
+		p.teamsAt = now
+	}
+	t.ping(ctx, p.client, pingEnded{host: host}, t.near(p.member), withTeams)
+}
+
 func (t *Tracker) near(m *rpc.Member) bool { return m.GetAz() == t.opts.Self.GetAz() }
 
-func (t *Tracker) wantsPing(p *peer) bool {
-	if p.pinging {
-		return false
+func (t *Tracker) wantsPing(p *peer, now time.Time) bool {
+	interval := FarPingInterval
+	if t.near(p.member) {
+		interval = PingInterval
 	}
-	return t.near(p.member) || t.ticks%FarPingEvery == 0
+	return !p.pinging && now.Sub(p.heard) >= interval
 }
 
 func (t *Tracker) checkSilence(p *peer, now time.Time) {
@@ -272,8 +290,8 @@
 }
 
 // ping sends one ping from a goroutine of its own and reports to the inbox.
-func (t *Tracker) ping(ctx context.Context, client rpc.Peer, end pingEnded, near bool) {
-	request := t.Self(true)
+func (t *Tracker) ping(ctx context.Context, client rpc.Peer, end pingEnded, near, withTeams bool) {
+	request := t.Self(withTeams)
 	timeout := FarPingTimeout
 	if near {
 		timeout = PingTimeout
@@ -301,20 +319,20 @@
 	}
 }
 
-// Self returns this host's part of a ping. Team usage is left out unless the
-// digests are asked for in full.
-func (t *Tracker) Self(full bool) *rpc.PingRequest {
+// Self returns this host's part of a ping, with or without what each team uses.
+func (t *Tracker) Self(withTeams bool) *rpc.PingRequest {
 	digests, _ := t.opts.Local()
-	if !full {
-		digests = nil
+	if !withTeams {
+		digests = withoutTeams(digests)
 	}
 	accepted, staged := t.opts.Versions()
 	return &rpc.PingRequest{
-		From:     t.self(),
-		Hlc:      t.now(),
-		Shards:   digests,
-		Accepted: accepted,
-		Staged:   staged,
+		From:      t.self(),
+		Hlc:       t.now(),
+		Shards:    digests,
+		Accepted:  accepted,
+		Staged:    staged,
+		WithTeams: withTeams,
 	}
 }
 
@@ -346,7 +364,7 @@
 func (t *Tracker) Ping(ctx context.Context, r *rpc.PingRequest) (*rpc.PingReply, error) {
 	t.observe(r.GetHlc())
 	t.send(ctx, heardFrom{member: r.GetFrom(), digests: r.GetShards()})
-	self := t.Self(true)
+	self := t.Self(r.GetWithTeams())
 	return &rpc.PingReply{
 		From:     self.GetFrom(),
 		Hlc:      self.GetHlc(),
