--- a/internal/owner/adopt_test.go
+++ b/internal/owner/adopt_test.go
@@ -9,6 +9,7 @@
 
 	"cuminloft/internal/config"
 	"cuminloft/internal/model"
+	"cuminloft/internal/rpc"
 	"cuminloft/internal/standin"
 )
 
@@ -90,3 +91,21 @@
 		is.True(reply.GetJobId() != "")
 	})
 }
+
+// A shard that was adopted was not handed over by the owner whose work may
+// still run.
+func TestAdoptedShardIsNotClean(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		for _, adopted := range []bool{false, true} {
+			h, err := take(t.Context(), r.table, "lager-0", &rpc.Member{Host: "a"})
+			is.NoErr(err)
+			h.Adopted = adopted
+			is.NoErr(release(t.Context(), r.table, "lager-0", h))
+			next, err := take(t.Context(), r.table, "lager-0", &rpc.Member{Host: "b"})
+			is.NoErr(err)
+			is.Equal(next.clean, !adopted)
+			is.Equal(next.Fence, h.Fence+1)
+		}
+	})
+}
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -7,10 +7,13 @@
 
 	"github.com/matryer/is"
 
+	"cuminloft/internal/config"
 	"cuminloft/internal/journal"
+	"cuminloft/internal/model"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/standin"
+	"cuminloft/internal/worker"
 )
 
 // A worker that restarts forgets what it ran: its "never seen" must not let a
@@ -48,8 +51,10 @@
 		time.Sleep(time.Minute)
 		is.True(o.heartbeats.Load()-before <= int64(time.Minute/idleWait)+1)
 		time.Sleep(idleWait / 2)
-		_, err := o.Reserve(t.Context(), r.slip())
+		ticket, err := o.Reserve(t.Context(), r.slip())
 		is.NoErr(err)
+		left := time.Duration(ticket.GetStartBy() - time.Now().UnixNano()) // w0's clock is exact
+		is.True(left > config.DefaultStartWindow/2)
 		reply, err := o.Submit(t.Context(), r.job(1, false, time.Second))
 		is.NoErr(err)
 		time.Sleep(10 * time.Second)
@@ -78,6 +83,9 @@
 			if recordedBefore {
 				hidden = r.moveAway(hidden) // the next attempts are not recorded
 			}
+			for id, c := range first.toWork {
+				c.Set(id != hidden) // it does not find out that it is replaced
+			}
 			second := r.start(t.Context())
 			second.toWork[hidden].Set(true)
 			m := &machine{rig: r, idem: map[string]bool{reply.GetJobId(): true}}
@@ -265,3 +273,71 @@
 		is.True(time.Since(began) <= submitPatience+2*housekeeping)
 	})
 }
+
+// Without the table, restartable work starts within the solo window and not
+// after it.
+func TestSoloWindow(t *testing.T) {
+	for run, starts := range map[time.Duration]int{config.DefaultSoloWindow / 2: 5, 2 * config.DefaultSoloWindow: 4} {
+		inBubble(t, 1, func(t *testing.T, r *rig) {
+			is := is.New(t)
+			o := r.start(t.Context())
+			time.Sleep(time.Second)
+			for range 5 { // four fit
+				_, err := o.Submit(t.Context(), r.job(1, true, run))
+				is.NoErr(err)
+			}
+			time.Sleep(time.Second)
+			r.table.Set(standin.FaultSet{Down: true})
+			time.Sleep(5 * time.Minute)
+			is.Equal(len(r.records()), starts)
+			r.table.Set(standin.FaultSet{})
+			time.Sleep(5 * time.Minute)
+			is.Equal(len(r.records()), 5)
+		})
+	}
+}
+
+// A worker may forget an ended attempt only once its end is durable: the owner
+// dies before, and the successor still learns that the task is done.
+func TestEndIsAcknowledgedOnceDurable(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		first := r.start(t.Context())
+		time.Sleep(time.Second)
+		reply, err := first.Submit(t.Context(), r.job(1, true, 5*time.Second))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		first.toTable.Set(true)
+		time.Sleep(10 * time.Second)
+		first.kill()
+		second := r.start(t.Context())
+		time.Sleep(time.Minute)
+		s, err := second.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+		is.Equal(len(r.records()), 1)
+	})
+}
+
+// A start that the worker knows already is settled, not taken for running.
+func TestDuplicateStartIsSettled(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.start(t.Context())
+		time.Sleep(time.Second)
+		req := r.job(1, true, time.Second)
+		old := worker.Attempt{Task: model.TaskID{Job: model.JobID(req.GetJob().GetId())}, Number: 1}
+		w := r.workers["w0"]
+		is.NoErr(w.Start(t.Context(), worker.Start{
+			Attempt: old, Fence: 1, StartBy: time.Now().Add(time.Hour).UnixNano(), Lease: time.Millisecond,
+			Payload: []byte(`{"run_ms":1000}`),
+		}))
+		time.Sleep(time.Minute) // it lapses, and the owner acknowledges it as foreign
+		reply, err := o.Submit(t.Context(), req)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		s, err := o.status(reply.GetJobId())
+		is.NoErr(err)
+		is.Equal(s.GetOutcome(), "done")
+	})
+}
