--- a/internal/owner/reserve.go
+++ b/internal/owner/reserve.go
@@ -50,7 +50,7 @@
 	if job.Policy != model.PolicyDirect {
 		return nil, &rpc.Refusal{Code: rpc.CodeInvalid, Reason: "the queue takes jobs", Field: "queue"}
 	}
-	wait := min(time.Duration(r.GetWaitNs()), maxReserveWait)
+	wait := max(minReserveWait, min(time.Duration(r.GetWaitNs()), maxReserveWait))
 	job.MaxWait = wait
 	m := &reserveMessage{job: job, request: r, reply: newReply[*rpc.Ticket]()}
 	bounded, cancel := context.WithTimeout(ctx, wait)
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -56,6 +56,7 @@
 	maxListed      = 500       // jobs in one reply
 	maxListedTasks = 1000      // tasks in one reply
 	maxLongPoll    = time.Minute
+	minReserveWait = 50 * time.Millisecond // for room that is free now
 	maxReserveWait = 10 * time.Minute
 	tableSilence   = 10 * time.Second // without a sign the table counts as unreachable
 	aliveTimeout   = 8 * time.Second  // of one sign of life; a slow table still counts
