--- a/internal/owner/adopt_test.go
+++ b/internal/owner/adopt_test.go
@@ -39,10 +39,9 @@
 			if i == 11 {
 				req.IdempotencyKey = "season batch"
 			}
-			reply, err := lost.Submit(t.Context(), req)
-			is.NoErr(err)
-			ids = append(ids, reply.GetJobId())
-			m.idem[reply.GetJobId()] = i%2 == 0
+			id := lost.mustSubmit(t, req)
+			ids = append(ids, id)
+			m.idem[id] = i%2 == 0
 		}
 		time.Sleep(time.Second)
 		lost.toTable.Set(true) // the AZ is cut off; its owner and workers go on
@@ -53,9 +52,8 @@
 
 		again := r.job(1, false, time.Minute)
 		again.IdempotencyKey = "season batch"
-		reply, err := other.Submit(t.Context(), again)
-		is.NoErr(err)
-		is.Equal(reply.GetJobId(), ids[11])
+		id := other.mustSubmit(t, again)
+		is.Equal(id, ids[11])
 
 		lost.toTable.Set(false) // it returns
 		time.Sleep(5 * time.Second)
@@ -70,9 +68,7 @@
 			if i >= 4 {
 				o = other
 			}
-			s, err := o.status(id)
-			is.NoErr(err)
-			is.Equal(s.GetOutcome(), "done")
+			is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
 		}
 		is.Equal(len(r.records()), 12)
 	})
@@ -86,9 +82,8 @@
 		time.Sleep(time.Second)
 		_, err := other.Adopt(t.Context(), testShard)
 		is.True(errors.Is(err, ErrAlive))
-		reply, err := living.Submit(t.Context(), r.job(1, false, time.Second))
-		is.NoErr(err)
-		is.True(reply.GetJobId() != "")
+		id := living.mustSubmit(t, r.job(1, false, time.Second))
+		is.True(id != "")
 	})
 }
 
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -21,23 +21,18 @@
 func TestRestartedWorkerProvesNothing(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
-		_, err := o.Submit(t.Context(), r.job(1, false, time.Minute))
-		is.NoErr(err)
+		o := r.ready(t)
+		o.mustSubmit(t, r.job(1, false, time.Minute))
 		time.Sleep(200 * time.Millisecond) // the worker's clock was read for it
 		r.workers["w0"].Set(standin.FaultSet{LoseEvery: 1})
-		reply, err := o.Submit(t.Context(), r.job(1, false, time.Minute))
-		is.NoErr(err)
+		id := o.mustSubmit(t, r.job(1, false, time.Minute))
 		time.Sleep(200 * time.Millisecond) // started, the answer is lost
 		is.Equal(len(r.records()), 2)
 		r.workers["w0"].Restart()
 		r.workers["w0"].Set(standin.FaultSet{})
 		time.Sleep(5 * time.Minute)
 		is.Equal(len(r.records()), 2)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "unknown")
+		is.Equal(o.mustStatus(t, id).GetOutcome(), "unknown")
 	})
 }
 
@@ -45,8 +40,7 @@
 func TestIdleWorkerIsAskedSeldom(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		before := o.heartbeats.Load()
 		time.Sleep(time.Minute)
 		is.True(o.heartbeats.Load()-before <= int64(time.Minute/idleWait)+1)
@@ -55,11 +49,9 @@
 		is.NoErr(err)
 		left := time.Duration(ticket.GetStartBy() - time.Now().UnixNano()) // w0's clock is exact
 		is.True(left > config.DefaultStartWindow/2)
-		reply, err := o.Submit(t.Context(), r.job(1, false, time.Second))
-		is.NoErr(err)
+		id := o.mustSubmit(t, r.job(1, false, time.Second))
 		time.Sleep(10 * time.Second)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
+		s := o.mustStatus(t, id)
 		is.Equal(s.GetTasks()[0].GetAttempt(), int32(1)) // no start was refused
 	})
 }
@@ -70,10 +62,8 @@
 	for _, recordedBefore := range []bool{false, true} {
 		inBubble(t, 2, func(t *testing.T, r *rig) {
 			is := is.New(t)
-			first := r.start(t.Context())
-			time.Sleep(time.Second)
-			reply, err := first.Submit(t.Context(), r.job(4, true, 10*time.Minute))
-			is.NoErr(err)
+			first := r.ready(t)
+			id := first.mustSubmit(t, r.job(4, true, 10*time.Minute))
 			if recordedBefore {
 				time.Sleep(2 * lazyDelay)
 			}
@@ -88,7 +78,7 @@
 			}
 			second := r.start(t.Context())
 			second.toWork[hidden].Set(true)
-			m := &machine{rig: r, idem: map[string]bool{reply.GetJobId(): true}}
+			m := &machine{rig: r, idem: map[string]bool{id: true}}
 			for range 60 {
 				time.Sleep(5 * time.Second)
 				is.NoErr(m.check())
@@ -96,9 +86,7 @@
 			second.toWork[hidden].Set(false)
 			time.Sleep(time.Hour / 2)
 			is.NoErr(m.check())
-			s, err := second.status(reply.GetJobId())
-			is.NoErr(err)
-			is.Equal(s.GetOutcome(), "done")
+			is.Equal(second.mustStatus(t, id).GetOutcome(), "done")
 		})
 	}
 }
@@ -124,10 +112,8 @@
 func TestPlatformDownForLong(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
-		reply, err := o.Submit(t.Context(), r.job(2, false, 4*time.Minute))
-		is.NoErr(err)
+		o := r.ready(t)
+		id := o.mustSubmit(t, r.job(2, false, 4*time.Minute))
 		time.Sleep(time.Second)
 		r.table.Set(standin.FaultSet{Down: true})
 		time.Sleep(5 * time.Minute)
@@ -136,9 +122,7 @@
 		is.True(ticket.GetWorker() != "")
 		r.table.Set(standin.FaultSet{})
 		time.Sleep(time.Minute)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
+		is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
 		is.Equal(len(r.records()), 2)
 		loaded, err := journal.Load(t.Context(), r.table, r.objects, testShard)
 		is.NoErr(err)
@@ -151,22 +135,18 @@
 func TestFrozenOwnerWakesUpLate(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		first := r.start(t.Context())
-		time.Sleep(time.Second)
-		reply, err := first.Submit(t.Context(), r.job(8, true, 20*time.Second))
-		is.NoErr(err)
+		first := r.ready(t)
+		id := first.mustSubmit(t, r.job(8, true, 20*time.Second))
 		first.freeze()
 		time.Sleep(2 * time.Minute)
 		second := r.start(t.Context())
 		time.Sleep(5 * time.Second)
 		first.thaw()
 		time.Sleep(2 * time.Minute)
-		m := &machine{rig: r, idem: map[string]bool{reply.GetJobId(): true}}
+		m := &machine{rig: r, idem: map[string]bool{id: true}}
 		is.NoErr(m.check())
-		s, err := second.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
-		err = <-first.ended
+		is.Equal(second.mustStatus(t, id).GetOutcome(), "done")
+		err := <-first.ended
 		is.True(errors.Is(err, ErrLost))
 		first.ended <- err
 	})
@@ -189,14 +169,12 @@
 func TestCancelWave(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		const jobs = 200
 		var ids []string
 		for range jobs {
-			reply, err := o.Submit(t.Context(), r.job(3, true, time.Hour))
-			is.NoErr(err)
-			ids = append(ids, reply.GetJobId())
+			id := o.mustSubmit(t, r.job(3, true, time.Hour))
+			ids = append(ids, id)
 		}
 		for _, id := range ids {
 			go func() {
@@ -207,8 +185,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		for _, id := range ids {
-			s, err := o.status(id)
-			is.NoErr(err)
+			s := o.mustStatus(t, id)
 			is.Equal(s.GetState(), "ended")
 		}
 		is.Equal(o.used(), int64(0))
@@ -220,18 +197,15 @@
 func TestCancelOfWhatRuns(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
-		reply, err := o.Submit(t.Context(), r.job(1, false, time.Hour))
-		is.NoErr(err)
+		o := r.ready(t)
+		id := o.mustSubmit(t, r.job(1, false, time.Hour))
 		time.Sleep(time.Second)
-		_, err = o.CancelJob(t.Context(), &rpc.CancelJobRequest{
-			JobId: reply.GetJobId(), Credential: &rpc.Credential{KeySha256: testKeyHash()},
+		_, err := o.CancelJob(t.Context(), &rpc.CancelJobRequest{
+			JobId: id, Credential: &rpc.Credential{KeySha256: testKeyHash()},
 		})
 		is.NoErr(err)
 		time.Sleep(10 * time.Second)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
+		s := o.mustStatus(t, id)
 		is.Equal(s.GetState(), "ended")
 		is.Equal(s.GetOutcome(), "failed")
 		is.Equal(o.used(), int64(0))
@@ -243,16 +217,12 @@
 func TestSlowTable(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		r.table.Set(standin.FaultSet{SlowMillis: 3000})
 		time.Sleep(3 * time.Minute)
-		reply, err := o.Submit(t.Context(), r.job(1, false, time.Second))
-		is.NoErr(err)
+		id := o.mustSubmit(t, r.job(1, false, time.Second))
 		time.Sleep(time.Minute)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
+		is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
 	})
 }
 
@@ -260,8 +230,7 @@
 func TestHangingTable(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		r.table.Set(standin.FaultSet{Freeze: true})
 		go func() { _, _ = o.Submit(t.Context(), r.job(1, true, time.Second)) }() // its write hangs
 		time.Sleep(time.Second)
@@ -280,11 +249,9 @@
 	for run, starts := range map[time.Duration]int{config.DefaultSoloWindow / 2: 5, 2 * config.DefaultSoloWindow: 4} {
 		inBubble(t, 1, func(t *testing.T, r *rig) {
 			is := is.New(t)
-			o := r.start(t.Context())
-			time.Sleep(time.Second)
+			o := r.ready(t)
 			for range 5 { // four fit
-				_, err := o.Submit(t.Context(), r.job(1, true, run))
-				is.NoErr(err)
+				o.mustSubmit(t, r.job(1, true, run))
 			}
 			time.Sleep(time.Second)
 			r.table.Set(standin.FaultSet{Down: true})
@@ -302,19 +269,15 @@
 func TestEndIsAcknowledgedOnceDurable(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		first := r.start(t.Context())
-		time.Sleep(time.Second)
-		reply, err := first.Submit(t.Context(), r.job(1, true, 5*time.Second))
-		is.NoErr(err)
+		first := r.ready(t)
+		id := first.mustSubmit(t, r.job(1, true, 5*time.Second))
 		time.Sleep(time.Second)
 		first.toTable.Set(true)
 		time.Sleep(10 * time.Second)
 		first.kill()
 		second := r.start(t.Context())
 		time.Sleep(time.Minute)
-		s, err := second.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
+		is.Equal(second.mustStatus(t, id).GetOutcome(), "done")
 		is.Equal(len(r.records()), 1)
 	})
 }
@@ -323,8 +286,7 @@
 func TestDuplicateStartIsSettled(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		req := r.job(1, true, time.Second)
 		old := worker.Attempt{Task: model.TaskID{Job: model.JobID(req.GetJob().GetId())}, Number: 1}
 		w := r.workers["w0"]
@@ -333,11 +295,8 @@
 			Payload: []byte(`{"run_ms":1000}`),
 		}))
 		time.Sleep(time.Minute) // it lapses, and the owner acknowledges it as foreign
-		reply, err := o.Submit(t.Context(), req)
-		is.NoErr(err)
+		id := o.mustSubmit(t, req)
 		time.Sleep(time.Minute)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
+		is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
 	})
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -15,14 +15,11 @@
 func TestJobRunsToItsEnd(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		req := r.job(3, false, 10*time.Second)
-		reply, err := o.Submit(t.Context(), req)
-		is.NoErr(err)
+		id := o.mustSubmit(t, req)
 		time.Sleep(time.Minute)
-		s, err := o.status(reply.GetJobId())
-		is.NoErr(err)
+		s := o.mustStatus(t, id)
 		is.Equal(s.GetState(), "ended")
 		is.Equal(s.GetOutcome(), "done")
 		is.Equal(len(r.records()), 3)
@@ -32,8 +29,7 @@
 func TestRepeatedSubmissionNamesTheFirstJob(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		first := r.job(1, true, time.Second)
 		first.IdempotencyKey = "bottling of 4 December"
 		a, err := o.Submit(t.Context(), first)
@@ -55,8 +51,7 @@
 		o := r.start(t.Context())
 		time.Sleep(5 * time.Second)
 		for range 10 {
-			_, err := o.Submit(t.Context(), r.job(1, false, time.Second))
-			is.NoErr(err)
+			o.mustSubmit(t, r.job(1, false, time.Second))
 		}
 		time.Sleep(time.Minute)
 		is.Equal(len(r.records()), 10)
@@ -66,8 +61,7 @@
 func TestSubmitIsRefusedWithoutTheTable(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		r.table.Set(standin.FaultSet{Down: true})
 		_, err := o.Submit(t.Context(), r.job(1, true, time.Second))
 		refusal, ok := rpc.RefusalFromTwirp(err)
@@ -76,8 +70,7 @@
 		is.True(refusal.RetryAfter > 0)
 		r.table.Set(standin.FaultSet{})
 		time.Sleep(10 * time.Second)
-		_, err = o.Submit(t.Context(), r.job(1, true, time.Second))
-		is.NoErr(err)
+		o.mustSubmit(t, r.job(1, true, time.Second))
 	})
 }
 
@@ -85,13 +78,11 @@
 func TestTakeoverAfterKill(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		first := r.start(t.Context())
-		time.Sleep(time.Second)
+		first := r.ready(t)
 		var ids []string
 		for i := range 12 {
-			reply, err := first.Submit(t.Context(), r.job(1, i%2 == 0, 20*time.Second))
-			is.NoErr(err)
-			ids = append(ids, reply.GetJobId())
+			id := first.mustSubmit(t, r.job(1, i%2 == 0, 20*time.Second))
+			ids = append(ids, id)
 		}
 		time.Sleep(time.Second)
 		first.kill()
@@ -100,9 +91,7 @@
 		is.True(second.Digest().GetReady())
 		time.Sleep(2 * time.Minute)
 		for _, id := range ids {
-			s, err := second.status(id)
-			is.NoErr(err)
-			is.Equal(s.GetOutcome(), "done")
+			is.Equal(second.mustStatus(t, id).GetOutcome(), "done")
 		}
 		is.Equal(len(r.records()), 12) // each ran once
 	})
@@ -112,8 +101,7 @@
 func TestDeposedOwnerStops(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		first := r.start(t.Context())
-		time.Sleep(time.Second)
+		first := r.ready(t)
 		r.start(t.Context())
 		time.Sleep(3 * time.Second)
 		select {
@@ -129,13 +117,11 @@
 func TestHandOverReleasesTheShard(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		first := r.start(t.Context())
-		time.Sleep(time.Second)
-		reply, err := first.Submit(t.Context(), r.job(1, true, 10*time.Second))
-		is.NoErr(err)
+		first := r.ready(t)
+		id := first.mustSubmit(t, r.job(1, true, 10*time.Second))
 		time.Sleep(time.Second)
 		first.stop()
-		err = <-first.ended
+		err := <-first.ended
 		is.NoErr(err)
 		first.ended <- err
 		row, err := ReadOwnership(t.Context(), r.table, testShard)
@@ -143,9 +129,7 @@
 		is.True(row.Released)
 		second := r.start(t.Context())
 		time.Sleep(time.Minute)
-		s, err := second.status(reply.GetJobId())
-		is.NoErr(err)
-		is.Equal(s.GetOutcome(), "done")
+		is.Equal(second.mustStatus(t, id).GetOutcome(), "done")
 		is.Equal(len(r.records()), 1)
 	})
 }
@@ -153,8 +137,7 @@
 func TestDirectRequestTakesRoomUntilRelease(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		ticket, err := o.Reserve(t.Context(), r.slip())
 		is.NoErr(err)
 		is.Equal(o.used(), int64(1000))
@@ -168,8 +151,7 @@
 func TestUnusedTicketExpires(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		o := r.start(t.Context())
-		time.Sleep(time.Second)
+		o := r.ready(t)
 		_, err := o.Reserve(t.Context(), r.slip())
 		is.NoErr(err)
 		time.Sleep(10 * time.Second)
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -140,6 +140,33 @@
 	})
 }
 
+// ready starts an owner and lets it meet its workers.
+func (r *rig) ready(t *testing.T) *testOwner {
+	o := r.start(t.Context())
+	time.Sleep(time.Second)
+	return o
+}
+
+// mustSubmit returns the id of a job that must be accepted.
+func (o *testOwner) mustSubmit(t *testing.T, req *rpc.SubmitRequest) string {
+	t.Helper()
+	reply, err := o.Submit(t.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply.GetJobId()
+}
+
+// mustStatus returns the state of a job that must be known.
+func (o *testOwner) mustStatus(t *testing.T, id string) *rpc.JobStatus {
+	t.Helper()
+	s, err := o.status(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // inBubble runs f with a rig under synthetic time and ends all owners after it.
 func inBubble(t *testing.T, workers int, f func(t *testing.T, r *rig)) {
 	t.Helper()
