door: refuse at once what would wait longer than it can

Change: an estimate of the wait, from the requests of the team and queue that wait here and the tickets they get a second.

--- a/internal/door/admit_test.go
+++ b/internal/door/admit_test.go
@@ -106,3 +106,28 @@
 	}
 	is.True(b.take("another", now.Add(2*time.Second))) // the floor fills it
 }
+
+func TestWaitsRefuseWhatWouldWaitTooLong(t *testing.T) {
+	is := is.New(t)
+	w := newWaits()
+	k := waitKey{team: "t", queue: "q"}
+	now := time.Unix(0, 0)
+	for range 200 { // queued while nothing is known: nobody is refused
+		_, ok := w.join(k, time.Second, now)
+		is.True(ok)
+	}
+	const perSecond = 10
+	for range 100 { // ten seconds of ten tickets a second
+		now = now.Add(time.Second / perSecond)
+		w.leave(k, true, now)
+	}
+	expected, ok := w.join(k, time.Second, now)
+	is.True(!ok)
+	is.True(expected > 8*time.Second && expected < 12*time.Second) // a hundred wait
+	_, ok = w.join(k, 15*time.Second, now)
+	is.True(ok)
+	_, ok = w.join(waitKey{team: "u", queue: "q"}, time.Second, now)
+	is.True(ok) // another team does not pay
+	_, ok = w.join(k, time.Second, now.Add(time.Minute))
+	is.True(ok) // an old rate is not trusted
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -138,6 +138,7 @@
 	rec       timeline.Recorder
 	log       logr.Logger
 	budgets   *budgets
+	waits     *waits
 	runTimes  *runTimes
 	router    *router
 	admission *admission
@@ -160,6 +161,7 @@
 		rec:       rec,
 		log:       o.Log,
 		budgets:   newBudgets(limits.RetryRatio, limits.RetryFloorPerSec),
+		waits:     newWaits(),
 		runTimes:  newRunTimes(),
 		router:    newRouter(o.Directory, o.Self.GetAz()),
 		admission: newAdmission(limits.MaxInFlight, limits.MaxInFlightPerTeam, limits.MaxWaitingPerTeam),
--- a/internal/door/reserve.go
+++ b/internal/door/reserve.go
@@ -67,10 +67,14 @@
 	if wait <= 0 {
 		return nil, pastDeadline(), final
 	}
+	if expected, ok := d.waits.join(req.waitKey(), wait, time.Now()); !ok {
+		return nil, overloaded(api.CodeDeadline, "the queue is longer than the request can wait", expected-wait), final
+	}
 	req.attempts++
 	d.router.noteSent(shard)
 	d.record(req, timeline.KindRequestRouted, shard.Name, "")
 	ticket, err := shard.Owner.Reserve(ctx, req.reserveRequest(shard.Name, wait))
+	d.waits.leave(req.waitKey(), err == nil, time.Now())
 	if err == nil {
 		return d.newAttempt(req, shard, ticket)
 	}
--- /dev/null
+++ b/internal/door/waits.go
@@ -0,0 +1,78 @@
+package door
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// waits estimates how long the requests of a team and queue wait for a ticket,
+// from how many wait at this entry host and how many tickets it gets a second.
+// A request that would wait past its time is refused at once instead of late.
+type waits struct {
+	mu     sync.Mutex
+	queues map[waitKey]*waitQueue
+}
+
+type waitKey struct{ team, queue string }
+
+// waitQueue is the waiting requests of one team and queue.
+type waitQueue struct {
+	waiting int
+	granted float64 // tickets, decaying with waitMemory
+	at      time.Time
+}
+
+const (
+	// waitMemory is the time constant of the rate of tickets.
+	waitMemory = 2 * time.Second
+	// minWaiting is the queue length below which no estimate is trusted.
+	minWaiting = 32
+)
+
+func newWaits() *waits { return &waits{queues: make(map[waitKey]*waitQueue)} }
+
+// join counts a waiting request, unless it is expected to wait longer than it
+// can: then it returns the expected wait and false.
+func (w *waits) join(k waitKey, atMost time.Duration, now time.Time) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[k]
+	if q == nil {
+		q = &waitQueue{at: now}
+		w.queues[k] = q
+	}
+	if expected := q.expected(now); expected > atMost {
+		return expected, false
+	}
+	q.waiting++
+	return 0, true
+}
+
+// leave ends the wait of a request.
+func (w *waits) leave(k waitKey, granted bool, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queues[k]
+	q.waiting--
+	if granted {
+		q.granted = q.recent(now) + 1
+		q.at = now
+	}
+}
+
+// recent is the number of tickets of late.
+func (q *waitQueue) recent(now time.Time) float64 {
+	return q.granted * math.Exp(-now.Sub(q.at).Seconds()/waitMemory.Seconds())
+}
+
+// expected returns how long the next request would wait; zero: unknown or short.
+func (q *waitQueue) expected(now time.Time) time.Duration {
+	perSecond := q.recent(now) / waitMemory.Seconds()
+	if q.waiting < minWaiting || perSecond < 1 {
+		return 0
+	}
+	return time.Duration(float64(q.waiting) / perSecond * float64(time.Second))
+}
+
+func (r *request) waitKey() waitKey { return waitKey{team: r.who.team, queue: r.job.Queue} }
