door: a burst's first milliseconds are no rate of tickets

Cause: the wait estimate took the first tickets of a burst for the rate of two seconds and refused 312 of 41726 requests of an idle cell.

Change: the rate counts from when the queue was last empty and is trusted after half a second.

--- a/internal/door/admit_test.go
+++ b/internal/door/admit_test.go
@@ -116,6 +116,9 @@
 		_, ok := w.join(k, time.Second, now)
 		is.True(ok)
 	}
+	w.leave(k, true, now.Add(time.Millisecond))
+	_, ok := w.join(k, time.Second, now.Add(time.Millisecond))
+	is.True(ok) // one ticket in a millisecond is no rate yet
 	const perSecond = 10
 	for range 100 { // ten seconds of ten tickets a second
 		now = now.Add(time.Second / perSecond)
--- a/internal/door/waits.go
+++ b/internal/door/waits.go
@@ -19,8 +19,9 @@
 // waitQueue is the waiting requests of one team and queue.
 type waitQueue struct {
 	waiting int
-	granted float64 // tickets, decaying with waitMemory
-	at      time.Time
+	began   time.Time // when the queue was last empty
+	granted float64   // tickets since began, decaying with waitMemory
+	at      time.Time // of granted
 }
 
 const (
@@ -28,6 +29,9 @@
 	waitMemory = 2 * time.Second
 	// minWaiting is the queue length below which no estimate is trusted.
 	minWaiting = 32
+	// minBusy is how long a queue must have been there before its rate of tickets
+	// is trusted: at first a burst has got none.
+	minBusy = 500 * time.Millisecond
 )
 
 func newWaits() *waits { return &waits{queues: make(map[waitKey]*waitQueue)} }
@@ -39,9 +43,12 @@
 	defer w.mu.Unlock()
 	q := w.queues[k]
 	if q == nil {
-		q = &waitQueue{at: now}
+		q = &waitQueue{}
 		w.queues[k] = q
 	}
+	if q.waiting == 0 {
+		*q = waitQueue{began: now, at: now}
+	}
 	if expected := q.expected(now); expected > atMost {
 		return expected, false
 	}
@@ -68,8 +75,13 @@
 
 // expected returns how long the next request would wait; zero: unknown or short.
 func (q *waitQueue) expected(now time.Time) time.Duration {
-	perSecond := q.recent(now) / waitMemory.Seconds()
-	if q.waiting < minWaiting || perSecond < 1 {
+	busy := now.Sub(q.began)
+	if q.waiting < minWaiting || busy < minBusy {
+		return 0
+	}
+	remembered := waitMemory.Seconds() * (1 - math.Exp(-busy.Seconds()/waitMemory.Seconds()))
+	perSecond := q.recent(now) / remembered
+	if perSecond < 1 {
 		return 0
 	}
 	return time.Duration(float64(q.waiting) / perSecond * float64(time.Second))
