--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -152,13 +152,20 @@
 	return nil
 }
 
+// forwardTries is how often a forwarder's port may be taken by another process.
+const forwardTries = 5
+
 // forward puts a forwarder before a node and returns the forwarder's address.
-func (c *Cluster) forward(node, target string) (string, error) {
-	listen, err := freeAddr("127.0.0.1")
-	if err != nil {
-		return "", err
+func (c *Cluster) forward(node, target string) (listen string, err error) {
+	for range forwardTries {
+		if listen, err = freeAddr("127.0.0.1"); err != nil {
+			return "", err
+		}
+		if err = c.Net.Forward(listen, node, target); err == nil {
+			return listen, nil
+		}
 	}
-	return listen, c.Net.Forward(listen, node, target)
+	return "", err
 }
 
 func (c *Cluster) write(name string, v any) (string, error) {
@@ -189,7 +196,21 @@
 	if _, err := c.Apply(ctx, c.Hosts[0], 0, c.Config); err != nil {
 		return err
 	}
-	return c.AwaitShards(ctx)
+	if err := c.AwaitShards(ctx); err != nil {
+		return err
+	}
+	return c.checkLinks()
+}
+
+// checkLinks returns an error if the forwarders do not know the hosts, so that
+// cuts would cut nothing.
+func (c *Cluster) checkLinks() error {
+	for _, h := range c.Hosts {
+		if c.Net.Bytes(h.ID, platformNode) == 0 {
+			return fmt.Errorf("%s does not dial from its own address", h.ID)
+		}
+	}
+	return nil
 }
 
 // startOutside starts the platform and the workers.
