serve, cli: dial from the address that the settings name

Cause: dial_from was read and checked, but the clients of platform, workers and peers were made without it.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -31,7 +31,7 @@
 		_, err := fmt.Fprintf(s.stdout, "valid: entry host %s in AZ %s\n", set.Host, set.AZ)
 		return err
 	}
-	p, err := serve.New(set, outside(set.Platform), newLogger(s.stderr, set.Log))
+	p, err := serve.New(set, outside(set), newLogger(s.stderr, set.Log))
 	if err != nil {
 		return err
 	}
@@ -39,9 +39,9 @@
 }
 
 // outside returns the HTTP adapters of the platform and the workers.
-func outside(platformURL string) serve.Outside {
-	platform := httpplatform.New(platformURL, httpjson.NewClient())
-	workers := httpjson.NewClient()
+func outside(set *settings.Settings) serve.Outside {
+	platform := httpplatform.New(set.Platform, httpjson.NewClientFrom(set.DialFrom))
+	workers := httpjson.NewClientFrom(set.DialFrom)
 	return serve.Outside{
 		Table:   platform.Table(),
 		Objects: platform.Objects(),
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -130,7 +130,7 @@
 func (p *Process) wire() {
 	p.clock = &timeline.Clock{}
 	p.ring = timeline.NewRing(p.settings.Host, p.settings.AZ, p.clock, timeline.DefaultEvents, timeline.DefaultBytes)
-	clients := newRPCClients()
+	clients := newRPCClients(p.settings.DialFrom)
 	p.sync = configsync.New(configsync.Options{
 		Host:     p.settings.Host,
 		Table:    p.outside.Table,
--- a/internal/serve/servers.go
+++ b/internal/serve/servers.go
@@ -29,8 +29,13 @@
 	http *http.Client
 }
 
-func newRPCClients() *rpcClients {
+// newRPCClients returns clients whose connections leave from the IP address
+// from; an empty one leaves the choice to the system.
+func newRPCClients(from string) *rpcClients {
 	dialer := &net.Dialer{Timeout: rpcDialTimeout}
+	if local := net.ParseIP(from); local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	return &rpcClients{http: &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
