--- a/internal/harness/capacity_test.go
+++ b/internal/harness/capacity_test.go
@@ -15,6 +15,7 @@
 var (
 	workersPerAZ = flag.Int("workers-per-az", 17, "size of the cell of -measure capacity")
 	busy         = flag.Bool("busy", false, "measure capacity with running tasks and starts in proportion to the target")
+	shards       = flag.Int("shards-per-az", 1, "shards of each AZ of -measure capacity")
 	window       = flag.Duration("window", 30*time.Second, "length of a capacity measurement")
 )
 
@@ -31,6 +32,9 @@
 // targetTeamsAndLimits fills the cell up to the target's number of teams and
 // lifts the limit of the team that the load runs for.
 func targetTeamsAndLimits(cfg *config.Config) {
+	for i := range cfg.AZs {
+		cfg.AZs[i].Shards = *shards
+	}
 	for i := range cfg.Organisations {
 		cfg.Organisations[i].Teams[0].Limit = model.Resources{}
 	}
@@ -51,13 +55,19 @@
 func TestMeasureCapacity(t *testing.T) {
 	c := measuring(t, "capacity", 125, *workersPerAZ, targetTeamsAndLimits)
 	workers := len(c.Config.Workers)
+	t.Logf("%d workers, %d shards per AZ, busy %t", workers, *shards, *busy)
 	stop := make(chan struct{})
 	if *busy {
 		load(t, c, workers, stop)
 	}
 	time.Sleep(10 * time.Second)
+	began := time.Now()
 	uses, reads, writes, put := useOf(t, c)
+	ended := time.Now()
 	close(stop)
+	if *busy {
+		logLoad(t, c, began, ended)
+	}
 	for i, u := range uses {
 		t.Logf("%d workers, %s (%s): %.2f%% of a core, %.1f MB, %.1f KB/s control", workers,
 			c.Hosts[i].ID, c.Hosts[i].AZ, u.cores*100, u.residentMB, u.bytesPerSecond/1024)
@@ -65,6 +75,24 @@
 	t.Logf("%d workers, platform: %.1f table reads/s, %.1f transactions/s, %.1f KB/s written", workers, reads, writes, put/1024)
 }
 
+// logLoad logs what the workers ran in the window, by their own records.
+func logLoad(t *testing.T, c *Cluster, began, ended time.Time) {
+	runs, err := c.Runs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	starts, running := 0, 0
+	for _, r := range runs {
+		if r.Start.After(began) && r.Start.Before(ended) {
+			starts++
+		}
+		if r.Start.Before(ended) && (r.End.IsZero() || r.End.After(ended)) {
+			running++
+		}
+	}
+	t.Logf("workers: %.1f task starts/s, %d tasks running at the end", float64(starts)/ended.Sub(began).Seconds(), running)
+}
+
 // useOf measures the hosts and the platform over the window.
 func useOf(t *testing.T, c *Cluster) (uses []hostUse, reads, writes, put float64) {
 	before := snapshot(t, c)
