--- a/internal/configsync/static.go
+++ b/internal/configsync/static.go
@@ -24,6 +24,9 @@
 // Effective returns the fixed configuration.
 func (v *staticView) Effective() (*config.Config, config.Version) { return v.cfg, staticVersion }
 
+// Accepted returns the same as Effective.
+func (v *staticView) Accepted() (*config.Config, config.Version) { return v.cfg, staticVersion }
+
 // Fresh always allows to act.
 func (v *staticView) Fresh(context.Context) error { return nil }
 
