--- a/internal/owner/errors.go
+++ b/internal/owner/errors.go
@@ -12,6 +12,11 @@
 // ErrLost is returned by Run when another host owns the shard.
 var ErrLost = errors.New("shard is owned by another host")
 
+// ErrPanicked is returned by Run when the event loop or the decision core met a
+// fault of its own. The shard is given up, so that the process and its other
+// shards go on; a successor rebuilds the state from the journal.
+var ErrPanicked = errors.New("shard given up after a fault of its own")
+
 var journalDeposed = journal.ErrDeposed
 
 func notReady() *rpc.Refusal {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -61,10 +63,11 @@
 
 // Run takes the shard, recovers its state, and serves until ctx ends, when it
 // hands over and returns nil, or until the shard is lost (ErrLost). It returns
-// journal.ErrCorrupt or journal.ErrUnknownFormat if the state cannot be read.
-// Run is called once.
-func (o *Owner) Run(ctx context.Context) error {
+// journal.ErrCorrupt or journal.ErrUnknownFormat if the state cannot be read, and
+// ErrPanicked after a fault of its own. Run is called once.
+func (o *Owner) Run(ctx context.Context) (err error) {
 	defer close(o.done)
+	defer o.contain(&err)
 	defer o.serving.Store(false)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -83,6 +86,21 @@
 	return trace.Wrap(l.handOver())
 }
 
+// contain turns a panic of Run's goroutine into ErrPanicked, so that one shard's
+// fault does not end the process with its other shards and open requests.
+func (o *Owner) contain(err *error) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	counters.Add("panics", 1)
+	o.opts.Log.Error(ErrPanicked, "event loop", "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	o.opts.Recorder.Record(timeline.Event{
+		Kind: timeline.KindShardLost, Target: o.opts.Shard, Detail: ErrPanicked.Error(),
+	})
+	*err = trace.Wrap(ErrPanicked, "%v", cause)
+}
+
 // taken turns the journal's error for a lost shard into this package's.
 func (o *Owner) taken(err error) error {
 	if errors.Is(err, journalDeposed) {
