--- a/internal/door/reserve.go
+++ b/internal/door/reserve.go
@@ -63,14 +63,18 @@
 
 // reserveOn asks one shard for a ticket.
 func (d *Door) reserveOn(ctx context.Context, req *request, shard member.ShardRef) (*attempt, *Error, disposition) {
-	wait := time.Until(req.runDeadline(d.limits))
+	wait := time.Until(d.startDeadline(req))
 	if wait <= 0 {
 		return nil, pastDeadline(), final
 	}
+	if expected, ok := d.waits.join(req.waitKey(), wait, time.Now()); !ok {
+		return nil, overloaded(api.CodeDeadline, "the queue is longer than the request can wait", expected-wait), final
+	}
 	req.attempts++
 	d.router.noteSent(shard)
 	d.record(req, timeline.KindRequestRouted, shard.Name, "")
 	ticket, err := shard.Owner.Reserve(ctx, req.reserveRequest(shard.Name, wait))
+	d.waits.leave(req.waitKey(), err == nil, time.Now())
 	if err == nil {
 		return d.newAttempt(req, shard, ticket)
 	}
--- a/internal/grant/holder_test.go
+++ b/internal/grant/holder_test.go
@@ -295,6 +295,26 @@
 	test(ctx, f)
 }
 
+// The owner asks Held when it takes a configuration in, perhaps before the
+// holder has seen it.
+func TestHeldObeysALowerLimitAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLimits(fleetLimit)
+	h := New(Options{Limits: l})
+	h.public.Store(&public{grants: map[string]grant{"t": {amount: slots(20), limit: slots(fleetLimit)}}})
+	held, ok := h.Held("t")
+	is.True(ok)
+	is.Equal(held, slots(20))
+	l.set(fleetLimit+1, fleetLimit+1)
+	_, ok = h.Held("t")
+	is.True(ok)
+	l.set(fleetLimit-1, fleetLimit)
+	_, ok = h.Held("t")
+	is.True(!ok) // also below 20: other shards may hold the rest
+	_, ok = h.Held("nobody")
+	is.True(!ok)
+}
+
 func TestFirstUseTakesAnEvenPartWithOneWrite(t *testing.T) {
 	inFleet(t, func(_ context.Context, f *fleet) {
 		is := is.New(t)
@@ -303,7 +323,7 @@
 		is.Equal(f.used(), int64(1))
 		is.Equal(f.row().Amount("az0-0"), slots(10))
 		is.Equal(len(f.table.Log()), 1)
-		f.live(time.Minute)
+		f.live(2 * IdleAfter)
 		is.Equal(f.row().Amount("az0-0"), slots(3)) // needed plus slack
 		is.Equal(len(f.table.Log()), 2)
 		f.shards[0].end(1)
@@ -471,7 +491,13 @@
 			limit = next
 		},
 		"wait": func(*rapid.T) { f.watch(t, time.Duration(draw("millis", 1, 8000))*time.Millisecond, limit) },
-		"":     func(t *rapid.T) { f.check(t) },
+		"idle": func(*rapid.T) {
+			for range 2 + int(IdleAfter/reviewInterval) {
+				f.watch(t, 10*time.Millisecond, limit)
+				time.Sleep(reviewInterval)
+			}
+		},
+		"": func(t *rapid.T) { f.check(t) },
 	})
 }
 
