--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -66,6 +66,7 @@
 	RetryBackoff           time.Duration // before the second attempt; doubles, jittered
 	MaxJobWait             time.Duration // longest long poll of GET /v1/jobs/{id}
 	MaxIdempotencyKeyBytes int
+	KeyLifetime            time.Duration // how long the outcome of an idempotency key is kept
 }
 
 // Defaults of Limits.
@@ -93,6 +94,7 @@
 	DefaultRetryFloorPerSec   = 1.0
 	DefaultRetryBackoff       = 5 * time.Millisecond
 	DefaultMaxJobWait         = time.Minute
+	DefaultKeyLifetime        = 24 * time.Hour
 	DefaultMaxKeyBytes        = 256
 )
 
@@ -120,6 +122,7 @@
 	setDefault(&l.RetryFloorPerSec, DefaultRetryFloorPerSec)
 	setDefault(&l.RetryBackoff, DefaultRetryBackoff)
 	setDefault(&l.MaxJobWait, DefaultMaxJobWait)
+	setDefault(&l.KeyLifetime, DefaultKeyLifetime)
 	setDefault(&l.MaxIdempotencyKeyBytes, DefaultMaxKeyBytes)
 	return l
 }
@@ -148,7 +151,7 @@
 	open     sync.WaitGroup // requests and the releases of their tickets
 }
 
-// New returns a Door. It starts no goroutine.
+// New returns a Door. It starts no goroutine; Run does its background work.
 func New(o Options) *Door {
 	limits := o.Limits.withDefaults()
 	rec := o.Recorder
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -282,3 +282,20 @@
 	req.job.Queue = "slips"
 	is.True(d.startDeadline(req).Sub(now) >= 4*time.Second) // one slow run does not lock its kind out
 }
+
+func TestOutcomesOfKeysExpire(t *testing.T) {
+	onRig(t, rigOptions{}, func(is *is.I, r *rig) {
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- r.doors[0].Run(ctx) }()
+		s := sent{body: "b", key: "slip-1"}
+		is.Equal(r.send(ctx, s).outcome, api.OutcomeDone)
+		time.Sleep(23 * time.Hour) // virtual
+		is.True(r.send(ctx, s).repeated)
+		time.Sleep(2 * time.Hour)
+		is.Equal(r.table.Stats().Rows, int64(0))
+		is.True(!r.send(ctx, s).repeated)
+		stop()
+		is.NoErr(<-ended)
+	})
+}
--- /dev/null
+++ b/internal/door/expire.go
@@ -0,0 +1,85 @@
+package door
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cuminloft/internal/platform"
+)
+
+const (
+	sweepEvery = 10 * time.Minute // mean time between two sweeps of one entry host
+	sweepPage  = 200              // rows read at once
+)
+
+// Run removes the expired rows of idempotency keys until ctx ends. Every entry
+// host does so at times of its own; two that meet harm nothing.
+func (d *Door) Run(ctx context.Context) error {
+	if d.opts.Table == nil {
+		<-ctx.Done()
+		return nil
+	}
+	for sleep(ctx, sweepEvery/2+rand.N(sweepEvery)) {
+		if err := d.sweep(ctx); err != nil {
+			countSweepErr.Add(1) // the table is down; the next sweep finds the same rows
+		}
+	}
+	return nil
+}
+
+// sweep removes the expired rows of all teams.
+func (d *Door) sweep(ctx context.Context) error {
+	c, _ := d.opts.View.Effective()
+	if c == nil {
+		return nil
+	}
+	for i := range c.Organisations {
+		for j := range c.Organisations[i].Teams {
+			if err := d.sweepTeam(ctx, c.Organisations[i].Teams[j].Name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Door) sweepTeam(ctx context.Context, team string) error {
+	after := ""
+	for {
+		rows, err := d.opts.Table.Range(ctx, idemPrefix(team), after, sweepPage)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		for _, row := range rows {
+			if err := d.removeExpired(ctx, row); err != nil {
+				return err
+			}
+		}
+		if len(rows) < sweepPage {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// removeExpired deletes a row whose request is long over, if nobody has changed
+// it since it was read.
+func (d *Door) removeExpired(ctx context.Context, row platform.Row) error {
+	var rec idemRecord
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return trace.Wrap(err, "row %s", row.Key)
+	}
+	if time.Since(time.Unix(0, rec.OpenUntil)) < d.limits.KeyLifetime {
+		return nil
+	}
+	_, err := d.opts.Table.Apply(ctx, []platform.Write{{Key: row.Key, IfVersion: row.Version, Delete: true}})
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- a/internal/door/idem.go
+++ b/internal/door/idem.go
@@ -52,9 +52,13 @@
 // may be long, or a secret.
 func idemKey(team, key string) string {
 	sum := sha256.Sum256([]byte(key))
-	return "idem/" + team + "/direct-" + hex.EncodeToString(sum[:])
+	return idemPrefix(team) + hex.EncodeToString(sum[:])
 }
 
+// idemPrefix is what the rows of a team's direct requests begin with; those of
+// its jobs do not.
+func idemPrefix(team string) string { return "idem/" + team + "/direct-" }
+
 // fingerprint tells requests apart that reuse a key for something else.
 func (r *request) fingerprint() string {
 	h := sha256.New()
--- a/internal/door/metrics.go
+++ b/internal/door/metrics.go
@@ -20,6 +20,7 @@
 	countCut        = newCounter("answers_cut")
 	countSettled    = newCounter("settled")
 	countRepeats    = newCounter("idempotency_repeats")
+	countSweepErr   = newCounter("sweep_errors")
 	countReleaseErr = newCounter("release_errors")
 	countConnOver   = newCounter("connections_over_limit")
 	countIdleClosed = newCounter("idle_connections_closed")
