shared: serve: run the door's background work; most requests in flight a team is its own limit

door.Run removes expired rows of idempotency keys. The setting max_in_flight_per_team bounded the waiting requests, because the door had no limit of its own for those in flight; now it has.

--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -310,6 +310,7 @@
 	group.Go(func() error { return serveHTTP(peers, p.peers) })
 	group.Go(func() error { return p.sync.Run(groupCtx) })
 	group.Go(func() error { return p.tracker.Run(groupCtx) })
+	group.Go(func() error { return p.door.Run(groupCtx) })
 	handedOver := make(chan struct{})
 	group.Go(func() error {
 		defer close(handedOver)
--- a/internal/serve/servers.go
+++ b/internal/serve/servers.go
@@ -46,13 +46,13 @@
 // door's defaults.
 func doorLimits(l settings.Limits) door.Limits {
 	return door.Limits{
-		MaxHeaderBytes:    l.MaxHeaderBytes,
-		MaxBody:           l.MaxBodyBytes,
-		MaxSubmission:     l.MaxJobBytes,
-		MaxConnections:    l.MaxConnections,
-		MaxWaitingPerTeam: l.MaxInFlightPerTeam,
-		HeaderTimeout:     time.Duration(l.HeaderTimeoutMS) * time.Millisecond,
-		IdleTimeout:       time.Duration(l.IdleTimeoutMS) * time.Millisecond,
+		MaxHeaderBytes:     l.MaxHeaderBytes,
+		MaxBody:            l.MaxBodyBytes,
+		MaxSubmission:      l.MaxJobBytes,
+		MaxConnections:     l.MaxConnections,
+		MaxInFlightPerTeam: l.MaxInFlightPerTeam,
+		HeaderTimeout:      time.Duration(l.HeaderTimeoutMS) * time.Millisecond,
+		IdleTimeout:        time.Duration(l.IdleTimeoutMS) * time.Millisecond,
 	}
 }
 
