door: route around a shard that fails what others do not

Cause: with all workers of one AZ failing everything no request was done (0 of 1501, amplification 1.105): the own AZ comes first, its owner cannot tell a failing AZ from a failing queue, and retries went to the same AZ. Ruled out: retries alone, a tenth of the requests by budget.

Change: the door keeps a failure rate by shard and queue; a shard that fails half of a queue's requests is left out while another fails less than half as much. A retry prefers a shard that has not failed the request. The failing scenario takes every third worker now.

--- a/internal/bench/load/scenarios.go
+++ b/internal/bench/load/scenarios.go
@@ -118,7 +118,10 @@
 	if len(o.Workers) < 3 {
 		return Report{}, errors.New("the scenario needs the addresses of three stand-in workers at least")
 	}
-	failing := o.Workers[:len(o.Workers)/3]
+	var failing []string // in every AZ
+	for i := 0; i < len(o.Workers); i += 3 {
+		failing = append(failing, o.Workers[i])
+	}
 	if err := setFailing(ctx, failing, true); err != nil {
 		return Report{}, err
 	}
--- a/internal/door/direct.go
+++ b/internal/door/direct.go
@@ -62,6 +62,7 @@
 			return req.final(refusal)
 		}
 		end := d.try(ctx, req, a)
+		d.judge(req, a, end)
 		if end.answer != nil && !d.triesFailedAgain(ctx, req, end.answer, sends) {
 			return end.answer, nil
 		}
@@ -75,6 +76,18 @@
 	}
 }
 
+// judge remembers whether the attempt failed on its shard.
+func (d *Door) judge(req *request, a *attempt, end ending) {
+	if end.final {
+		return // nothing was sent
+	}
+	failed := end.answer == nil || end.answer.failed
+	d.router.health.observe(shardQueue{a.shard.Name, req.job.Queue}, failed, time.Now())
+	if failed {
+		req.failedOn[a.shard.Name] = true
+	}
+}
+
 // final returns the truth about a request that is given up: what an earlier
 // attempt did outweighs why the last one was refused.
 func (r *request) final(last *Error) (*answer, *Error) {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -299,3 +299,36 @@
 		is.NoErr(<-ended)
 	})
 }
+
+func TestRoutesAroundAShardThatFailsEverything(t *testing.T) {
+	onRig(t, rigOptions{}, func(is *is.I, r *rig) {
+		for _, w := range r.owners[0].workers { // of the door's own AZ
+			w.plan = always(faultFails)
+		}
+		count := func(n int) (done int) {
+			for range n {
+				if r.send(context.Background(), sent{body: "b"}).outcome == api.OutcomeDone {
+					done++
+				}
+			}
+			return done
+		}
+		is.True(count(200) > 150)
+		for _, w := range r.owners[0].workers {
+			w.plan = always(faultNone)
+		}
+		time.Sleep(time.Minute) // virtual
+		before := r.owners[0].reserves
+		is.Equal(count(20), 20)
+		is.Equal(r.owners[0].reserves-before, 20) // the own AZ is near again
+	})
+}
+
+func TestAQueueThatFailsEverywhereStaysNear(t *testing.T) {
+	onRig(t, rigOptions{worker: always(faultFails)}, func(is *is.I, r *rig) {
+		for range 200 {
+			is.Equal(r.send(context.Background(), sent{body: "b"}).outcome, api.OutcomeFailed)
+		}
+		is.True(r.owners[0].reserves > 50) // the door's own AZ
+	})
+}
--- a/internal/door/request.go
+++ b/internal/door/request.go
@@ -27,6 +27,7 @@
 
 	attempts int32           // tickets asked for; the next attempt's number is one more
 	shards   map[string]bool // shards that cannot serve the request now
+	failedOn map[string]bool // shards on which an attempt failed
 	avoid    []string        // workers that failed earlier attempts
 	proof    Proof           // that the attempts so far had no effect, if ran is nil
 	ran      *Error          // what is known of an attempt that may have run
@@ -88,6 +89,7 @@
 		received: now,
 		deadline: now.Add(h.timeout),
 		shards:   make(map[string]bool),
+		failedOn: make(map[string]bool),
 		proof:    ProofNeverSent,
 	}
 	req.job = h.job(model.JobID(id), who.team, queue, now)
--- a/internal/door/reserve.go
+++ b/internal/door/reserve.go
@@ -21,7 +21,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		shard, ok := d.router.choose(c, req.job.Task.Resources, req.shards)
+		shard, ok := d.router.choose(c, &req.job, req.shards, req.failedOn)
 		if !ok {
 			return nil, orNoShard(last)
 		}
--- a/internal/door/route.go
+++ b/internal/door/route.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"cuminloft/internal/config"
 	"cuminloft/internal/member"
@@ -13,6 +14,7 @@
 type router struct {
 	directory member.Directory
 	az        string // of this entry host
+	health    *shardHealth
 
 	mu sync.Mutex
 	// since counts what this process has sent to a shard since the digest that
@@ -27,30 +29,54 @@
 }
 
 func newRouter(d member.Directory, az string) *router {
-	return &router{directory: d, az: az, since: make(map[string]sentSince)}
+	return &router{directory: d, az: az, health: newShardHealth(), since: make(map[string]sentSince)}
 }
 
-// choose returns a shard for a task of the given size that is not in tried:
-// one of the own AZ if it has room, else the less loaded of two random ones.
-// It returns false if no shard with a ready owner is left.
-func (r *router) choose(c *config.Config, size model.Resources, tried map[string]bool) (member.ShardRef, bool) {
-	var near, all []member.ShardRef
+// choose returns a shard for a task of the given size in the queue, leaving out
+// those in tried: one of the own AZ if it has room, else the less loaded of two
+// random ones. Shards on which an attempt of the request failed come last, and
+// so do shards that fail the queue while others serve it. It returns false if no
+// shard with a ready owner is left.
+func (r *router) choose(c *config.Config, job *model.Job, tried, failed map[string]bool) (member.ShardRef, bool) {
+	var all []member.ShardRef
 	for _, s := range r.directory.Shards() {
-		if tried[s.Name] || !usable(c, s) {
-			continue
-		}
-		all = append(all, s)
-		if s.AZ == r.az && r.hasRoom(s, size) {
-			near = append(near, s)
+		if !tried[s.Name] && usable(c, s) {
+			all = append(all, s)
 		}
 	}
-	if len(near) > 0 {
+	all = r.health.best(job.Queue, without(all, failed), time.Now())
+	if len(all) == 0 {
+		return member.ShardRef{}, false
+	}
+	if near := r.near(all, job.Task.Resources); len(near) > 0 {
 		return r.lessLoaded(near), true
 	}
-	if len(all) > 0 {
-		return r.lessLoaded(all), true
+	return r.lessLoaded(all), true
+}
+
+// without leaves out the failed shards, unless none would be left.
+func without(shards []member.ShardRef, failed map[string]bool) []member.ShardRef {
+	var out []member.ShardRef
+	for _, s := range shards {
+		if !failed[s.Name] {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return shards
+	}
+	return out
+}
+
+// near returns the shards of the own AZ that have room.
+func (r *router) near(shards []member.ShardRef, size model.Resources) []member.ShardRef {
+	var out []member.ShardRef
+	for _, s := range shards {
+		if s.AZ == r.az && r.hasRoom(s, size) {
+			out = append(out, s)
+		}
 	}
-	return member.ShardRef{}, false
+	return out
 }
 
 // usable reports whether work may be sent to a shard at all.
--- a/internal/door/submit.go
+++ b/internal/door/submit.go
@@ -203,7 +203,7 @@
 	if refusal != nil {
 		return member.ShardRef{}, refusal
 	}
-	s, ok := d.router.choose(c, sub.job.Task.Resources, sub.shards)
+	s, ok := d.router.choose(c, &sub.job, sub.shards, nil)
 	if !ok {
 		return member.ShardRef{}, orNoShard(nil)
 	}
