--- a/api/client.go
+++ b/api/client.go
@@ -59,15 +59,12 @@
 	query  url.Values
 	header http.Header
 	body   []byte
-	stream io.Reader // instead of body; cannot be sent twice
+	stream io.Reader // instead of body; unread until a connection is open
 	accept []int     // statuses of 400 and more that are no errors
 }
 
 // repeatable reports whether the call may be sent to another server after err.
 func (c *call) repeatable(err error) bool {
-	if c.stream != nil {
-		return false
-	}
 	return c.method == http.MethodGet || c.method == http.MethodDelete || neverSent(err)
 }
 
@@ -100,6 +97,9 @@
 
 func (c *Client) send(ctx context.Context, server string, what *call) (*http.Response, error) {
 	body := what.stream
+	if _, closes := body.(io.Closer); closes {
+		body = struct{ io.Reader }{body} // stays open for the next server
+	}
 	if body == nil && what.body != nil {
 		body = bytes.NewReader(what.body)
 	}
