--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -282,3 +282,53 @@
 	req.job.Queue = "slips"
 	is.True(d.startDeadline(req).Sub(now) >= 4*time.Second) // one slow run does not lock its kind out
 }
+
+func TestOutcomesOfKeysExpire(t *testing.T) {
+	onRig(t, rigOptions{}, func(is *is.I, r *rig) {
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- r.doors[0].Run(ctx) }()
+		s := sent{body: "b", key: "slip-1"}
+		is.Equal(r.send(ctx, s).outcome, api.OutcomeDone)
+		time.Sleep(23 * time.Hour) // virtual
+		is.True(r.send(ctx, s).repeated)
+		time.Sleep(2 * time.Hour)
+		is.Equal(r.table.Stats().Rows, int64(0))
+		is.True(!r.send(ctx, s).repeated)
+		stop()
+		is.NoErr(<-ended)
+	})
+}
+
+func TestRoutesAroundAShardThatFailsEverything(t *testing.T) {
+	onRig(t, rigOptions{}, func(is *is.I, r *rig) {
+		for _, w := range r.owners[0].workers { // of the door's own AZ
+			w.plan = always(faultFails)
+		}
+		count := func(n int) (done int) {
+			for range n {
+				if r.send(context.Background(), sent{body: "b"}).outcome == api.OutcomeDone {
+					done++
+				}
+			}
+			return done
+		}
+		is.True(count(200) > 150)
+		for _, w := range r.owners[0].workers {
+			w.plan = always(faultNone)
+		}
+		time.Sleep(time.Minute) // virtual
+		before := r.owners[0].reserves
+		is.Equal(count(20), 20)
+		is.Equal(r.owners[0].reserves-before, 20) // the own AZ is near again
+	})
+}
+
+func TestAQueueThatFailsEverywhereStaysNear(t *testing.T) {
+	onRig(t, rigOptions{worker: always(faultFails)}, func(is *is.I, r *rig) {
+		for range 200 {
+			is.Equal(r.send(context.Background(), sent{body: "b"}).outcome, api.OutcomeFailed)
+		}
+		is.True(r.owners[0].reserves > 50) // the door's own AZ
+	})
+}
