--- a/internal/serve/operator.go
+++ b/internal/serve/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -93,6 +94,9 @@
 	for _, c := range r.Changes {
 		reply.Diff = append(reply.Diff, c.String())
 	}
+	if r.State == configsync.StateDryRun && r.Effect != nil {
+		reply.Diff = append(reply.Diff, effectLines(r.Effect)...)
+	}
 	if r.Conflict != nil {
 		reply.State = api.ApplyConflict
 		reply.Version = int64(r.Conflict.Accepted.Version)
@@ -101,6 +105,35 @@
 	return reply
 }
 
+// effectLines says who would lose room and what would stop.
+func effectLines(e *config.Effect) []string {
+	var lines []string
+	if e.CapacityBefore != e.CapacityAfter {
+		lines = append(lines, fmt.Sprintf("effect: room in service: %s -> %s", e.CapacityBefore, e.CapacityAfter))
+	}
+	for _, k := range e.KeysWithdrawn {
+		lines = append(lines, fmt.Sprintf("effect: key %s of team %s stops working", k.ID, k.Team))
+	}
+	for _, t := range e.Teams {
+		lines = append(lines, teamEffectLines(t)...)
+	}
+	return lines
+}
+
+func teamEffectLines(t config.TeamEffect) []string {
+	var lines []string
+	if t.Removed {
+		lines = append(lines, fmt.Sprintf("effect: team %s is removed", t.Team))
+	}
+	if t.ShareAfter < t.ShareBefore {
+		lines = append(lines, fmt.Sprintf("effect: team %s: share when full %.1f%% -> %.1f%%", t.Team, 100*t.ShareBefore, 100*t.ShareAfter))
+	}
+	if !t.OverLimit.IsZero() {
+		lines = append(lines, fmt.Sprintf("effect: team %s runs %s over the new limit", t.Team, t.OverLimit))
+	}
+	return lines
+}
+
 // waitLine says in one line what a staged version waits for.
 func waitLine(w configsync.Wait) string {
 	line := "shard " + w.Shard + " in " + w.AZ
