--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -207,6 +207,7 @@
 		Listen:       listen,
 		RPCListen:    rpcAddr,
 		RPCAdvertise: rpcAddr,
+		LeaveGraceMS: 1, // no balancer has to notice
 		OperatorKeys: []settings.OperatorKey{{ID: "dev", SHA256: c.operatorHash}},
 	}
 	workers := httpjson.NewClient()
--- a/internal/serve/keeper.go
+++ b/internal/serve/keeper.go
@@ -66,6 +66,15 @@
 	missing  map[string]time.Time // since when a shard has no live owner
 	notUntil map[string]time.Time // when the next try may be made
 	ended    chan ownerEnded
+	told     map[string]announcement // as last announced
+}
+
+// announcement is the part of a digest that the other hosts must know at once;
+// the rest may wait for the next ping.
+type announcement struct {
+	fence     int64
+	ready     bool
+	confirmed int64
 }
 
 // holding is a shard owner that runs in this process.
@@ -87,6 +96,7 @@
 		missing:  map[string]time.Time{},
 		notUntil: map[string]time.Time{},
 		ended:    make(chan ownerEnded),
+		told:     map[string]announcement{},
 		started:  time.Now(),
 	}
 	k.publish()
@@ -106,6 +116,7 @@
 			k.ownerEnded(e)
 		case <-ticker.C:
 			k.look(ctx)
+			k.announceChanges()
 		}
 	}
 }
@@ -143,6 +154,23 @@
 	}
 }
 
+// announceChanges tells the other hosts when a shard has become ready or has
+// confirmed a configuration.
+func (k *keeper) announceChanges() {
+	changed := false
+	for name, h := range k.holdings {
+		d := h.owner.Digest()
+		now := announcement{fence: d.GetFence(), ready: d.GetReady(), confirmed: d.GetConfirmed()}
+		if k.told[name] != now {
+			k.told[name] = now
+			changed = true
+		}
+	}
+	if changed && k.opts.changed != nil {
+		k.opts.changed()
+	}
+}
+
 // mayTake reports whether this host should take the shard now. Safety does not
 // rest on it: the table's compare-and-set admits one owner whoever tries.
 func (k *keeper) mayTake(ctx context.Context, shard member.Shard, now time.Time) bool {
--- a/internal/serve/keeper_test.go
+++ b/internal/serve/keeper_test.go
@@ -35,7 +35,10 @@
 	return nil
 }
 
-func (o *fakeOwner) Digest() *rpc.ShardDigest     { return &rpc.ShardDigest{Shard: "keller-0"} }
+func (o *fakeOwner) Digest() *rpc.ShardDigest {
+	return &rpc.ShardDigest{Shard: "keller-0", Confirmed: o.bench.confirmed.Load()}
+}
+
 func (o *fakeOwner) Workers() []*rpc.WorkerStatus { return nil }
 
 // handOverTime is how long a fake owner takes to hand over.
@@ -51,6 +54,8 @@
 	runs       atomic.Int64
 	handedOver atomic.Int64
 	lastRun    atomic.Int64
+	confirmed  atomic.Int64 // configuration version in the owner's digest
+	announced  atomic.Int64
 }
 
 func (b *keeperBench) Members() []*rpc.Member { return b.members }
@@ -72,6 +77,7 @@
 		directory: b,
 		released:  func(context.Context, string) bool { return b.released.Load() },
 		newOwner:  func(member.Shard) shardOwner { return &fakeOwner{bench: b} },
+		changed:   func() { b.announced.Add(1) },
 		log:       logr.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,3 +177,17 @@
 		is.True(time.Since(began) >= handOverTime)
 	})
 }
+
+func TestKeeperAnnouncesAChangeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &keeperBench{members: members("a")}
+		b.released.Store(true)
+		defer b.start("a")()
+		time.Sleep(time.Second)
+		settled := b.announced.Load()
+		b.confirmed.Store(7)
+		time.Sleep(time.Second)
+		is.Equal(b.announced.Load(), settled+1)
+	})
+}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -330,8 +330,9 @@
 	return trace.Wrap(group.Wait())
 }
 
-// stop leaves the membership, hands over the shards and finishes the open
-// requests, in this order, so that no request is cut off and no shard waits.
+// stop leaves the membership, hands over the shards, serves on until the
+// balancer has noticed, and finishes the open requests, in this order, so that
+// no request is cut off and no shard waits.
 func (p *Process) stop(handOver context.CancelFunc, handedOver <-chan struct{}, callers *http.Server) {
 	p.log.Info("leaving")
 	p.state.Store(StateLeaving)
@@ -340,6 +341,7 @@
 	handOver()
 	<-handedOver
 	p.announce()
+	time.Sleep(time.Duration(p.settings.LeaveGraceMS) * time.Millisecond)
 	drainCtx, cancel := context.WithTimeout(context.Background(), DrainTimeout)
 	defer cancel()
 	if err := p.door.Drain(drainCtx); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,11 @@
 	Platform string `json:"platform"`
 	// Peers are RPC addresses of other entry hosts, used until the table or
 	// another member has named them.
-	Peers        []string      `json:"peers,omitempty"`
+	Peers []string `json:"peers,omitempty"`
+	// LeaveGraceMS is how long a leaving host goes on serving after it has told
+	// the balancer and the other hosts, in milliseconds. It should be longer
+	// than the balancer's interval between checks.
+	LeaveGraceMS int           `json:"leave_grace_ms,omitempty"`
 	OperatorKeys []OperatorKey `json:"operator_keys"`
 	Limits       Limits        `json:"limits"`
 	Budget       Budget        `json:"budget"`
@@ -75,6 +79,7 @@
 	DefaultHeaderTimeoutMS    = 5_000
 	DefaultIdleTimeoutMS      = 120_000
 	DefaultMaxInFlightPerTeam = 2_000
+	DefaultLeaveGraceMS       = 2_000
 	DefaultWritesPerSecond    = 50
 	DefaultReadsPerSecond     = 200
 )
@@ -129,6 +134,7 @@
 	fill(&l.HeaderTimeoutMS, DefaultHeaderTimeoutMS)
 	fill(&l.IdleTimeoutMS, DefaultIdleTimeoutMS)
 	fill(&l.MaxInFlightPerTeam, DefaultMaxInFlightPerTeam)
+	fill(&s.LeaveGraceMS, DefaultLeaveGraceMS)
 	fill(&s.Budget.WritesPerSecond, DefaultWritesPerSecond)
 	fill(&s.Budget.ReadsPerSecond, DefaultReadsPerSecond)
 	fill(&s.Log.Level, "info")
@@ -175,6 +181,7 @@
 		path  string
 		value int64
 	}{
+		{"leave_grace_ms", int64(s.LeaveGraceMS)},
 		{"limits.max_connections", int64(s.Limits.MaxConnections)},
 		{"limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes)},
 		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
