--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -232,7 +232,8 @@
 		is := is.New(t)
 		o := r.ready(t)
 		r.table.Set(standin.FaultSet{Freeze: true})
-		go func() { _, _ = o.Submit(t.Context(), r.job(1, true, time.Second)) }() // its write hangs
+		hangs := r.job(1, true, time.Second)
+		go func() { _, _ = o.Submit(t.Context(), hangs) }()
 		time.Sleep(time.Second)
 		began := time.Now()
 		_, err := o.Submit(t.Context(), r.job(1, true, time.Second))
