owner, serve: targets that leave, as the platform's host list says, get no new work

The host list was handed to the process and read by nobody: a leaving target was only noticed if the worker itself said so. The list lags and may be wrong, so it ends nothing: fences and leases do.

--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -24,11 +24,13 @@
 	reached bool              // the fence is raised and the worker answers
 	everMet bool              // under this fence
 	leaving bool              // says the worker
-	removed bool              // no longer in the configuration
-	clock   int64             // newest reading of the worker's clock
-	clockAt time.Time         // when it was received
-	boot    string
-	silent  time.Time // since when nothing is heard; zero: it answers
+	// hostLeaving is true if the platform's host list says so.
+	hostLeaving bool
+	removed     bool      // no longer in the configuration
+	clock       int64     // newest reading of the worker's clock
+	clockAt     time.Time // when it was received
+	boot        string
+	silent      time.Time // since when nothing is heard; zero: it answers
 	// renewed is the end of the last heartbeat that may have renewed leases.
 	renewed time.Time
 	acks    []worker.Attempt
@@ -280,7 +282,7 @@
 // showWorker tells the core how it may use the worker.
 func (l *loop) showWorker(k *link) {
 	state := sched.WorkerReady
-	if k.leaving || k.removed {
+	if k.leaving || k.hostLeaving || k.removed {
 		state = sched.WorkerLeaving
 	}
 	l.setState(k, state)
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -109,6 +109,7 @@
 func (l *loop) tick() {
 	l.feed(sched.Tick{})
 	l.checkTickets()
+	l.readHosts()
 	l.checkWorkers()
 	l.releaseRestored()
 	l.releaseHeld()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,7 +36,10 @@
 	Log      logr.Logger
 	Seed     uint64                  // of the decision core
 	Fleet    func() sched.FleetUsage // use of the other shards; may be nil
-	Grants   Grants                  // nil: teams are bounded by their whole limit
+	// Leaving reports whether the platform's host list says that a worker's
+	// host is leaving; may be nil.
+	Leaving func(worker string) bool
+	Grants  Grants // nil: teams are bounded by their whole limit
 }
 
 // Owner owns one shard for as long as Run runs.
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,13 @@
 	cfg      *config.Config
 	owners   []*testOwner
 	jobs     int
-	failures []error // of owners that were not killed
+	failures []error                // of owners that were not killed
+	leaving  atomic.Pointer[string] // worker whose host leaves, says the host list
+}
+
+func (r *rig) isLeaving(id string) bool {
+	leaving := r.leaving.Load()
+	return leaving != nil && *leaving == id
 }
 
 // testOwner is one entry host's owner, with links of its own that can be cut.
@@ -92,7 +99,7 @@
 		Connect: func(s model.WorkerSpec) worker.Client {
 			return gatedWorker{&o.gate, o.toWork[s.ID].Worker(r.workers[s.ID])}
 		},
-		View: configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1,
+		View: configsync.NewStatic(r.cfg), Log: logr.Discard(), Seed: 1, Leaving: r.isLeaving,
 	})
 	ctx, o.stop = context.WithCancel(ctx)
 	r.owners = append(r.owners, o)
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -68,6 +68,7 @@
 	sync    *configsync.Sync
 	tracker *member.Tracker
 	keeper  *keeper
+	hosts   *hostWatch
 	door    *door.Door
 
 	callers net.Listener
@@ -162,6 +163,7 @@
 		changed:   func() { p.announce() },
 		log:       p.log.WithName("shards"),
 	})
+	p.hosts = newHostWatch(p.outside.Hosts, p.ownsShard, p.log.WithName("hosts"))
 	p.door = p.newDoor()
 }
 
@@ -189,6 +191,8 @@
 	return configsync.NewDirectoryPeers(p.tracker, p.self.GetHost()).Confirmations()
 }
 
+func (p *Process) ownsShard() bool { return len(*p.keeper.held.Load()) > 0 }
+
 // announce tells the other members at once which shards this host owns.
 func (p *Process) announce() {
 	if p.tracker != nil {
@@ -248,6 +252,7 @@
 		Seed:     seedOf(p.self.GetIncarnation()),
 		Fleet:    fleetUsage(p.tracker, shard.Name),
 		Grants:   p.newGrants(shard.Name),
+		Leaving:  p.hosts.isLeaving,
 	})
 }
 
@@ -310,6 +315,7 @@
 	group.Go(func() error { return serveHTTP(peers, p.peers) })
 	group.Go(func() error { return p.sync.Run(groupCtx) })
 	group.Go(func() error { return p.tracker.Run(groupCtx) })
+	group.Go(func() error { return p.hosts.run(groupCtx) })
 	group.Go(func() error { return p.door.Run(groupCtx) })
 	handedOver := make(chan struct{})
 	group.Go(func() error {
