sched: a task keeps away from workers on which its kind failed last

Found by a load trial: with the first 3 of 16 workers failing everything, 0 of 3001 direct requests were done. Cause: direct work goes to the first workers that hold it; a kind that never ran elsewhere cannot tell a bad worker from a bad kind, so nobody was blamed and the same worker drew every request. Ruled out: the share of workers that may be out at once, which was never reached. Now a worker on which the kind failed last is only taken if no other holds the task.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -211,22 +211,41 @@
 }
 
 // chooseTight returns, among the first workers that hold the task, the one on
-// which the least room is left over.
+// which the least room is left over. A worker on which the kind failed last is
+// only taken if no other holds the task: trying elsewhere tells a worker that
+// fails everything from a kind that fails everywhere, and keeps one such worker
+// from drawing all tasks of a kind.
 func (c *Core) chooseTight(j *job) *worker {
-	var best *worker
-	bestLeft := 0.0
+	var best, doubted tightest
 	pos := c.index.next(&j.size, 0)
 	for n := 0; pos >= 0 && n < candidates; pos = c.index.next(&j.size, pos+1) {
 		w := c.byPos[pos]
 		if !c.accepts(w, j) {
 			continue
 		}
-		n++
-		if left := c.leftOver(w, &j.size); best == nil || left < bestLeft {
-			best, bestLeft = w, left
+		if j.est.doubts(w) {
+			doubted.offer(w, c.leftOver(w, &j.size))
+			continue
 		}
+		n++
+		best.offer(w, c.leftOver(w, &j.size))
+	}
+	if best.worker == nil {
+		return doubted.worker
+	}
+	return best.worker
+}
+
+// tightest keeps the worker with the least room left over.
+type tightest struct {
+	worker *worker
+	left   float64
+}
+
+func (t *tightest) offer(w *worker, left float64) {
+	if t.worker == nil || left < t.left {
+		t.worker, t.left = w, left
 	}
-	return best
 }
 
 // accepts reports whether j may run on w, whose room is large enough.
--- a/internal/sched/policy_test.go
+++ b/internal/sched/policy_test.go
@@ -226,6 +226,33 @@
 	}
 }
 
+// Workers that fail all they start, placed first, must not draw every request of
+// a kind that runs well elsewhere.
+func TestFailingWorkersDoNotDrawAllRequests(t *testing.T) {
+	const workers, requests = 16, 200
+	for _, failing := range []int{1, 3, 5} {
+		t.Run(fmt.Sprintf("%d of %d fail", failing, workers), func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t, testConfig(), workers)
+			done := 0
+			for i := range requests {
+				st := s.confirm(s.handle(JobAdded{Job: testJob(fmt.Sprint(i), "a", model.PolicyDirect, 1)}))[0]
+				var n int
+				_, err := fmt.Sscanf(st.Worker, "w%d", &n)
+				is.NoErr(err)
+				end := EndDone
+				if n < failing {
+					end = EndFailed
+				} else {
+					done++
+				}
+				s.end(st, end)
+			}
+			is.True(done >= requests*9/10) // the workers that run well have room for all
+		})
+	}
+}
+
 func TestGrantBlocksAndIsAskedFor(t *testing.T) {
 	is := is.New(t)
 	cfg := testConfig()
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -16,8 +16,11 @@
 	// unknownKindBlame is how much of a failure is held against the worker if
 	// the kind of job ran nowhere else yet.
 	unknownKindBlame = 0.5
-	// kindEnds is on how many workers the last end of a kind is remembered.
-	kindEnds = 8
+	// kindEnds is on how many workers the last end of a kind is remembered. It
+	// bounds how many failing workers of a shard a kind can keep away from.
+	kindEnds = 32
+	// kindGoods is how many of them may have ended well; the rest is for failures.
+	kindGoods = 8
 	// probeDelay is how long a worker is out before one task is tried again.
 	probeDelay = 30 * time.Second
 	// maxOutPart is the part of the workers that may be out at once, as a divisor.
@@ -66,13 +69,48 @@
 		e.ends[i].failed = failed
 		return
 	}
-	if len(e.ends) == kindEnds {
-		copy(e.ends, e.ends[1:])
-		e.ends = e.ends[:kindEnds-1]
+	if i := e.toForget(failed); i >= 0 {
+		e.ends = slices.Delete(e.ends, i, i+1)
 	}
 	e.ends = append(e.ends, kindEnd{w, failed})
 }
 
+// toForget returns which end gives way to a new one, or -1: the oldest good one
+// if there are enough of them, else the oldest of all if the memory is full.
+func (e *estimate) toForget(failed bool) int {
+	goods, oldest := 0, -1
+	for i, k := range e.ends {
+		if k.failed {
+			continue
+		}
+		if oldest < 0 {
+			oldest = i
+		}
+		goods++
+	}
+	switch {
+	case !failed && goods >= kindGoods:
+		return oldest
+	case len(e.ends) < kindEnds:
+		return -1
+	}
+	return 0
+}
+
+// doubts reports whether the kind failed on w when it last ran there. A nil
+// estimate doubts nothing.
+func (e *estimate) doubts(w *worker) bool {
+	if e == nil {
+		return false
+	}
+	for i := range e.ends {
+		if e.ends[i].worker == w {
+			return e.ends[i].failed
+		}
+	}
+	return false
+}
+
 // blame returns how much of a failure on w is held against w: the part of the
 // other workers on which the kind ended well last. If it ran on no other, only
 // its first failure counts.
