--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -12,6 +12,7 @@
 
 	"cuminloft/internal/config"
 	"cuminloft/internal/strictjson"
+	"cuminloft/internal/wait"
 )
 
 // State is what became of an apply.
@@ -169,7 +170,7 @@
 	}
 	d, err := s.newDriver(ctx, progress)
 	for err != nil {
-		if pause(ctx, settleInterval) != nil {
+		if wait.For(ctx, settleInterval) != nil {
 			return trace.Wrap(err)
 		}
 		d, err = s.newDriver(ctx, progress)
@@ -214,7 +215,7 @@
 		defer cancel()
 		s.waitClosed(ctx, staged)
 	}()
-	if pause(ctx, turn*FinishDelay) != nil {
+	if wait.For(ctx, turn*FinishDelay) != nil {
 		return
 	}
 	if s.applying.Load() > 0 {
--- a/internal/configsync/drive.go
+++ b/internal/configsync/drive.go
@@ -11,6 +11,7 @@
 	"cuminloft/internal/config"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 )
 
 // Timing of a step from staged to accepted.
@@ -295,7 +296,7 @@
 			case <-ctx.Done():
 			}
 		}
-		if pause(ctx, delay) != nil {
+		if wait.For(ctx, delay) != nil {
 			return
 		}
 		delay = min(2*delay, lastRepush)
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -10,6 +10,7 @@
 
 	"cuminloft/internal/config"
 	"cuminloft/internal/platform"
+	"cuminloft/internal/wait"
 )
 
 // Timing of table calls.
@@ -187,7 +188,7 @@
 		case !unsettled && tries >= callAttempts:
 			return trace.Wrap(err)
 		}
-		if pause(ctx, settleInterval) != nil {
+		if wait.For(ctx, settleInterval) != nil {
 			return trace.Wrap(ErrUnsettled, "version %d", r.Version)
 		}
 	}
@@ -206,7 +207,7 @@
 				return s.conflict(ctx, r, h)
 			}
 		}
-		if pause(ctx, settleInterval) != nil {
+		if wait.For(ctx, settleInterval) != nil {
 			return trace.Wrap(ErrUnsettled, "version %d", r.Version)
 		}
 	}
@@ -266,7 +267,7 @@
 			s.prune(ctx, staged.Version)
 			return nil
 		}
-		if pause(ctx, settleInterval) != nil {
+		if wait.For(ctx, settleInterval) != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -294,20 +295,8 @@
 		if err == nil || tries >= callAttempts || !errors.Is(err, platform.ErrUnavailable) {
 			return err
 		}
-		if pause(ctx, settleInterval) != nil {
+		if wait.For(ctx, settleInterval) != nil {
 			return err
 		}
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/door/direct.go
+++ b/internal/door/direct.go
@@ -8,6 +8,7 @@
 
 	"cuminloft/api"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 )
 
 // handleRun serves POST /v1/run/{queue}.
@@ -70,7 +71,7 @@
 			return req.final(end.err)
 		}
 		d.record(req, timeline.KindRequestRetried, a.ticket.GetWorker(), "")
-		if !sleep(ctx, d.backoff(sends)) {
+		if wait.For(ctx, d.backoff(sends)) != nil {
 			return req.final(pastDeadline())
 		}
 	}
--- a/internal/door/expire.go
+++ b/internal/door/expire.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"cuminloft/internal/platform"
+	"cuminloft/internal/wait"
 )
 
 const (
@@ -24,7 +25,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	for sleep(ctx, sweepEvery/2+rand.N(sweepEvery)) {
+	for wait.For(ctx, sweepEvery/2+rand.N(sweepEvery)) == nil {
 		if err := d.sweep(ctx); err != nil {
 			countSweepErr.Add(1) // the table is down; the next sweep finds the same rows
 		}
--- a/internal/door/release.go
+++ b/internal/door/release.go
@@ -8,6 +8,7 @@
 	"cuminloft/internal/member"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/sched"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -74,7 +75,7 @@
 			if d.tryRelease(ctx, shard, r) {
 				return
 			}
-			if !sleep(ctx, pause) {
+			if wait.For(ctx, pause) != nil {
 				break
 			}
 			pause *= 2
--- a/internal/door/settle.go
+++ b/internal/door/settle.go
@@ -9,6 +9,7 @@
 	"cuminloft/api"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -101,7 +102,7 @@
 		if err == nil {
 			_ = a.client.Stop(ctx, d.newestFence(a), a.id)
 		}
-		if !sleep(ctx, pause) {
+		if wait.For(ctx, pause) != nil {
 			return report, lastState(report, err)
 		}
 		pause = min(2*pause, settlePauseMax)
@@ -145,15 +146,3 @@
 	}
 	return fence
 }
-
-// sleep waits for the duration; it returns false if the context ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	t := time.NewTimer(pause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/door/submit.go
+++ b/internal/door/submit.go
@@ -14,6 +14,7 @@
 	"cuminloft/internal/model"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 )
 
 const (
@@ -147,7 +148,7 @@
 		if last.final {
 			return nil, last
 		}
-		if sub.pending != "" && !sleep(ctx, pause) {
+		if sub.pending != "" && wait.For(ctx, pause) != nil {
 			return nil, submissionUnknown(sub)
 		}
 	}
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -14,6 +14,7 @@
 	"cuminloft/internal/model"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/rpc"
+	"cuminloft/internal/wait"
 )
 
 // inheritPage is the most rows that one read returns.
@@ -29,7 +30,7 @@
 	for {
 		rows, err := h.inheritPage(ctx, after)
 		if err != nil {
-			if pause(ctx, retryInterval) != nil {
+			if wait.For(ctx, retryInterval) != nil {
 				return trace.Wrap(err)
 			}
 			continue
@@ -116,7 +117,7 @@
 		if err == nil || errors.Is(err, ErrNotOwner) || errors.Is(err, ErrCorrupt) {
 			return row, err
 		}
-		if pause(ctx, retryInterval) != nil || m.holder.changes.Wait(ctx) != nil {
+		if wait.For(ctx, retryInterval) != nil || m.holder.changes.Wait(ctx) != nil {
 			return Row{}, trace.Wrap(err)
 		}
 	}
@@ -220,15 +221,3 @@
 	}
 	return reply.GetGiven().Model(), nil
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/journal/load.go
+++ b/internal/journal/load.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"cuminloft/internal/platform"
+	"cuminloft/internal/wait"
 )
 
 // pageRows is how many rows one read of the journal asks for.
@@ -109,7 +110,7 @@
 		if err == nil || errors.Is(err, platform.ErrNotFound) {
 			return v, err
 		}
-		if ended := sleep(ctx, settleRetry); ended != nil {
+		if ended := wait.For(ctx, settleRetry); ended != nil {
 			return v, trace.Wrap(ended)
 		}
 	}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"cuminloft/internal/platform"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -108,7 +109,7 @@
 		if !errors.Is(err, errUnsettled) {
 			return err
 		}
-		if err := sleep(ctx, settleRetry); err != nil {
+		if err := wait.For(ctx, settleRetry); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -250,14 +251,3 @@
 	first := &IdempotencyRow{}
 	return first, trace.Wrap(decode(found.Value, first), "row %s", row)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/owner/adopt.go
+++ b/internal/owner/adopt.go
@@ -13,6 +13,7 @@
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 )
 
 // ErrAlive is returned by Adopt when the shard's owner gave a sign of life.
@@ -47,14 +48,14 @@
 	return moved, trace.NewAggregate(err, release(ctx, o.opts.Table, from, h))
 }
 
-// watchSilence returns nil once the shard's owner has not signed for the wait.
-func (o *Owner) watchSilence(ctx context.Context, shard string, wait time.Duration) error {
+// watchSilence returns nil once the shard's owner has not signed for the given time.
+func (o *Owner) watchSilence(ctx context.Context, shard string, silence time.Duration) error {
 	first, err := o.signs(ctx, shard)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	for began := time.Now(); time.Since(began) < wait; {
-		if err := pause(ctx, aliveEvery); err != nil {
+	for began := time.Now(); time.Since(began) < silence; {
+		if err := wait.For(ctx, aliveEvery); err != nil {
 			return trace.Wrap(err)
 		}
 		now, err := o.signs(ctx, shard)
--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -10,6 +10,7 @@
 	"cuminloft/internal/model"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -76,7 +77,7 @@
 		if l.raiseFence(ctx, k) {
 			l.sendHeartbeats(ctx, k)
 		}
-		if pause(ctx, fenceRetry) != nil {
+		if wait.For(ctx, fenceRetry) != nil {
 			return
 		}
 	}
@@ -99,7 +100,7 @@
 			return
 		case o = <-k.orders:
 		}
-		if o.refence || pause(ctx, o.delay) != nil {
+		if o.refence || wait.For(ctx, o.delay) != nil {
 			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, o.beat.Wait+commandTimeout)
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -5,13 +5,13 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"cuminloft/internal/journal"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/rpc"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -111,7 +111,7 @@
 		if errors.Is(err, platform.ErrConflict) {
 			return settleOwnership(ctx, table, shard, next)
 		}
-		if err := pause(ctx, ownerRowRetry); err != nil {
+		if err := wait.For(ctx, ownerRowRetry); err != nil {
 			return held{}, trace.Wrap(err)
 		}
 	}
@@ -130,20 +130,8 @@
 		if errors.Is(err, journal.ErrCorrupt) {
 			return held{}, trace.Wrap(err)
 		}
-		if err := pause(ctx, ownerRowRetry); err != nil {
+		if err := wait.For(ctx, ownerRowRetry); err != nil {
 			return held{}, trace.Wrap(err)
 		}
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"cuminloft/internal/sched"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -33,7 +34,7 @@
 				l.post(ctx, m)
 				return
 			}
-			if pause(ctx, fenceRetry) != nil {
+			if wait.For(ctx, fenceRetry) != nil {
 				return
 			}
 		}
--- a/internal/owner/start.go
+++ b/internal/owner/start.go
@@ -9,6 +9,7 @@
 	"cuminloft/internal/model"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -285,7 +286,7 @@
 			if err == nil || errors.Is(err, worker.ErrUnknownTask) || errors.Is(err, worker.ErrFenced) {
 				return
 			}
-			if pause(ctx, fenceRetry) != nil {
+			if wait.For(ctx, fenceRetry) != nil {
 				return
 			}
 		}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -14,6 +14,7 @@
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -77,7 +78,7 @@
 // the takeover was written.
 func (o *Owner) awaitConfig(ctx context.Context) error {
 	for o.opts.View.Refresh(ctx) != nil {
-		if err := pause(ctx, ownerRowRetry); err != nil {
+		if err := wait.For(ctx, ownerRowRetry); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,19 @@
+// Package wait has waits that end with a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d. It returns the context's error if ctx ends first.
+func For(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
