--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -10,6 +10,7 @@
 	"cuminloft/internal/model"
 	"cuminloft/internal/sched"
 	"cuminloft/internal/timeline"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/worker"
 )
 
@@ -24,11 +25,13 @@
 	reached bool              // the fence is raised and the worker answers
 	everMet bool              // under this fence
 	leaving bool              // says the worker
-	removed bool              // no longer in the configuration
-	clock   int64             // newest reading of the worker's clock
-	clockAt time.Time         // when it was received
-	boot    string
-	silent  time.Time // since when nothing is heard; zero: it answers
+	// hostLeaving is true if the platform's host list says so.
+	hostLeaving bool
+	removed     bool      // no longer in the configuration
+	clock       int64     // newest reading of the worker's clock
+	clockAt     time.Time // when it was received
+	boot        string
+	silent      time.Time // since when nothing is heard; zero: it answers
 	// renewed is the end of the last heartbeat that may have renewed leases.
 	renewed time.Time
 	acks    []worker.Attempt
@@ -74,7 +77,7 @@
 		if l.raiseFence(ctx, k) {
 			l.sendHeartbeats(ctx, k)
 		}
-		if pause(ctx, fenceRetry) != nil {
+		if wait.For(ctx, fenceRetry) != nil {
 			return
 		}
 	}
@@ -97,7 +100,7 @@
 			return
 		case o = <-k.orders:
 		}
-		if o.refence || pause(ctx, o.delay) != nil {
+		if o.refence || wait.For(ctx, o.delay) != nil {
 			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, o.beat.Wait+commandTimeout)
@@ -280,7 +283,7 @@
 // showWorker tells the core how it may use the worker.
 func (l *loop) showWorker(k *link) {
 	state := sched.WorkerReady
-	if k.leaving || k.removed {
+	if k.leaving || k.hostLeaving || k.removed {
 		state = sched.WorkerLeaving
 	}
 	l.setState(k, state)
