--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -19,6 +19,18 @@
 	keep      = flag.String("keep", "", "directory for the logs of runs with violations")
 )
 
+// buildDir holds the binary that the tests built; empty if none did.
+var buildDir string
+
+// TestMain removes the binary that the tests built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+	os.Exit(code)
+}
+
 // binary is the real binary, built once for all tests.
 var binary = sync.OnceValues(func() (string, error) {
 	if *ready != "" {
@@ -28,6 +40,7 @@
 	if err != nil {
 		return "", err
 	}
+	buildDir = dir
 	path := filepath.Join(dir, "cuminloft")
 	out, err := exec.Command("go", "build", "-o", path, "cuminloft/cmd/cuminloft").CombinedOutput()
 	if err != nil {
