owner: renew a lease when it is due, and keep attempts by worker

Cause, from the capacity runs: each heartbeat named every task of its worker, busy workers were asked every second for their clock, and each such heartbeat went over all attempts of the shard. The clock has been read on demand since idle workers are asked seldom, so busy ones need no more: heartbeats wait up to 5 s, a lease is extended when its last extension is a quarter of it old, and attempts are kept by worker.

--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -28,8 +28,8 @@
 type attempt struct {
 	id         worker.Attempt
 	job        *model.Job
-	worker     string
-	own        bool // started by this owner, not adopted
+	worker     string // never changes
+	own        bool   // started by this owner, not adopted
 	phase      phase
 	recorded   bool   // its start record is durable
 	boot       string // of the worker at the start
@@ -38,6 +38,8 @@
 	checkpoint string // newest one
 	startBy    int64  // on the worker's clock; of tickets
 	stopped    bool   // the core wants it to end
+	// renewedAt is when the last heartbeat that extended the lease was ordered.
+	renewedAt time.Time
 }
 
 func (a *attempt) direct() bool { return a.job.Policy == model.PolicyDirect }
@@ -50,6 +52,10 @@
 // track enters an attempt in the tables.
 func (l *loop) track(a *attempt) {
 	l.attempts[a.id] = a
+	if l.on[a.worker] == nil {
+		l.on[a.worker] = map[worker.Attempt]*attempt{}
+	}
+	l.on[a.worker][a.id] = a
 	l.current[a.id.Task] = a
 	l.active[a.id.Task.Job]++
 	l.notify(a.id.Task.Job)
@@ -61,6 +67,10 @@
 		return
 	}
 	delete(l.attempts, a.id)
+	delete(l.on[a.worker], a.id)
+	if len(l.on[a.worker]) == 0 {
+		delete(l.on, a.worker)
+	}
 	if l.current[a.id.Task] == a {
 		delete(l.current, a.id.Task)
 	}
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -43,8 +43,8 @@
 		o := r.ready(t)
 		before := o.heartbeats.Load()
 		time.Sleep(time.Minute)
-		is.True(o.heartbeats.Load()-before <= int64(time.Minute/idleWait)+1)
-		time.Sleep(idleWait / 2)
+		is.True(o.heartbeats.Load()-before <= int64(time.Minute/beatWait)+1)
+		time.Sleep(beatWait / 2)
 		ticket, err := o.Reserve(t.Context(), r.slip())
 		is.NoErr(err)
 		left := time.Duration(ticket.GetStartBy() - time.Now().UnixNano()) // w0's clock is exact
@@ -56,6 +56,25 @@
 	})
 }
 
+// A worker whose tasks run long is asked as seldom as an idle one, and each lease
+// is extended a few times over its length, well before it lapses.
+func TestBusyWorkerIsAskedSeldomAndKeepsItsLeases(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		o := r.ready(t)
+		id := o.mustSubmit(t, r.job(4, false, 10*time.Minute))
+		time.Sleep(5 * time.Second)
+		beats, renewals := o.heartbeats.Load(), o.renewals.Load()
+		time.Sleep(5 * time.Minute)
+		leases := int64(5 * time.Minute / config.DefaultLease)
+		is.True(o.heartbeats.Load()-beats <= int64(5*time.Minute/beatWait)+1)
+		is.True(o.renewals.Load()-renewals <= 4*leases*renewPart) // each task, a few times a lease
+		time.Sleep(6 * time.Minute)
+		is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
+		is.Equal(len(r.records()), 4) // no lease lapsed, nothing ran twice
+	})
+}
+
 // An owner without the table starts restartable tasks unrecorded. A successor
 // that cannot reach the tasks' worker waits until the leases have lapsed.
 func TestSuccessorWaitsForUnrecordedStarts(t *testing.T) {
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -14,6 +14,7 @@
 // thaw, as a process does that was paused between a decision and its send.
 type gate struct {
 	heartbeats atomic.Int64 // sent through the gate
+	renewals   atomic.Int64 // leases extended by them
 
 	mu     sync.Mutex
 	frozen chan struct{} // closed at the thaw; nil: not frozen
@@ -95,6 +96,7 @@
 
 func (w gatedWorker) Heartbeat(ctx context.Context, h worker.Heartbeat) (worker.HeartbeatReply, error) {
 	w.heartbeats.Add(1)
+	w.renewals.Add(int64(len(h.Renew)))
 	ctx, cancel := w.pass(ctx)
 	defer cancel()
 	return w.to.Heartbeat(ctx, h)
--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -36,7 +36,11 @@
 	renewed time.Time
 	acks    []worker.Attempt
 	acking  []worker.Attempt // in the heartbeat under way
-	known   map[worker.Attempt]bool
+	// renewing are the attempts that the heartbeat under way extends, since it
+	// was ordered.
+	renewing  []worker.Attempt
+	orderedAt time.Time
+	known     map[worker.Attempt]bool
 }
 
 // order tells the link's goroutine what to do next.
@@ -156,6 +160,7 @@
 		delete(k.known, id)
 	}
 	k.acking = nil
+	l.renewed(k)
 	news := false
 	for _, t := range m.reply.Changed {
 		news = l.reported(k, t) || news
@@ -168,6 +173,16 @@
 	l.orderBeat(k, delay)
 }
 
+// renewed notes which leases a heartbeat that was answered has extended.
+func (l *loop) renewed(k *link) {
+	for _, id := range k.renewing {
+		if a, ok := l.attempts[id]; ok {
+			a.renewedAt = k.orderedAt
+		}
+	}
+	k.renewing = nil
+}
+
 func (k *link) heard(clock int64, boot string, leaving bool) {
 	k.clock, k.boot, k.leaving = clock, boot, leaving
 	k.clockAt = time.Now()
@@ -186,23 +201,24 @@
 // orderBeat has the link send the next heartbeat.
 func (l *loop) orderBeat(k *link, delay time.Duration) {
 	k.acking, k.acks = k.acks, nil
+	k.renewing, k.orderedAt = l.renewals(k), time.Now()
 	k.orders <- order{delay: delay, beat: worker.Heartbeat{
 		Fence: l.held.Fence,
 		Lease: l.lease(),
-		Renew: l.renewals(k),
+		Renew: k.renewing,
 		Ack:   k.acking,
-		Wait:  l.beatWait(k),
+		Wait:  l.beatWait(),
 	}}
 }
 
-// beatWait is how long the next heartbeat may wait. A worker that runs nothing
-// is asked less often; its clock is read anew before something starts there.
-func (l *loop) beatWait(k *link) time.Duration {
-	if l.uses(k.spec.ID) {
-		return l.startWindow() / 2
-	}
-	return idleWait
-}
+// beatWait is how long the next heartbeat may wait. Ends are told at once; the
+// worker's clock is read anew before something starts there.
+func (l *loop) beatWait() time.Duration { return min(beatWait, l.renewEvery()) }
+
+// renewEvery is the age of an extension from which on a lease is extended again.
+// With the wait of a heartbeat and the time of one that is lost it stays well
+// within the lease.
+func (l *loop) renewEvery() time.Duration { return l.lease() / renewPart }
 
 // clockFresh reports whether the last reading of the worker's clock leaves at
 // least half of the start window.
@@ -248,15 +264,15 @@
 	return reply.Clock, nil
 }
 
-// renewals lists the attempts whose leases are extended. Without the table the
+// renewals lists the attempts whose leases are due to be extended. Without the table the
 // leases of tasks without a start record are not extended beyond the solo
 // window, and no other job's beyond renewWithoutTable: a successor that cannot
 // reach the worker counts on that.
 func (l *loop) renewals(k *link) []worker.Attempt {
 	now := time.Now()
 	var out []worker.Attempt
-	for _, a := range l.attempts {
-		if a.worker != k.spec.ID || !a.mayRun() {
+	for _, a := range l.on[k.spec.ID] {
+		if !a.mayRun() || now.Sub(a.renewedAt) < l.renewEvery() {
 			continue
 		}
 		if a.direct() || now.Before(l.renewUntil(a)) {
@@ -334,8 +350,8 @@
 // idempotent is waited for a while longer: the worker may come back and tell.
 func (l *loop) lapse(k *link, now time.Time) {
 	waiting := false
-	for _, a := range l.attempts {
-		if a.worker != k.spec.ID || !a.mayRun() {
+	for _, a := range l.on[k.spec.ID] {
+		if !a.mayRun() {
 			continue
 		}
 		if !a.job.Task.Idempotent && !a.direct() && now.Before(l.lapsedBy(k).Add(abandonAfter)) {
@@ -350,14 +366,7 @@
 }
 
 // uses reports whether anything runs or may run on the worker.
-func (l *loop) uses(id string) bool {
-	for _, a := range l.attempts {
-		if a.worker == id {
-			return true
-		}
-	}
-	return false
-}
+func (l *loop) uses(id string) bool { return len(l.on[id]) > 0 }
 
 // disconnect forgets a worker that left the configuration and runs nothing.
 func (l *loop) disconnect(k *link) {
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -33,8 +33,9 @@
 	state    *journal.State // as it will be once the queue is written
 	queue    writeQueue
 	attempts map[worker.Attempt]*attempt
-	current  map[model.TaskID]*attempt // newest attempt of each task
-	active   map[model.JobID]int       // attempts by job
+	on       map[string]map[worker.Attempt]*attempt // the same by worker
+	current  map[model.TaskID]*attempt              // newest attempt of each task
+	active   map[model.JobID]int                    // attempts by job
 	direct   map[model.JobID]*reservation
 	workers  map[string]*link
 	watchers map[model.JobID][]watcher
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -19,8 +19,8 @@
 		listed[t.Attempt] = true
 		l.reported(k, t)
 	}
-	for id, a := range l.attempts {
-		if a.worker == k.spec.ID && !listed[id] {
+	for id, a := range l.on[k.spec.ID] {
+		if !listed[id] {
 			l.missing(a, inv.Boot)
 		}
 	}
--- a/internal/owner/settings.go
+++ b/internal/owner/settings.go
@@ -28,7 +28,8 @@
 	commandTimeout  = 2 * time.Second
 	fenceTimeout    = time.Second
 	fenceRetry      = 250 * time.Millisecond
-	idleWait        = 5 * time.Second        // heartbeat of a worker that runs nothing
+	beatWait        = 5 * time.Second        // longest wait of a heartbeat
+	renewPart       = 4                      // of a lease, as a divisor
 	heartbeatPause  = 50 * time.Millisecond  // between two heartbeats
 	knownPause      = 250 * time.Millisecond // after a reply without news
 	leaseMargin     = 2 * time.Second        // on top of lease and start window
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -57,6 +57,7 @@
 		core:      sched.New(o.opts.Shard, o.opts.Seed),
 		queue:     writeQueue{out: make(chan []journal.Entry, 1)},
 		attempts:  map[worker.Attempt]*attempt{},
+		on:        map[string]map[worker.Attempt]*attempt{},
 		current:   map[model.TaskID]*attempt{},
 		active:    map[model.JobID]int{},
 		direct:    map[model.JobID]*reservation{},
