--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -27,12 +27,13 @@
 
 type decideCommand struct {
 	decide.Options
+	Plot string `type:"path" placeholder:"FILE" help:"Write the plots of the day to this SVG file."`
 }
 
 // Help shows examples.
 func (decideCommand) Help() string {
 	return `Examples:
-  cuminloft bench decide --user himali --load 1.3
+  cuminloft bench decide --user himali --load 1.3 --plot himali.svg
   cuminloft bench decide --size target --duration 2m -o json`
 }
 
@@ -42,12 +43,25 @@
 	if err != nil {
 		return err
 	}
+	if c.Plot != "" {
+		if err := writePlot(c.Plot, report); err != nil {
+			return err
+		}
+	}
 	if s.flags.Output == outputJSON {
 		return report.JSON(s.stdout)
 	}
 	return report.Text(s.stdout)
 }
 
+func writePlot(path string, report decide.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	return errors.Join(report.SVG(f), f.Close())
+}
+
 type loadCommand struct {
 	Queue           string        `arg:"" help:"Queue with the policy direct."`
 	Scenario        string        `enum:"rate,latency,throughput,overload,failing,idle,big-answer" default:"rate" help:"What to measure: ${enum}."`
