serve, owner: move the waiting jobs of an AZ that is taken out

Cause: each AZ's queue belongs to its shard, and nothing starts in an AZ that is out, so accepted jobs stood still until operators brought it back.

--- a/internal/owner/adopt.go
+++ b/internal/owner/adopt.go
@@ -16,8 +16,13 @@
 	"cuminloft/internal/wait"
 )
 
-// ErrAlive is returned by Adopt when the shard's owner gave a sign of life.
-var ErrAlive = errors.New("shard has a living owner")
+// Errors of adoption.
+var (
+	// ErrAlive: the shard's owner gave a sign of life.
+	ErrAlive = errors.New("shard has a living owner")
+	// ErrNotReleased: the shard was not handed over, or is taken again.
+	ErrNotReleased = errors.New("shard is not handed over")
+)
 
 // Adopt moves the waiting jobs of another shard to this one, with their ids, and
 // returns how many. The caller has found that no host of the other shard's AZ is
@@ -39,12 +44,34 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
+	return o.moveAndRelease(ctx, from, h)
+}
+
+// AdoptReleased moves the waiting jobs of a shard that its owner has handed over
+// because its AZ is out of service, and returns how many. Nothing has to be
+// waited for: the former owner has recorded all that it started, and what runs
+// is left to the owner that takes the shard next. It returns ErrNotReleased, and
+// moves nothing, if the shard is not handed over.
+func (o *Owner) AdoptReleased(ctx context.Context, from string) (int, error) {
+	if !o.serving.Load() {
+		return 0, notReady()
+	}
+	h, err := takeReleased(ctx, o.opts.Table, from, o.opts.Self)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return o.moveAndRelease(ctx, from, h)
+}
+
+// moveAndRelease moves the waiting jobs of a shard that was taken for this, and
+// gives it up again.
+func (o *Owner) moveAndRelease(ctx context.Context, from string, h held) (int, error) {
 	moved, err := o.moveJobs(ctx, from, h)
 	if errors.Is(err, ErrLost) {
 		return moved, trace.Wrap(err)
 	}
-	// What the former owner recorded may still run there: no clean hand-over.
-	h.Adopted = true
+	// What an owner that did not hand over has recorded may still run there.
+	h.Adopted = !h.clean
 	return moved, trace.NewAggregate(err, release(ctx, o.opts.Table, from, h))
 }
 
--- a/internal/owner/adopt_test.go
+++ b/internal/owner/adopt_test.go
@@ -13,8 +13,9 @@
 	"cuminloft/internal/standin"
 )
 
-// addAZ adds a second AZ with one worker.
-func (r *rig) addAZ(name string) {
+// addLager adds a second AZ with one worker.
+func (r *rig) addLager() {
+	const name = "lager"
 	spec := model.WorkerSpec{
 		ID: name + "-w", Addr: "127.0.0.1:9100", AZ: name, Rack: "r1", Connections: 8,
 		Capacity: model.Resources{MilliCores: 4000, MemoryMB: 8000, Slots: 4},
@@ -29,7 +30,7 @@
 func TestLostAZIsAdopted(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		r.addAZ("lager")
+		r.addLager()
 		lost, other := r.start(t.Context()), r.startShard(t.Context(), "lager")
 		time.Sleep(time.Second)
 		m := &machine{rig: r, idem: map[string]bool{}}
@@ -77,7 +78,7 @@
 func TestLivingShardIsNotAdopted(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
-		r.addAZ("lager")
+		r.addLager()
 		living, other := r.start(t.Context()), r.startShard(t.Context(), "lager")
 		time.Sleep(time.Second)
 		_, err := other.Adopt(t.Context(), testShard)
@@ -104,3 +105,46 @@
 		}
 	})
 }
+
+// The queue of an AZ that operators take out is moved at once; what runs there
+// goes on under the next owner of its shard, and nothing runs twice.
+func TestQueueOfAnAZOutOfServiceIsMoved(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.addLager()
+		leaving, other := r.start(t.Context()), r.startShard(t.Context(), "lager")
+		time.Sleep(time.Second)
+		m := &machine{rig: r, idem: map[string]bool{}}
+		var ids []string
+		for i := range 12 { // four run, eight wait
+			id := leaving.mustSubmit(t, r.job(1, i%2 == 0, 10*time.Minute))
+			ids = append(ids, id)
+			m.idem[id] = i%2 == 0
+		}
+		time.Sleep(time.Second)
+		_, err := other.AdoptReleased(t.Context(), testShard)
+		is.True(errors.Is(err, ErrNotReleased)) // its owner serves
+
+		leaving.stop()
+		is.NoErr(<-leaving.ended)
+		leaving.ended <- nil
+		began := time.Now()
+		moved, err := other.AdoptReleased(t.Context(), testShard)
+		is.NoErr(err)
+		is.Equal(moved, 8)
+		is.True(time.Since(began) < 4*time.Second)
+		is.NoErr(m.check())
+
+		back := r.start(t.Context())
+		time.Sleep(time.Hour / 2)
+		is.NoErr(m.check())
+		for i, id := range ids {
+			o := back
+			if i >= 4 {
+				o = other
+			}
+			is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
+		}
+		is.Equal(len(r.records()), 12)
+	})
+}
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -109,7 +109,7 @@
 		byKey: map[string]string{}, cancels: map[string]bool{}, idem: map[string]bool{}, doors: make(chan struct{}, 1000),
 	}
 	defer m.endAll()
-	m.addAZ("lager")
+	m.addLager()
 	m.other = m.startShard(t.Context(), "lager")
 	m.take()
 	time.Sleep(time.Second)
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -75,6 +75,24 @@
 	if err != nil {
 		return held{}, trace.Wrap(err)
 	}
+	return succeed(ctx, table, shard, self, last, version)
+}
+
+// takeReleased does as take does, but only if the shard was handed over cleanly
+// and nobody has taken it since. It returns ErrNotReleased otherwise.
+func takeReleased(ctx context.Context, table platform.Table, shard string, self *rpc.Member) (held, error) {
+	last, version, err := readOwnership(ctx, table, shard)
+	if err != nil {
+		return held{}, trace.Wrap(err)
+	}
+	if !last.Released || last.Adopted {
+		return held{}, trace.Wrap(ErrNotReleased)
+	}
+	return succeed(ctx, table, shard, self, last, version)
+}
+
+// succeed makes self the owner after last, whose row has the given version.
+func succeed(ctx context.Context, table platform.Table, shard string, self *rpc.Member, last Ownership, version int64) (held, error) {
 	next := Ownership{
 		Host:        self.GetHost(),
 		Addr:        self.GetAddr(),
--- a/internal/serve/adopter.go
+++ b/internal/serve/adopter.go
@@ -30,7 +30,12 @@
 	directory member.Directory
 	// adopt moves the waiting jobs of a shard to the one named by.
 	adopt func(ctx context.Context, by, from string) (int, error)
-	log   logr.Logger
+	// adoptReleased does the same for a shard that was handed over because its
+	// AZ is out of service.
+	adoptReleased func(ctx context.Context, by, from string) (int, error)
+	// outOfService reports whether operators have taken an AZ out.
+	outOfService func(az string) bool
+	log          logr.Logger
 
 	lostSince map[string]time.Time // by shard
 	notUntil  map[string]time.Time
@@ -60,6 +65,9 @@
 	now := time.Now()
 	alive := liveAZs(a.directory.Members())
 	for _, shard := range a.shards() {
+		if shard.AZ != a.az && alive[shard.AZ] && a.outOfService(shard.AZ) {
+			a.takeReleased(ctx, shard, now)
+		}
 		if shard.AZ == a.az || alive[shard.AZ] {
 			delete(a.lostSince, shard.Name)
 			continue
@@ -80,6 +88,26 @@
 	}
 }
 
+// takeReleased moves the waiting jobs of a shard that has no owner because its
+// AZ is out of service.
+func (a *adopter) takeReleased(ctx context.Context, shard member.Shard, now time.Time) {
+	ref, ok := a.directory.Shard(shard.Name)
+	if !ok || ref.Owner != nil || now.Before(a.notUntil[shard.Name]) {
+		return
+	}
+	by, ok := a.choice(shard.Name)
+	if !ok || !by.Local {
+		return
+	}
+	moved, err := a.adoptReleased(ctx, by.Name, shard.Name)
+	if err == nil {
+		a.notUntil[shard.Name] = now.Add(adoptRetry)
+	}
+	if moved > 0 || err == nil {
+		a.log.Info("moved the waiting jobs of an AZ out of service", "shard", shard.Name, "by", by.Name, "moved", moved, "error", err)
+	}
+}
+
 // choice returns the shard that adopts the lost one: the first by rendezvous
 // hashing among those that can run work now.
 func (a *adopter) choice(lost string) (member.ShardRef, bool) {
@@ -87,7 +115,7 @@
 	var bestWeight uint64
 	found := false
 	for _, ref := range a.directory.Shards() {
-		if ref.Owner == nil || !ref.Digest.GetReady() || ref.Digest.GetCapacity().Model().IsZero() {
+		if ref.Owner == nil || a.outOfService(ref.AZ) || !ref.Digest.GetReady() || ref.Digest.GetCapacity().Model().IsZero() {
 			continue
 		}
 		weight := xxhash.Sum64String(lost + "\x00" + ref.Name)
--- a/internal/serve/adopter_test.go
+++ b/internal/serve/adopter_test.go
@@ -19,6 +19,9 @@
 	members []*rpc.Member
 	local   bool
 	adopted []string
+	// Of AZs out of service.
+	out, owned bool
+	released   []string
 }
 
 func (b *adopterBench) Members() []*rpc.Member { return b.members }
@@ -31,6 +34,14 @@
 	}
 }
 
+func (b *adopterBench) Shard(name string) (member.ShardRef, bool) {
+	ref := member.ShardRef{Name: name, AZ: "lager"}
+	if b.owned {
+		ref.Owner = &fakeOwner{}
+	}
+	return ref, true
+}
+
 func (b *adopterBench) run(t *testing.T, d time.Duration) []string {
 	t.Helper()
 	a := newAdopter(adopter{
@@ -43,7 +54,12 @@
 			b.adopted = append(b.adopted, by+"<"+from)
 			return 1, nil
 		},
-		log: logr.Discard(),
+		adoptReleased: func(_ context.Context, by, from string) (int, error) {
+			b.released = append(b.released, by+"<"+from)
+			return 1, nil
+		},
+		outOfService: func(az string) bool { return az == "lager" && b.out },
+		log:          logr.Discard(),
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
@@ -73,3 +89,28 @@
 		})
 	}
 }
+
+func TestAdopterMovesTheJobsOfAnAZOutOfService(t *testing.T) {
+	lager := &rpc.Member{Host: "l", Az: "lager"}
+	cases := []struct {
+		name  string
+		bench adopterBench
+		want  int
+	}{
+		{"handed over", adopterBench{local: true, out: true}, 1},
+		{"still owned", adopterBench{local: true, out: true, owned: true}, 0},
+		{"in service", adopterBench{local: true}, 0},
+		{"another host's choice", adopterBench{out: true}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c.bench.members = append(members("a"), lager)
+				c.bench.run(t, 10*time.Second)
+				is.Equal(len(c.bench.released), c.want)
+				is.Equal(len(c.bench.adopted), 0)
+			})
+		})
+	}
+}
--- a/internal/serve/keeper.go
+++ b/internal/serve/keeper.go
@@ -24,6 +24,9 @@
 	// rankDelay is how much longer each further choice of the rendezvous order
 	// waits, so that a first choice that cannot take a shard is passed over.
 	rankDelay = 2 * time.Second
+	// evacuateGap is how long a shard of an AZ out of service stays without an
+	// owner, so that another AZ's host can move its waiting jobs.
+	evacuateGap = 5 * time.Second
 	// retryDelay separates two tries to take one shard.
 	retryDelay = time.Second
 )
@@ -49,6 +52,8 @@
 	// released reports whether the table says that nobody owns the shard.
 	released func(ctx context.Context, shard string) bool
 	newOwner func(shard member.Shard) shardOwner
+	// outOfService reports whether operators have taken an AZ out.
+	outOfService func(az string) bool
 	// changed is called after a shard was taken or given up.
 	changed func()
 	log     logr.Logger
@@ -67,6 +72,8 @@
 	notUntil map[string]time.Time // when the next try may be made
 	ended    chan ownerEnded
 	told     map[string]announcement // as last announced
+	// evacuated are the shards that were given up since their AZ was taken out.
+	evacuated map[string]bool
 }
 
 // announcement is the part of a digest that the other hosts must know at once;
@@ -97,7 +104,9 @@
 		notUntil: map[string]time.Time{},
 		ended:    make(chan ownerEnded),
 		told:     map[string]announcement{},
-		started:  time.Now(),
+
+		evacuated: map[string]bool{},
+		started:   time.Now(),
 	}
 	k.publish()
 	return k
@@ -138,7 +147,11 @@
 func (k *keeper) look(ctx context.Context) {
 	now := time.Now()
 	for _, shard := range k.opts.shards() {
-		if shard.AZ != k.opts.az || k.holdings[shard.Name] != nil {
+		if shard.AZ != k.opts.az {
+			continue
+		}
+		if h := k.holdings[shard.Name]; h != nil {
+			k.evacuate(shard, h)
 			continue
 		}
 		if ref, ok := k.opts.directory.Shard(shard.Name); ok && ref.Owner != nil {
@@ -171,6 +184,33 @@
 	}
 }
 
+// evacuate gives up a shard whose AZ was taken out while jobs wait in it, once,
+// so that a host of another AZ moves them (see adopter). What runs goes on: its
+// leases outlive the gap until a host of this AZ takes the shard again.
+func (k *keeper) evacuate(shard member.Shard, h *holding) {
+	if !k.opts.outOfService(shard.AZ) {
+		delete(k.evacuated, shard.Name)
+		return
+	}
+	d := h.owner.Digest()
+	if k.evacuated[shard.Name] || !d.GetReady() || d.GetJobsPending() == 0 || !k.otherServes() {
+		return
+	}
+	k.evacuated[shard.Name] = true
+	k.opts.log.Info("giving the shard up, so that its waiting jobs are moved", "shard", shard.Name, "jobs", d.GetJobsPending())
+	h.cancel()
+}
+
+// otherServes reports whether a shard of another AZ in service is ready.
+func (k *keeper) otherServes() bool {
+	for _, ref := range k.opts.directory.Shards() {
+		if ref.AZ != k.opts.az && ref.Digest.GetReady() && !k.opts.outOfService(ref.AZ) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayTake reports whether this host should take the shard now. Safety does not
 // rest on it: the table's compare-and-set admits one owner whoever tries.
 func (k *keeper) mayTake(ctx context.Context, shard member.Shard, now time.Time) bool {
@@ -178,7 +218,11 @@
 	if rank < 0 || now.Before(k.notUntil[shard.Name]) {
 		return false
 	}
-	if now.Sub(k.missing[shard.Name]) < time.Duration(rank)*rankDelay {
+	wait := time.Duration(rank) * rankDelay
+	if k.opts.outOfService(shard.AZ) {
+		wait += evacuateGap
+	}
+	if now.Sub(k.missing[shard.Name]) < wait {
 		return false
 	}
 	if now.Sub(k.started) >= startGrace {
--- a/internal/serve/keeper_test.go
+++ b/internal/serve/keeper_test.go
@@ -36,7 +36,12 @@
 }
 
 func (o *fakeOwner) Digest() *rpc.ShardDigest {
-	return &rpc.ShardDigest{Shard: "keller-0", Confirmed: o.bench.confirmed.Load()}
+	return &rpc.ShardDigest{
+		Shard:       "keller-0",
+		Ready:       true,
+		Confirmed:   o.bench.confirmed.Load(),
+		JobsPending: o.bench.pending.Load(),
+	}
 }
 
 func (o *fakeOwner) Workers() []*rpc.WorkerStatus { return nil }
@@ -56,10 +61,17 @@
 	lastRun    atomic.Int64
 	confirmed  atomic.Int64 // configuration version in the owner's digest
 	announced  atomic.Int64
+	out        atomic.Bool  // operators have taken the AZ out
+	pending    atomic.Int64 // jobs that wait in the shard
+	elsewhere  atomic.Bool  // another AZ's shard is ready
 }
 
 func (b *keeperBench) Members() []*rpc.Member { return b.members }
 
+func (b *keeperBench) Shards() []member.ShardRef {
+	return []member.ShardRef{{Name: "lager-0", AZ: "lager", Digest: &rpc.ShardDigest{Ready: b.elsewhere.Load()}}}
+}
+
 func (b *keeperBench) Shard(string) (member.ShardRef, bool) {
 	ref := member.ShardRef{Name: "keller-0", AZ: "keller"}
 	if b.claimed.Load() {
@@ -78,7 +90,9 @@
 		released:  func(context.Context, string) bool { return b.released.Load() },
 		newOwner:  func(member.Shard) shardOwner { return &fakeOwner{bench: b} },
 		changed:   func() { b.announced.Add(1) },
-		log:       logr.Discard(),
+
+		outOfService: func(az string) bool { return az == "keller" && b.out.Load() },
+		log:          logr.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -191,3 +205,29 @@
 		is.Equal(b.announced.Load(), settled+1)
 	})
 }
+
+func TestKeeperGivesUpAShardOfAnAZOutOfServiceOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &keeperBench{members: members("a")}
+		b.released.Store(true)
+		defer b.start("a")()
+		time.Sleep(time.Second)
+		is.Equal(b.runs.Load(), int64(1))
+
+		b.pending.Store(5)
+		b.out.Store(true)
+		time.Sleep(time.Minute)
+		is.Equal(b.handedOver.Load(), int64(0)) // nobody could take the jobs
+
+		b.elsewhere.Store(true)
+		began := time.Now()
+		time.Sleep(evacuateGap)
+		is.Equal(b.handedOver.Load(), int64(1))
+		is.Equal(b.runs.Load(), int64(1)) // it waits for the other AZ's host
+		time.Sleep(time.Minute)
+		is.Equal(b.runs.Load(), int64(2)) // and takes the shard again
+		is.True(b.lastRun.Load()-began.UnixNano() >= int64(evacuateGap))
+		is.Equal(b.handedOver.Load(), int64(1)) // once, though jobs still wait
+	})
+}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -160,8 +160,10 @@
 		directory: p.tracker,
 		released:  p.released,
 		newOwner:  p.newOwner,
-		changed:   func() { p.announce() },
-		log:       p.log.WithName("shards"),
+
+		outOfService: p.outOfService,
+		changed:      func() { p.announce() },
+		log:          p.log.WithName("shards"),
 	})
 	p.hosts = newHostWatch(p.outside.Hosts, p.ownsShard, p.log.WithName("hosts"))
 	p.door = p.newDoor()
@@ -228,16 +230,42 @@
 		shards:    p.shards,
 		directory: p.tracker,
 		adopt: func(ctx context.Context, by, from string) (int, error) {
-			o, ok := (*p.keeper.held.Load())[by].(*owner.Owner)
-			if !ok {
-				return 0, trace.NotFound("shard %s is no longer owned here", by)
+			o, err := p.localOwner(by)
+			if err != nil {
+				return 0, trace.Wrap(err)
 			}
 			return o.Adopt(ctx, from)
 		},
-		log: p.log.WithName("adopter"),
+		adoptReleased: func(ctx context.Context, by, from string) (int, error) {
+			o, err := p.localOwner(by)
+			if err != nil {
+				return 0, trace.Wrap(err)
+			}
+			return o.AdoptReleased(ctx, from)
+		},
+		outOfService: p.outOfService,
+		log:          p.log.WithName("adopter"),
 	})
 }
 
+func (p *Process) localOwner(shard string) (*owner.Owner, error) {
+	o, ok := (*p.keeper.held.Load())[shard].(*owner.Owner)
+	if !ok {
+		return nil, trace.NotFound("shard %s is no longer owned here", shard)
+	}
+	return o, nil
+}
+
+// outOfService reports whether operators have taken the AZ out.
+func (p *Process) outOfService(az string) bool {
+	cfg, _ := p.sync.Effective()
+	if cfg == nil {
+		return false
+	}
+	zone, ok := cfg.AZ(az)
+	return ok && !zone.InService
+}
+
 func (p *Process) newOwner(shard member.Shard) shardOwner {
 	return owner.New(owner.Options{
 		Shard:    shard.Name,
