--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -207,13 +207,19 @@
 		Lease: l.lease(),
 		Renew: k.renewing,
 		Ack:   k.acking,
-		Wait:  l.beatWait(),
+		Wait:  l.beatWait(k),
 	}}
 }
 
 // beatWait is how long the next heartbeat may wait. Ends are told at once; the
-// worker's clock is read anew before something starts there.
-func (l *loop) beatWait() time.Duration { return min(beatWait, l.renewEvery()) }
+// worker's clock is read anew before something starts there. A task that starts
+// during the wait on a worker that ran nothing still has half its lease left.
+func (l *loop) beatWait(k *link) time.Duration {
+	if l.uses(k.spec.ID) {
+		return min(beatWait, l.renewEvery())
+	}
+	return min(beatWait, l.lease()/2)
+}
 
 // renewEvery is the age of an extension from which on a lease is extended again.
 // With the wait of a heartbeat and the time of one that is lost it stays well
