--- a/internal/owner/adopt_test.go
+++ b/internal/owner/adopt_test.go
@@ -25,6 +25,14 @@
 	r.workers[spec.ID] = standin.NewWorker(spec, standin.Options{})
 }
 
+// allDone fails unless each job is known to the owner as done.
+func allDone(t *testing.T, ids []string, o *testOwner) {
+	t.Helper()
+	for _, id := range ids {
+		is.New(t).Equal(o.mustStatus(t, id).GetOutcome(), "done")
+	}
+}
+
 // The queue of a lost AZ is moved, with its job ids; what runs there stays there;
 // and when the AZ returns, no task runs twice.
 func TestLostAZIsAdopted(t *testing.T) {
@@ -64,13 +72,8 @@
 		back := r.start(t.Context())
 		time.Sleep(time.Hour / 2)
 		is.NoErr(m.check())
-		for i, id := range ids {
-			o := back
-			if i >= 4 {
-				o = other
-			}
-			is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
-		}
+		allDone(t, ids[:4], back)
+		allDone(t, ids[4:], other)
 		is.Equal(len(r.records()), 12)
 	})
 }
@@ -138,13 +141,8 @@
 		back := r.start(t.Context())
 		time.Sleep(time.Hour / 2)
 		is.NoErr(m.check())
-		for i, id := range ids {
-			o := back
-			if i >= 4 {
-				o = other
-			}
-			is.Equal(o.mustStatus(t, id).GetOutcome(), "done")
-		}
+		allDone(t, ids[:4], back)
+		allDone(t, ids[4:], other)
 		is.Equal(len(r.records()), 12)
 	})
 }
