--- a/api/operate.go
+++ b/api/operate.go
@@ -84,6 +84,7 @@
 	Staged         int64          `json:"staged,omitempty"`
 	Waiting        []string       `json:"waiting,omitempty"`
 	TableReachable bool           `json:"table_reachable"`
+	AZs            []AZStatus     `json:"azs"`
 	Hosts          []HostStatus   `json:"hosts"`
 	Shards         []ShardStatus  `json:"shards"`
 	Workers        []WorkerStatus `json:"workers,omitempty"`
@@ -91,6 +92,13 @@
 	Missing []string `json:"missing,omitempty"`
 }
 
+// AZStatus is one availability zone of the configuration that is obeyed.
+type AZStatus struct {
+	AZ        string `json:"az"`
+	InService bool   `json:"in_service"`
+	Workers   int    `json:"workers"` // declared
+}
+
 // HostStatus is one entry host.
 type HostStatus struct {
 	Host  string `json:"host"`
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,7 +33,7 @@
 	Apply    applyCommand    `cmd:"" group:"operators" help:"Apply a configuration as a whole."`
 	Config   configCommand   `cmd:"" group:"operators" help:"Check, show and compare configurations."`
 	Key      keyCommand      `cmd:"" group:"operators" help:"Make keys."`
-	Status   statusCommand   `cmd:"" group:"operators" help:"Show hosts, shards, workers and teams."`
+	Status   statusCommand   `cmd:"" group:"operators" help:"Show AZs, hosts, shards, workers and teams."`
 	Timeline timelineCommand `cmd:"" group:"operators" help:"Show what happened, over all processes."`
 	Run      runCommand      `cmd:"" group:"callers" help:"Send a direct request and print its answer."`
 	Submit   submitCommand   `cmd:"" group:"callers" help:"Submit a job."`
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -25,6 +25,7 @@
 	}
 	return s.printer().value(st, func(w io.Writer) {
 		printConfigState(w, st)
+		printAZs(w, st)
 		printHosts(w, st)
 		printShards(w, st)
 		if c.Workers {
@@ -50,6 +51,18 @@
 	}
 }
 
+func printAZs(w io.Writer, st api.StatusReply) {
+	rows := make([][]any, len(st.AZs))
+	for i, az := range st.AZs {
+		state := "in service"
+		if !az.InService {
+			state = "out"
+		}
+		rows[i] = []any{az.AZ, state, az.Workers}
+	}
+	table(w, "AZ\tSTATE\tWORKERS", rows)
+}
+
 func printHosts(w io.Writer, st api.StatusReply) {
 	rows := make([][]any, len(st.Hosts))
 	for i, h := range st.Hosts {
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -93,6 +93,7 @@
 			reply.Workers = append(reply.Workers, workerStatus(w))
 		}
 	}
+	reply.AZs = p.azStatus()
 	reply.Shards = p.shardStatus()
 	sortStatus(&reply)
 	return reply
@@ -115,6 +116,23 @@
 	}
 }
 
+// azStatus lists the AZs of the configuration that this host obeys.
+func (p *Process) azStatus() []api.AZStatus {
+	cfg, _ := p.sync.Effective()
+	if cfg == nil {
+		return nil
+	}
+	workers := map[string]int{}
+	for _, w := range cfg.Workers {
+		workers[w.AZ]++
+	}
+	var zones []api.AZStatus
+	for _, az := range cfg.AZs {
+		zones = append(zones, api.AZStatus{AZ: az.Name, InService: az.InService, Workers: workers[az.Name]})
+	}
+	return zones
+}
+
 // shardStatus lists every shard of the configuration, owned or not.
 func (p *Process) shardStatus() []api.ShardStatus {
 	var shards []api.ShardStatus
