apply: say while it waits which shards have not confirmed

The status of a staged version had named nobody to wait for, because the field was never filled in; it is now read off the digests, and apply shows it as it changes.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -1,13 +1,16 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"cuminloft/api"
 	"cuminloft/internal/config"
+	"cuminloft/internal/wait"
 )
 
 type applyCommand struct {
@@ -48,6 +51,7 @@
 		base = current.Version
 	}
 	s.note("applying on version %d, waiting up to %s", base, c.Wait)
+	stop := s.showWaiting(client)
 	reply, err := client.Apply(s.ctx, api.ApplyRequest{
 		Base:      base,
 		Config:    text,
@@ -55,6 +59,7 @@
 		CheckOnly: c.DryRun,
 		Wait:      api.Duration(c.Wait),
 	})
+	stop()
 	if err != nil {
 		return err
 	}
@@ -64,6 +69,34 @@
 	return applyError(reply.State)
 }
 
+// progressInterval separates two looks at what an apply waits for.
+const progressInterval = time.Second
+
+// showWaiting reports on the error stream, until the returned function is
+// called, which shards a staged version waits for, whenever that changes.
+func (s *session) showWaiting(client *api.Client) (stop func()) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		last := ""
+		for wait.For(ctx, progressInterval) == nil {
+			st, err := client.Status(ctx)
+			if err != nil {
+				continue // the apply itself tells what is wrong
+			}
+			if line := strings.Join(st.Waiting, ", "); line != "" && line != last {
+				last = line
+				s.note("waiting for %s", line)
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // readConfig checks a configuration file or directory and returns it with its
 // text as one JSON document.
 func readConfig(path string) (*config.Config, string, error) {
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -95,6 +96,7 @@
 	}
 	reply.AZs = p.azStatus()
 	reply.Shards = p.shardStatus()
+	reply.Waiting = unconfirmed(reply.Shards, reply.Staged)
 	sortStatus(&reply)
 	return reply
 }
@@ -116,6 +118,18 @@
 	}
 }
 
+// unconfirmed names the shards whose owner has not confirmed the staged version,
+// as far as this host knows; none if no version is staged.
+func unconfirmed(shards []api.ShardStatus, staged int64) []string {
+	var waiting []string
+	for _, s := range shards {
+		if s.Confirmed < staged {
+			waiting = append(waiting, fmt.Sprintf("shard %s (owner %q)", s.Shard, s.Owner))
+		}
+	}
+	return waiting
+}
+
 // azStatus lists the AZs of the configuration that this host obeys.
 func (p *Process) azStatus() []api.AZStatus {
 	cfg, _ := p.sync.Effective()
