Look up one shard without resolving all; one adoption closure; drop dead code

From the read of the whole change: Tracker.Shard, which request handlers call, resolved every shard and searched the list; it now resolves the one asked for. The process had the same closure twice around Adopt and AdoptReleased, and a wrapper with a nil check that could not be reached around Announce. The stand-in worker's SetHandler had no caller.

--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -438,11 +438,23 @@
 	return ref
 }
 
+// resolveOne looks up the owner of one shard.
+func (t *Tracker) resolveOne(shard Shard) ShardRef {
+	digests, owners := t.opts.Local()
+	var local *rpc.ShardDigest
+	for _, d := range digests {
+		if d.GetShard() == shard.Name {
+			local = d
+		}
+	}
+	return resolve(shard, t.snapshot.Load().remote[shard.Name], local, owners[shard.Name])
+}
+
 // Shard returns one shard by name.
 func (t *Tracker) Shard(name string) (ShardRef, bool) {
-	for _, ref := range t.Shards() {
-		if ref.Name == name {
-			return ref, true
+	for _, shard := range t.opts.Shards() {
+		if shard.Name == name {
+			return t.resolveOne(shard), true
 		}
 	}
 	return ShardRef{}, false
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -162,7 +162,7 @@
 		newOwner:  p.newOwner,
 
 		outOfService: p.outOfService,
-		changed:      func() { p.announce() },
+		changed:      p.tracker.Announce,
 		log:          p.log.WithName("shards"),
 	})
 	p.hosts = newHostWatch(p.outside.Hosts, p.ownsShard, p.log.WithName("hosts"))
@@ -195,13 +195,6 @@
 
 func (p *Process) ownsShard() bool { return len(*p.keeper.held.Load()) > 0 }
 
-// announce tells the other members at once which shards this host owns.
-func (p *Process) announce() {
-	if p.tracker != nil {
-		p.tracker.Announce()
-	}
-}
-
 // shards returns the shards of the configuration in force.
 func (p *Process) shards() []member.Shard {
 	c, _ := p.sync.Effective()
@@ -229,31 +222,24 @@
 		az:        p.self.GetAz(),
 		shards:    p.shards,
 		directory: p.tracker,
-		adopt: func(ctx context.Context, by, from string) (int, error) {
-			o, err := p.localOwner(by)
-			if err != nil {
-				return 0, trace.Wrap(err)
-			}
-			return o.Adopt(ctx, from)
-		},
-		adoptReleased: func(ctx context.Context, by, from string) (int, error) {
-			o, err := p.localOwner(by)
-			if err != nil {
-				return 0, trace.Wrap(err)
-			}
-			return o.AdoptReleased(ctx, from)
-		},
-		outOfService: p.outOfService,
-		log:          p.log.WithName("adopter"),
+
+		adopt:         p.byLocalOwner((*owner.Owner).Adopt),
+		adoptReleased: p.byLocalOwner((*owner.Owner).AdoptReleased),
+		outOfService:  p.outOfService,
+		log:           p.log.WithName("adopter"),
 	})
 }
 
-func (p *Process) localOwner(shard string) (*owner.Owner, error) {
-	o, ok := (*p.keeper.held.Load())[shard].(*owner.Owner)
-	if !ok {
-		return nil, trace.NotFound("shard %s is no longer owned here", shard)
+// byLocalOwner returns a function that has the owner of the shard named by, if
+// this process owns it, move the waiting jobs of another shard.
+func (p *Process) byLocalOwner(move func(*owner.Owner, context.Context, string) (int, error)) func(ctx context.Context, by, from string) (int, error) {
+	return func(ctx context.Context, by, from string) (int, error) {
+		o, ok := (*p.keeper.held.Load())[by].(*owner.Owner)
+		if !ok {
+			return 0, trace.NotFound("shard %s is no longer owned here", by)
+		}
+		return move(o, ctx, from)
 	}
-	return o, nil
 }
 
 // outOfService reports whether operators have taken the AZ out.
@@ -371,10 +357,10 @@
 	p.log.Info("leaving")
 	p.state.Store(StateLeaving)
 	p.tracker.Leave()
-	p.announce()
+	p.tracker.Announce()
 	handOver()
 	<-handedOver
-	p.announce()
+	p.tracker.Announce()
 	time.Sleep(time.Duration(p.settings.LeaveGraceMS) * time.Millisecond)
 	drainCtx, cancel := context.WithTimeout(context.Background(), DrainTimeout)
 	defer cancel()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -63,13 +63,6 @@
 	w.signal()
 }
 
-// SetHandler replaces what new attempts do.
-func (w *Worker) SetHandler(h Handler) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.options.Handler = h
-}
-
 // Restart loses everything in the worker's memory and ends what it ran. Until
 // a fence is raised again it refuses every start.
 func (w *Worker) Restart() {
