configsync: a poll that was due while another ran starts when that ends

With the table silent each poll lasts PollTimeout (1 s), as long as the interval; a tick during a poll was dropped, so 2.2 s could lie between two starts and the last failed poll be 3.2 s old, over FreshFor (3 s). Fresh then waited for another poll. Ruled out: the machine's load (all times in the test are virtual). Change: the poller remembers the tick.

--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -132,6 +132,7 @@
 			p.stop()
 			return nil
 		case <-timer.C:
+			p.due = p.running
 			p.start(ctx)
 			timer.Reset(PollInterval - PollJitter + rand.N(2*PollJitter))
 		case m := <-s.inbox:
@@ -154,6 +155,7 @@
 	sync    *Sync
 	ended   chan pollEnd
 	running bool
+	due     bool         // the timer fired while a poll ran
 	waiting []chan error // callers that the running poll answers
 	next    []chan error // callers that came after it began
 }
@@ -164,6 +166,7 @@
 		return
 	}
 	p.running = true
+	p.due = false
 	p.waiting, p.next = p.next, nil
 	began := time.Now()
 	known := p.sync.current.Load()
@@ -182,7 +185,7 @@
 	for _, w := range p.waiting {
 		w <- end.err
 	}
-	if len(p.next) > 0 {
+	if len(p.next) > 0 || p.due {
 		p.start(ctx)
 	}
 }
