wait: no timer for a wait of no time, which crashed the race detector

Cause: internal/owner ended under -race in two ways (slot_locked check; SIGSEGV in SlotLock). A third crash in 3 runs gave a stack: wait.For(ctx, 0) in a synctest bubble, in runtime.(*timer).maybeRunChan. Channel timers of a bubble share one race context; two goroutines that run due timers at the same time on two threads use it at the same time, and the detector's state breaks. Change: For returns at once for a wait of no time; configsync's first poll and the stand-in worker's until need no timer that is due already either.

--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -124,7 +124,9 @@
 // runLoop owns the snapshot.
 func (s *Sync) runLoop(ctx context.Context) error {
 	p := &poller{sync: s, ended: make(chan pollEnd, 1)}
-	timer := time.NewTimer(0)
+	interval := func() time.Duration { return PollInterval - PollJitter + rand.N(2*PollJitter) }
+	p.start(ctx)
+	timer := time.NewTimer(interval())
 	defer timer.Stop()
 	for {
 		select {
@@ -134,7 +136,7 @@
 		case <-timer.C:
 			p.due = p.running
 			p.start(ctx)
-			timer.Reset(PollInterval - PollJitter + rand.N(2*PollJitter))
+			timer.Reset(interval())
 		case m := <-s.inbox:
 			if m.learned != nil {
 				s.adopt(*m.learned)
--- a/internal/standin/worker_client.go
+++ b/internal/standin/worker_client.go
@@ -361,7 +361,11 @@
 
 // until returns at t, when wake is closed, or with the context's error.
 func until(ctx context.Context, wake <-chan struct{}, t time.Time) error {
-	timer := time.NewTimer(time.Until(t))
+	left := time.Until(t)
+	if left <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -8,6 +8,9 @@
 
 // For waits for d. It returns the context's error if ctx ends first.
 func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
