coordinator: one commit stores all that happened since the last, also at a slow store

Cause: a commit held 80 rows, one a job. A store that is 94 times slower takes two commits a second; grown sites change 300 jobs and more in that time, so ends and starts queued for seconds. Change: more than 75 jobs are packed into common rows of 48 KB; the row with the highest version holds a job's newest progress. Ruled out: packs always (a job's last word would hold a pack of others for long). Checked: rapid test over commits, drops and takeovers.

--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -26,7 +26,9 @@
 		}
 		entries, progress, version, err := t.readAll(ctx)
 		if err == nil {
-			t.restore(entries, progress)
+			if err := t.restore(entries, progress); err != nil {
+				return 0, err
+			}
 			t.Log.Info("jobs loaded", "epoch", t.term.Epoch, "rows", len(entries), "progress", len(progress),
 				"version", version, "took", time.Since(began))
 			return version, nil
@@ -54,11 +56,11 @@
 }
 
 // restore builds the core from the stored rows.
-func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartRow) {
+func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartRow) error {
 	now := time.Now()
-	rows := make(map[string][]byte, len(progress))
-	for _, r := range progress {
-		rows[r.Key] = r.Value
+	rows, err := t.book.Load(progress)
+	if err != nil {
+		return err
 	}
 	cancelled := map[string]bool{}
 	for _, e := range entries {
@@ -80,10 +82,11 @@
 	}
 	for id, progress := range rows {
 		if _, marked := t.core.Query(id); marked || dispatch.Ended(progress) {
-			t.orphans = append(t.orphans, id)
+			t.book.Drop(id)
 			continue
 		}
 		t.Log.Info("progress without a readable job row is kept", "job", id)
 	}
 	t.core.BoundLeases(t.term.Since.Add(TakeoverBound))
+	return nil
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -13,11 +13,10 @@
 	"cuminloft/internal/workload"
 )
 
-// Limits of one commit; the store takes 100 entries and 1 MB.
+// Limits of one commit; the store takes 1 MB.
 const (
-	commitRows  = 80
-	removeRows  = 15
-	commitBytes = 500 << 10
+	commitJobs  = 2000
+	commitBytes = 400 << 10
 	// commitPause is the least time between the beginnings of two commits. It
 	// bundles changes, since each call of the store is paid for.
 	commitPause = 20 * time.Millisecond
@@ -51,9 +50,7 @@
 	commitBegan time.Time
 	scheduled   time.Time // when Schedule last ran
 	waking      bool      // a wake event is due
-	// orphans are jobs whose progress rows are to be removed: their rows are marks,
-	// or gone.
-	orphans     []string
+	book        *jobstore.ProgressBook
 	swept       time.Time // when ended jobs were last looked for
 	committedAt atomic.Int64
 }
@@ -67,7 +64,7 @@
 func newTermLoop(c *Coordinator, term *Term, events chan any) *termLoop {
 	t := &termLoop{
 		Coordinator: c, term: term, core: dispatch.New(), events: events,
-		commits: make(chan commitRequest, 1),
+		commits: make(chan commitRequest, 1), book: jobstore.NewProgressBook(),
 	}
 	t.links = newLinkSet(c, term.Epoch, t.lastCommit, events)
 	t.advice = newAdviceDesk(c.Advisers, events)
@@ -154,7 +151,7 @@
 	case marked:
 		for id := range e {
 			t.core.Marked(id)
-			t.orphans = append(t.orphans, id)
+			t.book.Drop(id)
 		}
 	case removed:
 		for _, id := range e {
@@ -264,8 +261,12 @@
 		t.wakeAfter(ctx, left)
 		return
 	}
-	removes := t.removals()
-	batch := t.core.TakeBatch(commitRows, commitBytes)
+	batch := t.core.TakeBatch(commitJobs, commitBytes)
+	var puts []platform.PartRow
+	if batch != nil {
+		puts = t.book.Put(batch.Progress)
+	}
+	removes := t.book.Removes()
 	if batch == nil && len(removes) == 0 {
 		if now.Sub(t.lastCommit()) >= heartbeat {
 			t.committing, t.commitBegan = true, now
@@ -273,31 +274,10 @@
 		}
 		return
 	}
-	var puts []platform.PartRow
-	if batch != nil {
-		for _, r := range batch.Rows {
-			puts = append(puts, progressPut(r.Job, r.Data))
-		}
-	}
 	t.committing, t.commitBegan = true, now
 	t.commits <- commitRequest{batch: batch, puts: puts, removes: removes}
 }
 
-func progressPut(job string, data []byte) platform.PartRow {
-	return platform.PartRow{Table: jobstore.ProgressTable, Part: jobstore.ProgressPart, Key: job, Value: data}
-}
-
-// removals returns the progress rows to remove with the next commit.
-func (t *termLoop) removals() []platform.PartRow {
-	n := min(len(t.orphans), removeRows)
-	var out []platform.PartRow
-	for _, id := range t.orphans[:n] {
-		out = append(out, progressPut(id, nil))
-	}
-	t.orphans = t.orphans[n:]
-	return out
-}
-
 // post hands an event to the loop.
 func (t *termLoop) post(ctx context.Context, event any) {
 	select {
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -6,24 +6,18 @@
 	"cuminloft/internal/workload"
 )
 
-// Batch is a set of progress rows to store together, and what follows once they
+// Batch is the progress of jobs to store together, and what follows once they
 // are stored.
 type Batch struct {
-	Rows   []BatchRow
-	starts []Start
-	shown  map[*job]workload.State
-	acks   map[string]int64
+	Progress []workload.JobProgress
+	starts   []Start
+	shown    map[*job]workload.State
+	acks     map[string]int64
 }
 
-// BatchRow is the stored progress of one job.
-type BatchRow struct {
-	Job  string
-	Data []byte
-}
-
-// TakeBatch returns the changes to store next, at most rows rows and about
-// bytes bytes, or nil when there are none.
-func (c *Core) TakeBatch(rows, bytes int) *Batch {
+// TakeBatch returns the changes to store next, of at most so many jobs and about
+// so many bytes, or nil when there are none.
+func (c *Core) TakeBatch(jobs, bytes int) *Batch {
 	if len(c.dirty) == 0 {
 		for _, w := range c.workers {
 			w.acked = w.applied
@@ -32,13 +26,13 @@
 	}
 	b := &Batch{shown: map[*job]workload.State{}}
 	size := 0
-	for len(c.dirty) > 0 && len(b.Rows) < rows && size < bytes {
+	for len(c.dirty) > 0 && len(b.Progress) < jobs && size < bytes {
 		j := c.dirty[0]
 		c.dirty = c.dirty[1:]
 		j.dirty = false
 		data := j.encode()
 		size += len(data)
-		b.Rows = append(b.Rows, BatchRow{j.spec.ID, data})
+		b.Progress = append(b.Progress, workload.JobProgress{Job: j.spec.ID, Data: data})
 		b.shown[j] = j.state
 		b.starts = append(b.starts, j.starts...)
 		j.starts = nil
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -224,7 +224,7 @@
 		Steps: []workload.Step{{Tasks: 2, Resources: cores(1)}}}
 	c.core.AddJob(spec, c.now)
 	c.core.Schedule(c.now)
-	row := c.core.TakeBatch(10, 1<<20).Rows[0]
+	row := c.core.TakeBatch(10, 1<<20).Progress[0]
 
 	restored := func(t *testing.T) *cell {
 		next := newCell(t)
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -221,13 +221,13 @@
 	if !out.Exists {
 		return Stored{}, nil
 	}
-	progress, err := j.Store.Scan(ctx, ProgressTable, ProgressPart, id, id+"\x00")
+	data, err := findProgress(ctx, j.Store, id)
 	if err != nil {
 		return Stored{}, err
 	}
-	if len(progress.Rows) > 0 {
+	if data != nil {
 		var p progressState
-		if err := json.Unmarshal(progress.Rows[0].Value, &p); err != nil {
+		if err := json.Unmarshal(data, &p); err != nil {
 			return Stored{}, fmt.Errorf("progress of job %s cannot be read: %w", id, err)
 		}
 		out.State = p.State
--- /dev/null
+++ b/internal/jobstore/progress_test.go
@@ -0,0 +1,99 @@
+package jobstore
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cuminloft/internal/platform"
+	"cuminloft/internal/standin/rows"
+	"cuminloft/internal/workload"
+)
+
+func progressOf(jobs []int, text string) []workload.JobProgress {
+	var out []workload.JobProgress
+	for _, j := range jobs {
+		out = append(out, workload.JobProgress{Job: fmt.Sprintf("%016x", j), Data: []byte(`"` + text + `"`)})
+	}
+	return out
+}
+
+// Whatever is stored in whichever rows, a reader finds the newest progress of
+// each job, and rows without newest progress go away.
+func TestProgressBookFindsTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := rows.New()
+		book := NewProgressBook()
+		want := map[string]string{}
+		for n := range rapid.IntRange(1, 12).Draw(t, "commits") {
+			jobs := rapid.SliceOfNDistinct(rapid.IntRange(0, 300), 1, 200, rapid.ID[int]).Draw(t, "jobs")
+			text := fmt.Sprint("commit ", n)
+			if rapid.Bool().Draw(t, "long") {
+				text += strings.Repeat(".", 2000)
+			}
+			progress := progressOf(jobs, text)
+			puts := book.Put(progress)
+			for _, p := range progress {
+				want[p.Job] = string(p.Data)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "drop") == 0 {
+				book.Drop(progress[0].Job)
+				delete(want, progress[0].Job)
+			}
+			for _, r := range puts {
+				if len(r.Value) > 64<<10 {
+					t.Fatalf("row of %d bytes", len(r.Value))
+				}
+			}
+			tx := platform.Tx{Puts: puts, Removes: book.Removes()}
+			if len(tx.Puts)+len(tx.Removes)+2 > 100 {
+				t.Fatalf("%d puts and %d removes", len(tx.Puts), len(tx.Removes))
+			}
+			if _, err := store.Commit(t.Context(), tx); err != nil {
+				t.Fatal(err)
+			}
+			last := progress[len(progress)-1].Job
+			if data, err := findProgress(t.Context(), store, last); err != nil || string(data) != want[last] {
+				t.Fatalf("job %s alone: found %.30q, %v, want %.30q", last, data, err, want[last])
+			}
+			if rapid.IntRange(0, 4).Draw(t, "takeover") == 0 {
+				all, _, err := platform.ScanAll(t.Context(), store, ProgressTable, ProgressPart)
+				if err != nil {
+					t.Fatal(err)
+				}
+				book = NewProgressBook()
+				found, err := book.Load(all)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for job, text := range want {
+					if string(found[job]) != text {
+						t.Fatalf("job %s: found %.30q, want %.30q", job, found[job], text)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Packs do not outlive the progress that they hold.
+func TestEmptyPacksAreRemoved(t *testing.T) {
+	is := is.New(t)
+	book := NewProgressBook()
+	many := make([]int, ownRows+1)
+	for i := range many {
+		many[i] = i
+	}
+	packs := book.Put(progressOf(many, "packed"))
+	is.Equal(len(packs), 1)
+	is.Equal(len(book.Removes()), 0)
+	book.Put(progressOf(many[:ownRows], "own"))
+	is.Equal(len(book.Removes()), 0) // one job is left in the pack
+	book.Put(progressOf(many[ownRows:], "own"))
+	removes := book.Removes()
+	is.Equal(len(removes), 1)
+	is.Equal(removes[0].Key, packs[0].Key)
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -42,6 +42,12 @@
 	Policy Queue `json:"policy"`
 }
 
+// JobProgress is what has happened to a job, in stored form.
+type JobProgress struct {
+	Job  string
+	Data []byte // JSON
+}
+
 // Step is one stage of a job: Tasks tasks of the same shape.
 type Step struct {
 	Tasks     int             `json:"tasks"`
