dispatch: tickets must outlive the commit that a start waits for

Change: the core knows how long a start waits and asks anew for tickets that will not hold. The new test fails without it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -193,6 +193,7 @@
 	}
 	committed struct {
 		batch *dispatch.Batch
+		took  time.Duration
 	}
 	wake    struct{}
 	marked  map[string]jobstore.Ended // jobs whose rows are marks now
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -17,6 +17,11 @@
 const (
 	commitJobs  = 2000
 	commitBytes = 400 << 10
+	// commitWeight is the weight of the latest commit in the usual time of one.
+	commitWeight = 0.3
+	// commitsAStart is how many commits a start may wait for: the one under way and
+	// its own.
+	commitsAStart = 2
 	// commitPause is the least time between the beginnings of two commits. It
 	// bundles changes, since each call of the store is paid for.
 	commitPause = 20 * time.Millisecond
@@ -48,6 +53,7 @@
 	// one succeeded, in nanoseconds since term.Since.
 	committing  bool
 	commitBegan time.Time
+	commitTime  time.Duration // smoothed
 	scheduled   time.Time // when Schedule last ran
 	waking      bool      // a wake event is due
 	book        *jobstore.ProgressBook
@@ -161,6 +167,8 @@
 		t.waking = false
 	case committed:
 		t.committing = false
+		t.commitTime += time.Duration(commitWeight * float64(e.took-t.commitTime))
+		t.core.SetStartDelay(commitsAStart * t.commitTime)
 		t.links.stale = true
 		if e.batch != nil {
 			t.links.start(ctx, t.core.Stored(e.batch))
@@ -308,9 +316,10 @@
 			}
 			// A lease may rest on this confirmation from when it was asked for.
 			t.committedAt.Store(int64(began.Sub(t.term.Since)))
-			t.Observer.Committed(len(r.puts), time.Since(began))
+			took := time.Since(began)
+			t.Observer.Committed(len(r.puts), took)
 			select {
-			case t.events <- committed{r.batch}:
+			case t.events <- committed{r.batch, took}:
 			case <-ctx.Done():
 				return ctx.Err()
 			}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -32,6 +32,13 @@
 
 func (a *adviceState) drop(worker string) { delete(a.tickets, worker) }
 
+// SetStartDelay tells how long a start waits for its record to be stored. Load
+// pattern: a store so slow that tickets of two seconds expire meanwhile.
+func (c *Core) SetStartDelay(d time.Duration) { c.startDelay = d }
+
+// arrival is when a start that is decided now is sent.
+func (c *Core) arrival(now time.Time) time.Time { return now.Add(c.startDelay) }
+
 // valid returns the ticket for a worker's present life, if it still holds.
 func (a *adviceState) valid(w *worker, now time.Time) (string, bool) {
 	t, ok := a.tickets[w.info.ID]
@@ -157,7 +164,7 @@
 		if h.step != s || w == nil {
 			continue
 		}
-		if _, valid := s.advice.valid(w, now); !valid {
+		if _, valid := s.advice.valid(w, c.arrival(now)); !valid {
 			held = append(held, id)
 		}
 	}
@@ -217,7 +224,7 @@
 			continue
 		}
 		total += n
-		if _, ok := s.advice.valid(w, now); ok {
+		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
 			continue
 		}
 		_, known := s.advice.tickets[w.info.ID]
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -32,6 +32,8 @@
 	holds     map[string]hold // room kept for gangs, by worker; of the latest Schedule
 	urgentRoom
 	stretch float64 // as worker.stretch, over the cell
+	// startDelay is how long a start waits for its record to be stored.
+	startDelay time.Duration
 	round   *round  // of the latest Schedule
 	changed bool    // something happened that may let a task start
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -601,3 +601,24 @@
 	c.now = c.now.Add(time.Hour)
 	is.Equal(len(c.store(nil)), 0) // 14 of 16 cores are in use
 }
+
+// A ticket that will have expired when the record of a start is stored is not
+// used: the worker would refuse the start.
+func TestTicketOutlivesTheCommit(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}})
+	c.worker("w", 8)
+	c.job("j", workload.Step{Tasks: 1, Resources: cores(2)})
+	is.Equal(len(c.store(nil)), 0)
+	ask, ok := c.core.NextAsk(c.now, time.Second)
+	is.True(ok)
+	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "t"}}, nil, c.now)
+	c.core.SetStartDelay(time.Second)
+	c.now = c.now.Add(time.Second)
+	is.Equal(len(c.store(nil)), 0) // it holds for 0.7 s, the start takes 1 s
+	ask, ok = c.core.NextAsk(c.now, time.Second)
+	is.True(ok) // so the service is asked again
+	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "u"}}, nil, c.now)
+	is.Equal(len(c.store(nil)), 1)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -217,7 +217,7 @@
 	var out []*worker
 	for _, w := range workers {
 		if q.Advice != nil {
-			if _, ok := s.advice.valid(w, c.round.now); !ok {
+			if _, ok := s.advice.valid(w, c.arrival(c.round.now)); !ok {
 				continue
 			}
 		}
