dispatch: services are placed at once, whatever their age and the cell's load

Cause: a step's rank came from its job's objective. Its failures, which may come at any time, also counted against the worker. Change: services rank with urgent work; their failures are counted by step only. Before: the new test finds no start; after: one.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -54,8 +54,8 @@
 	committing  bool
 	commitBegan time.Time
 	commitTime  time.Duration // smoothed
-	scheduled   time.Time // when Schedule last ran
-	waking      bool      // a wake event is due
+	scheduled   time.Time     // when Schedule last ran
+	waking      bool          // a wake event is due
 	book        *jobstore.ProgressBook
 	swept       time.Time // when ended jobs were last looked for
 	committedAt atomic.Int64
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -34,8 +34,8 @@
 	stretch float64 // as worker.stretch, over the cell
 	// startDelay is how long a start waits for its record to be stored.
 	startDelay time.Duration
-	round   *round  // of the latest Schedule
-	changed bool    // something happened that may let a task start
+	round      *round // of the latest Schedule
+	changed    bool   // something happened that may let a task start
 }
 
 // New returns a core without jobs or workers.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -622,3 +622,19 @@
 	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "u"}}, nil, c.now)
 	is.Equal(len(c.store(nil)), 1)
 }
+
+// A service task that ended is started again where there is room, also long after
+// its job's objective and while the cell keeps room for better work.
+func TestServiceRestartsOnALoadedCell(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.worker("w", 8)
+	c.job("j", workload.Step{Tasks: 1, Resources: cores(1), Service: true})
+	first := c.store(nil)
+	is.Equal(len(first), 1)
+	c.job("k", workload.Step{Tasks: 6, Resources: cores(1), Estimate: time.Hour})
+	is.Equal(len(c.store(nil)), 6)
+	c.now = c.now.Add(time.Minute)
+	c.end(1, first[0], workload.Faulted, "")
+	is.Equal(len(c.store(nil)), 1)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -14,7 +14,8 @@
 	rank rank
 }
 
-// readySteps returns the steps that could start tasks, in order of rank.
+// readySteps returns the steps that could start tasks, in order of rank. Services
+// have no due time; what is missing of one is missed at once, however old its job.
 func (c *Core) readySteps(now time.Time) []rankedStep {
 	var out []rankedStep
 	for _, j := range c.active {
@@ -31,6 +32,10 @@
 				if !ranked {
 					r, ranked = c.rankOf(j, o, now), true
 				}
+				if s.spec.Service {
+					out = append(out, rankedStep{s, rank{groupUrgent, now}})
+					continue
+				}
 				out = append(out, rankedStep{s, r})
 			}
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -107,7 +107,8 @@
 	case workload.Done:
 		w.note(false, now)
 	case workload.Faulted:
-		if w.note(true, now) {
+		// Services may fail at any time, which says little of the worker.
+		if !s.spec.Service && w.note(true, now) {
 			c.emit("worker suspected", "worker", w.info.ID, "failed", w.failed, "fine", w.fine, "until", w.quarantine)
 		}
 		if s.avoid == nil {
