coordinator: a holder whose commits are as slow as the store keeps its seat

Change: what a call usually takes is allowed for; a second copy of a commit goes out only once a call that was made later has been answered; commits over 250 ms are logged.

--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -24,8 +24,10 @@
 	farRank  = 8
 	farProbe = time.Second
 	// lateCommit is the age of the holder's last commit from which the seat is
-	// watched in the store, though the holder answers.
-	lateCommit = 500 * time.Millisecond
+	// watched in the store, though the holder answers; commitSlack times what a call
+	// of the store usually takes is added.
+	lateCommit  = 500 * time.Millisecond
+	commitSlack = 4
 	// seatPoll is the pause between two reads of the seat while the holder does
 	// not answer, seatReread while it does.
 	seatPoll   = 100 * time.Millisecond
@@ -149,7 +151,7 @@
 		e.Log.Info("coordinator answers again", "holder", seen.Holder, "epoch", epoch)
 	}
 	e.missed = 0
-	e.late = age >= lateCommit
+	e.late = age >= lateCommit+commitSlack*platform.UsualTime(e.Store)
 	return !e.late
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -19,6 +19,9 @@
 	commitBytes = 400 << 10
 	// commitWeight is the weight of the latest commit in the usual time of one.
 	commitWeight = 0.3
+	// slowCommit is what a commit takes that is logged; the store usually takes some
+	// milliseconds.
+	slowCommit = 250 * time.Millisecond
 	// commitsAStart is how many commits a start may wait for: the one under way and
 	// its own.
 	commitsAStart = 2
@@ -318,6 +321,9 @@
 			t.committedAt.Store(int64(began.Sub(t.term.Since)))
 			took := time.Since(began)
 			t.Observer.Committed(len(r.puts), took)
+			if took >= slowCommit {
+				t.Log.Info("slow commit", "epoch", t.term.Epoch, "rows", len(r.puts), "took", took)
+			}
 			select {
 			case t.events <- committed{r.batch, took}:
 			case <-ctx.Done():
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -28,6 +28,7 @@
 	next     int
 	open     map[int]time.Time // begin of each call under way
 	answered time.Time         // when a call was last answered
+	newest   time.Time         // begin of the latest call that was answered
 	silent   bool              // the latest call to end got no answer
 	usual    time.Duration     // smoothed time of an answer
 }
@@ -58,16 +59,16 @@
 	return 0
 }
 
-// answersSince reports whether a store has answered a call that was made after
+// overtaken reports whether a store has answered a call that was made later than
 // began; true for a store that is not watched.
-func answersSince(s Store, began time.Time) bool {
+func overtaken(s Store, began time.Time) bool {
 	h, ok := s.(*Health)
 	if !ok {
 		return true
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.answered.After(began.Add(h.usual))
+	return h.newest.After(began)
 }
 
 // Usual returns the smoothed time that the store takes to answer a call.
@@ -112,6 +113,7 @@
 	h.silent = !answered
 	if answered {
 		h.answered = now
+		h.noteNewest(began)
 	}
 	if timed && (answered || slow && now.Sub(began) > h.usual) {
 		h.usual += time.Duration(usualWeight * float64(now.Sub(began)-h.usual))
@@ -137,9 +139,24 @@
 // Changes implements Store. A call that waits for a change says nothing of the
 // store until it ends.
 func (h *Health) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]PartRow, int64, error) {
+	began := time.Now()
 	rows, version, err := h.Store.Changes(ctx, table, after, wait)
 	if ctx.Err() == nil {
-		h.end(0, err == nil || errors.Is(err, ErrHistoryLost))
+		answered := err == nil || errors.Is(err, ErrHistoryLost)
+		h.end(0, answered)
+		if answered {
+			h.mu.Lock()
+			h.noteNewest(began)
+			h.mu.Unlock()
+		}
 	}
 	return rows, version, err
 }
+
+// noteNewest takes note of the begin of a call that was answered. The caller
+// holds mu.
+func (h *Health) noteNewest(began time.Time) {
+	if began.After(h.newest) {
+		h.newest = began
+	}
+}
--- a/internal/platform/hedge.go
+++ b/internal/platform/hedge.go
@@ -11,7 +11,7 @@
 const silentRepeat = time.Second
 
 // CommitTwice applies a transaction whose repeat is harmless. If the first copy
-// is not answered within after, though other calls are, its answer is taken for
+// is not answered within after, though later calls are, its answer is taken for
 // lost and a second copy is sent. The first one stays open all the same. The
 // first answer that settles the outcome counts. Load pattern: a store that turns
 // many times slower at once; it would be buried under copies of what it is about
@@ -42,7 +42,7 @@
 			if sent == 2 {
 				continue
 			}
-			if age := time.Since(began); age < max(silentRepeat, after) && !answersSince(s, began) {
+			if age := time.Since(began); age < max(silentRepeat, after) && !overtaken(s, began) {
 				second.Reset(min(after, max(silentRepeat, after)-age))
 				continue
 			}
