coordinator: at a slow store starts are decided between commits

Change: during a slow commit the core only reviews what waits, so that advice is asked in time; starts are decided when the commit is done.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -19,12 +19,9 @@
 	commitBytes = 400 << 10
 	// commitWeight is the weight of the latest commit in the usual time of one.
 	commitWeight = 0.3
-	// slowCommit is what a commit takes that is logged; the store usually takes some
-	// milliseconds.
+	// slowCommit is the time from which a commit is logged, and from which starts
+	// are decided between commits only. The store usually takes some milliseconds.
 	slowCommit = 250 * time.Millisecond
-	// commitsAStart is how many commits a start may wait for: the one under way and
-	// its own.
-	commitsAStart = 2
 	// commitPause is the least time between the beginnings of two commits. It
 	// bundles changes, since each call of the store is paid for.
 	commitPause = 20 * time.Millisecond
@@ -171,7 +168,7 @@
 	case committed:
 		t.committing = false
 		t.commitTime += time.Duration(commitWeight * float64(e.took-t.commitTime))
-		t.core.SetStartDelay(commitsAStart * t.commitTime)
+		t.core.SetStartDelay(t.commitTime)
 		t.links.stale = true
 		if e.batch != nil {
 			t.links.start(ctx, t.core.Stored(e.batch))
@@ -245,14 +242,7 @@
 // act decides and sends what follows from the core's state.
 func (t *termLoop) act(ctx context.Context) {
 	now := time.Now()
-	if t.core.Changed() {
-		if left := schedulePause - now.Sub(t.scheduled); left > 0 {
-			t.wakeAfter(ctx, left)
-		} else {
-			t.scheduled = now
-			t.core.Schedule(now)
-		}
-	}
+	t.schedule(ctx, now)
 	t.advice.ask(ctx, t.core, now)
 	t.commit(ctx, now)
 	if t.links.stale {
@@ -263,6 +253,27 @@
 	t.report()
 }
 
+// schedule looks for places when something has changed. While a slow commit is
+// under way it only reviews what waits: a start that was decided now would wait
+// for two commits, and its ticket expire.
+func (t *termLoop) schedule(ctx context.Context, now time.Time) {
+	slow := t.commitTime >= slowCommit
+	if !t.core.Changed() && (!t.reviewed || t.committing) {
+		return
+	}
+	if left := schedulePause - now.Sub(t.scheduled); left > 0 {
+		t.wakeAfter(ctx, left)
+		return
+	}
+	t.scheduled = now
+	t.reviewed = slow && t.committing
+	if t.reviewed {
+		t.core.Review(now)
+		return
+	}
+	t.core.Schedule(now)
+}
+
 // commit hands the next batch to the commit loop if it is idle.
 func (t *termLoop) commit(ctx context.Context, now time.Time) {
 	if t.committing {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -123,14 +123,20 @@
 // takes reports whether a worker carries the label that the step needs.
 func (s *step) takes(w *worker) bool { return s.spec.Label == "" || w.info.HasLabel(s.spec.Label) }
 
+// Review works out anew which steps wait and where tasks may start, without
+// placing any. Advice is asked for by it.
+func (c *Core) Review(now time.Time) {
+	c.changed = false
+	c.order = c.readySteps(now)
+	c.round = c.newRound(now)
+}
+
 // Schedule places what can start, best rank first, and reports whether it
 // placed anything.
 func (c *Core) Schedule(now time.Time) bool {
-	c.changed = false
+	c.Review(now)
 	placed := false
-	c.order = c.readySteps(now)
 	c.holds = map[string]hold{}
-	c.round = c.newRound(now)
 	for _, r := range c.order {
 		s := r.step
 		if !s.spec.Gang {
