--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -56,6 +56,7 @@
 	commitTime  time.Duration // smoothed
 	scheduled   time.Time     // when Schedule last ran
 	waking      bool          // a wake event is due
+	reviewed    bool          // the core was reviewed since, without placing anything
 	book        *jobstore.ProgressBook
 	swept       time.Time // when ended jobs were last looked for
 	committedAt atomic.Int64
