dispatch: a job's tasks keep to one AZ where there is room

Change: tasks prefer the AZ of their job's latest task, gangs try each AZ alone first, advice is asked for workers of one AZ. Checked: a test of 40 jobs over 3 AZs, which fails without it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -99,6 +99,7 @@
 // candidate is a worker that a call for advice could name.
 type candidate struct {
 	id    string
+	az    string
 	known bool // it was allowed before; its ticket has expired
 	room  int
 }
@@ -111,13 +112,20 @@
 		return c.askGang(r, q, now)
 	}
 	candidates, _ := c.askCandidates(r, c.round.eligible(r.step, q), now, true)
-	// Known ones first, then the fullest that have room: small tasks fill gaps and
-	// leave whole workers to gangs.
+	// Known ones first, then those of one AZ, then the fullest that have room: small
+	// tasks fill gaps and leave whole workers to gangs.
+	home := r.step.job.home
+	if home == "" {
+		home = roomiestAZ(candidates)
+	}
 	sort.Slice(candidates, func(a, b int) bool {
 		x, y := candidates[a], candidates[b]
 		if x.known != y.known {
 			return x.known
 		}
+		if (x.az == home) != (y.az == home) {
+			return x.az == home
+		}
 		if x.room != y.room {
 			return x.room < y.room
 		}
@@ -126,6 +134,21 @@
 	return cutAsk(r.step, q, candidates)
 }
 
+// roomiestAZ returns the AZ whose candidates have room for the most tasks.
+func roomiestAZ(candidates []candidate) string {
+	room := map[string]int{}
+	best := ""
+	for _, x := range candidates {
+		room[x.az] += x.room
+	}
+	for az, n := range room {
+		if best == "" || n > room[best] || n == room[best] && az < best {
+			best = az
+		}
+	}
+	return best
+}
+
 // askGang picks workers for a gang. The first call names all workers, since the
 // allowed ones must be known to keep room on them; later ones renew tickets when
 // there is room, or is about to be.
@@ -228,7 +251,7 @@
 			continue
 		}
 		_, known := s.advice.tickets[w.info.ID]
-		out = append(out, candidate{w.info.ID, known, n})
+		out = append(out, candidate{w.info.ID, w.info.AZ, known, n})
 	}
 	return out, total
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -638,3 +638,44 @@
 	c.end(1, first[0], workload.Faulted, "")
 	is.Equal(len(c.store(nil)), 1)
 }
+
+// Load pattern: an AZ that is cut off. Few jobs must have a task there, whether
+// their tasks run singly or as gangs.
+func TestJobsKeepToOneAZ(t *testing.T) {
+	for name, gang := range map[string]bool{"single": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.core.SetCell(workload.NewCell(2, []workload.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second}},
+				[]workload.Team{{Name: "team", Weight: 100}}, nil))
+			azOf := map[string]string{}
+			for i := range 30 {
+				id, az := fmt.Sprint("w", i), fmt.Sprint("az", i%3)
+				azOf[id] = az
+				c.worker(id, 32)
+				c.core.SetWorker(workload.WorkerChange{ID: id, Worker: &workload.Worker{
+					ID: id, Born: testBorn, Address: id + ":1", AZ: az, Pool: "pool", Capacity: model.Resources{MilliCores: 32_000, MemoryMB: 64_000}}})
+			}
+			touched := map[string]map[string]bool{}
+			const jobs = 40
+			for i := range jobs {
+				c.job(fmt.Sprint("job-", i), workload.Step{Tasks: 3, Resources: cores(4), Gang: gang})
+				for _, st := range c.store(nil) {
+					id := st.Order.Run.Task.Job
+					if touched[id] == nil {
+						touched[id] = map[string]bool{}
+					}
+					touched[id][azOf[st.Worker.ID]] = true
+				}
+			}
+			is.Equal(len(touched), jobs)
+			split := 0
+			for _, azs := range touched {
+				if len(azs) > 1 {
+					split++
+				}
+			}
+			is.True(split <= jobs/10)
+		})
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -80,6 +80,7 @@
 	shown   workload.State // as stored; what callers are told
 	begun   bool           // a worker has begun a task
 	excess  bool           // beyond its team's rate
+	home    string         // AZ of the task placed last
 	dirty   bool
 	starts  []Start // decided, to be sent after the next commit
 	marked  bool    // its row has been replaced by a mark
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -287,9 +287,12 @@
 const (
 	avoidPenalty   = 4.0 // for each failure of the step there
 	farDataPenalty = 2.0 // the input is on another rack
+	awayPenalty    = 0.4 // other tasks of the job are in another AZ
 )
 
-// placeScore rates a worker for a task of the step; the lowest is best.
+// placeScore rates a worker for a task of the step; the lowest is best. Load
+// pattern: an AZ that is cut off. It holds up every job that has a task there, so
+// a job's tasks stay together.
 func (c *Core) placeScore(s *step, w *worker) float64 {
 	left := w.free().Sub(s.spec.Charged())
 	score := left.DominantShare(w.info.Capacity) + avoidPenalty*float64(s.avoid[w.info.ID])
@@ -299,6 +302,9 @@
 	if c.slow(w) {
 		score += slowPenalty
 	}
+	if home := s.job.home; home != "" && home != w.info.AZ {
+		score += awayPenalty
+	}
 	return score
 }
 
@@ -343,9 +349,47 @@
 			}
 		}
 	}
+	for _, az := range c.azsByRoom(r, workers) {
+		if plan := c.spread(r, az); plan != nil {
+			return plan
+		}
+	}
 	return c.spread(r, workers)
 }
 
+// azsByRoom groups workers by AZ, the job's own one first, then those with the
+// most room for the step.
+func (c *Core) azsByRoom(r rankedStep, workers []*worker) [][]*worker {
+	byAZ := map[string][]*worker{}
+	places := map[string]int{}
+	for _, w := range workers {
+		byAZ[w.info.AZ] = append(byAZ[w.info.AZ], w)
+		places[w.info.AZ] += c.room(w, r.step, r.rank)
+	}
+	names := make([]string, 0, len(byAZ))
+	for az := range byAZ {
+		if places[az] >= len(r.step.tasks) {
+			names = append(names, az)
+		}
+	}
+	home := r.step.job.home
+	sort.Slice(names, func(a, b int) bool {
+		x, y := names[a], names[b]
+		if (x == home) != (y == home) {
+			return x == home
+		}
+		if places[x] != places[y] {
+			return places[x] > places[y]
+		}
+		return x < y
+	})
+	out := make([][]*worker, 0, len(names))
+	for _, az := range names {
+		out = append(out, byAZ[az])
+	}
+	return out
+}
+
 // spread fills the workers that score best first.
 func (c *Core) spread(r rankedStep, workers []*worker) []*worker {
 	s := r.step
@@ -383,6 +427,7 @@
 	s.busy++
 	c.occupy(w, s, i)
 	j := s.job
+	j.home = w.info.AZ
 	text, _ := s.advice.valid(w, now)
 	j.starts = append(j.starts, Start{Worker: w.info, Order: workload.StartOrder{
 		Run: workload.Run{Task: s.taskID(i), Number: run}, Spec: j.spec.Spec, Checkpoint: checkpoint, Ticket: text,
