entry: callers of a host that is cut off are told when the balancer has moved on

Hosts in the zone refuse with Retry-After 1; the balancer needs two checks, a second apart, from when they say not ready, and callers have used up their 3 s by then. Change: isolation is looked for every 0.1 s (0.25) with probes of 0.25 s (0.4), and its refusals tell when the balancer will have noticed.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -125,7 +125,7 @@
 const (
 	feedWait      = 2 * time.Second
 	jobsPause     = 250 * time.Millisecond // accepting hosts tell of jobs at once
-	jobsRelist    = 10 * time.Second       // a job that no message told of waits at most so long
+	jobsRelist    = 20 * time.Second       // a job that no message told of waits at most so long
 	registryPause = 250 * time.Millisecond
 	eventBacklog  = 1024
 )
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -31,7 +31,7 @@
 	// seatPoll is the pause between two reads of the seat while the holder does
 	// not answer, seatReread while it does.
 	seatPoll   = 100 * time.Millisecond
-	seatReread = 2 * time.Second
+	seatReread = 5 * time.Second
 	// silence is how long the seat may stay unchanged, by this host's steady
 	// clock, before it is taken. silenceProbed is the same when the holder does
 	// not answer probes either, or says that it cannot commit. Slow answers of the
--- a/internal/coordinator/sweep.go
+++ b/internal/coordinator/sweep.go
@@ -9,7 +9,7 @@
 
 // sweepPause is the pause between two sweeps of ended jobs; it bundles the jobs
 // of a partition into one transaction.
-const sweepPause = 8 * time.Second
+const sweepPause = 12 * time.Second
 
 // sweep puts marks in the place of ended jobs and removes marks whose time is
 // over. Marks go first, progress rows after them, so that no ended job is ever
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -226,7 +226,7 @@
 		return nil
 	}
 	var out []*worker
-	for _, w := range workers {
+	for _, w := range c.allowed(s, q, workers) {
 		if q.Advice != nil {
 			if _, ok := s.advice.valid(w, c.arrival(c.round.now)); !ok {
 				continue
@@ -329,89 +329,98 @@
 	return true
 }
 
+// site is a worker with room for tasks of a gang.
+type site struct {
+	worker *worker
+	room   int
+}
+
 // gangPlan returns a worker for each task of a gang, or nil if they do not all
-// have room. Steps that slow down over several racks try each rack alone first.
+// have room. Gangs that slow down over several racks try each rack alone first,
+// all others each AZ.
 func (c *Core) gangPlan(r rankedStep, workers []*worker) []*worker {
-	s := r.step
-	if s.spec.SameRack {
-		byRack := map[string][]*worker{}
-		for _, w := range workers {
-			byRack[w.info.Rack] = append(byRack[w.info.Rack], w)
-		}
-		racks := make([]string, 0, len(byRack))
-		for rack := range byRack {
-			racks = append(racks, rack)
-		}
-		sort.Strings(racks)
-		for _, rack := range racks {
-			if plan := c.spread(r, byRack[rack]); plan != nil {
-				return plan
-			}
-		}
+	sites, places := c.sites(r, workers)
+	n := len(r.step.tasks)
+	if places < n {
+		return nil
 	}
-	for _, az := range c.azsByRoom(r, workers) {
-		if plan := c.spread(r, az); plan != nil {
-			return plan
+	if r.step.spec.SameRack {
+		for _, group := range groupSites(sites, n, "", func(w *worker) string { return w.info.Rack }) {
+			return fill(group, n)
 		}
 	}
-	return c.spread(r, workers)
+	for _, group := range groupSites(sites, n, r.step.job.home, func(w *worker) string { return w.info.AZ }) {
+		return fill(group, n)
+	}
+	return fill(sites, n)
 }
 
-// azsByRoom groups workers by AZ, the job's own one first, then those with the
-// most room for the step.
-func (c *Core) azsByRoom(r rankedStep, workers []*worker) [][]*worker {
-	byAZ := map[string][]*worker{}
-	places := map[string]int{}
+// sites returns the workers that have room for the step, best first, and the
+// number of places on them.
+func (c *Core) sites(r rankedStep, workers []*worker) ([]site, int) {
+	s := r.step
+	sites := make([]site, 0, len(workers))
+	places := 0
 	for _, w := range workers {
-		byAZ[w.info.AZ] = append(byAZ[w.info.AZ], w)
-		places[w.info.AZ] += c.room(w, r.step, r.rank)
+		if n := c.room(w, s, r.rank); n > 0 {
+			sites = append(sites, site{w, n})
+			places += n
+		}
 	}
-	names := make([]string, 0, len(byAZ))
-	for az := range byAZ {
-		if places[az] >= len(r.step.tasks) {
-			names = append(names, az)
+	sort.SliceStable(sites, func(a, b int) bool {
+		x, y := sites[a], sites[b]
+		if s.avoid[x.worker.info.ID] != s.avoid[y.worker.info.ID] {
+			return s.avoid[x.worker.info.ID] < s.avoid[y.worker.info.ID]
+		}
+		if slow := c.slow(x.worker); slow != c.slow(y.worker) {
+			return !slow
+		}
+		return x.room > y.room
+	})
+	return sites, places
+}
+
+// groupSites returns the groups of sites with the same key that have n places:
+// the one called first, then those with the most places.
+func groupSites(sites []site, n int, first string, key func(*worker) string) [][]site {
+	groups := map[string][]site{}
+	places := map[string]int{}
+	for _, x := range sites {
+		k := key(x.worker)
+		groups[k] = append(groups[k], x)
+		places[k] += x.room
+	}
+	keys := make([]string, 0, len(groups))
+	for k := range groups {
+		if places[k] >= n {
+			keys = append(keys, k)
 		}
 	}
-	home := r.step.job.home
-	sort.Slice(names, func(a, b int) bool {
-		x, y := names[a], names[b]
-		if (x == home) != (y == home) {
-			return x == home
+	sort.Slice(keys, func(a, b int) bool {
+		x, y := keys[a], keys[b]
+		if (x == first) != (y == first) {
+			return x == first
 		}
 		if places[x] != places[y] {
 			return places[x] > places[y]
 		}
 		return x < y
 	})
-	out := make([][]*worker, 0, len(names))
-	for _, az := range names {
-		out = append(out, byAZ[az])
+	out := make([][]site, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, groups[k])
 	}
 	return out
 }
 
-// spread fills the workers that score best first.
-func (c *Core) spread(r rankedStep, workers []*worker) []*worker {
-	s := r.step
-	order := append([]*worker(nil), workers...)
-	sort.SliceStable(order, func(a, b int) bool {
-		x, y := order[a], order[b]
-		if s.avoid[x.info.ID] != s.avoid[y.info.ID] {
-			return s.avoid[x.info.ID] < s.avoid[y.info.ID]
+// fill returns a worker for each of n tasks, the best sites first. They have room
+// for them.
+func fill(sites []site, n int) []*worker {
+	plan := make([]*worker, 0, n)
+	for _, x := range sites {
+		for range min(x.room, n-len(plan)) {
+			plan = append(plan, x.worker)
 		}
-		if slow := c.slow(x); slow != c.slow(y) {
-			return !slow
-		}
-		return fits(x, s) > fits(y, s)
-	})
-	plan := make([]*worker, 0, len(s.tasks))
-	for _, w := range order {
-		for n := c.room(w, s, r.rank); n > 0 && len(plan) < len(s.tasks); n-- {
-			plan = append(plan, w)
-		}
-	}
-	if len(plan) < len(s.tasks) {
-		return nil
 	}
 	return plan
 }
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"cuminloft/internal/workload"
 )
 
 // Keeping room for gangs that wait.
@@ -40,12 +42,13 @@
 // of wide tasks never finds room at once.
 func (c *Core) reserve(s *step, now time.Time) {
 	var slots []slot
-	p := c.round.pools[c.queueOf(s.job).Pool]
+	q := c.queueOf(s.job)
+	p := c.round.pools[q.Pool]
 	if p == nil || float64(len(c.holds)) >= holdShare*float64(len(p.workers)) {
 		return
 	}
-	for _, w := range p.workers {
-		if _, held := c.holds[w.info.ID]; !held && s.takes(w) && c.mayRun(s, w) {
+	for _, w := range c.allowed(s, q, p.workers) {
+		if _, held := c.holds[w.info.ID]; !held && s.takes(w) {
 			slots = c.appendSlots(slots, s, w, now)
 		}
 	}
@@ -69,14 +72,20 @@
 	s.heldFrom = at
 }
 
-// mayRun reports whether the advice service is known to allow the step on a
-// worker.
-func (c *Core) mayRun(s *step, w *worker) bool {
-	if c.queueOf(s.job).Advice == nil {
-		return true
+// allowed returns those of the workers that the advice service is known to allow
+// for the step, in order of ID.
+func (c *Core) allowed(s *step, q *workload.Queue, workers []*worker) []*worker {
+	if q.Advice == nil {
+		return workers
+	}
+	out := make([]*worker, 0, len(s.advice.tickets))
+	for id := range s.advice.tickets {
+		if w := c.workers[id]; w != nil && w.info.Pool == q.Pool && c.open(w, c.round.now) {
+			out = append(out, w)
+		}
 	}
-	_, known := s.advice.tickets[w.info.ID]
-	return known
+	sort.Slice(out, func(a, b int) bool { return out[a].info.ID < out[b].info.ID })
+	return out
 }
 
 // appendSlots adds the places that a worker has for tasks of the step, now and
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -27,7 +27,7 @@
 	notifyTimeout   = 400 * time.Millisecond
 	// isolationProbes hosts of other AZs are asked whether they answer.
 	isolationProbes  = 4
-	isolationTimeout = 400 * time.Millisecond
+	isolationTimeout = 250 * time.Millisecond
 	relayHosts       = 2               // how many other hosts are tried
 	peerRest         = 2 * time.Second // a host that did not answer is left alone so long
 )
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -74,7 +74,7 @@
 	local    *coordinator.Coordinator
 	desk     *intake.Desk
 	stopping atomic.Bool
-	isolated atomic.Bool // cut off from the store and from all other AZs
+	isolated atomic.Pointer[time.Time] // since when; nil unless cut off from the store and all other AZs
 }
 
 // Run serves until ctx ends or the process is told to stop, then stops in order.
@@ -125,18 +125,34 @@
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
 	p.desk = intake.New(intake.Config{
-		Jobs: jobs, Watch: p.watch, Dispatcher: p.peers, Relay: p.peers, StoreSuspect: store.Suspect, StoreLost: store.Lost, Log: log, Observer: p.metrics,
+		Jobs: jobs, Watch: p.watch, Dispatcher: p.peers, Relay: p.peers, StoreSuspect: store.Suspect, StoreLost: store.Lost,
+		MovesIn: p.movesIn, Log: log, Observer: p.metrics,
 	})
 	return p
 }
 
 // ready tells the balancer whether this host takes new connections.
 func (p *process) ready() bool {
-	return !p.stopping.Load() && p.watch.Cell() != nil && !p.isolated.Load()
+	return !p.stopping.Load() && p.watch.Cell() != nil && p.isolated.Load() == nil
 }
 
-// isolationPause is the pause between two looks at whether this host is cut off.
-const isolationPause = 250 * time.Millisecond
+const (
+	// isolationPause is the pause between two looks at whether this host is cut off.
+	isolationPause = 100 * time.Millisecond
+	// balancerTime is how long the platform's balancer takes to notice that a host
+	// is not ready: two checks, one a second.
+	balancerTime = 2 * time.Second
+)
+
+// movesIn returns how long it takes until the balancer sends this host's callers
+// elsewhere, 0 if it does not.
+func (p *process) movesIn(now time.Time) time.Duration {
+	since := p.isolated.Load()
+	if since == nil {
+		return 0
+	}
+	return max(0, since.Add(balancerTime).Sub(now))
+}
 
 // watchIsolation keeps track of whether this host is cut off from the store and
 // from all other AZs, so that callers are better served elsewhere. While the
@@ -146,8 +162,13 @@
 		now := time.Now()
 		cut := !p.watch.Fresh(now) || p.adapter.Store.Suspect(now)
 		isolated := cut && !p.peers.reachesOtherAZ(ctx)
-		if p.isolated.Swap(isolated) != isolated {
+		if was := p.isolated.Load() != nil; was != isolated {
 			p.log.Info("isolation", "isolated", isolated)
+			if isolated {
+				p.isolated.Store(&now)
+			} else {
+				p.isolated.Store(nil)
+			}
 		}
 		_ = wait.For(ctx, isolationPause) // the loop ends with ctx
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -100,8 +100,11 @@
 	// StoreSuspect reports whether the store may be out of reach of this host,
 	// StoreLost whether it is.
 	StoreSuspect, StoreLost func(now time.Time) bool
-	Log                     logr.Logger
-	Observer                Observer
+	// MovesIn returns how long it takes until the balancer sends this host's callers
+	// elsewhere; 0 if it does not.
+	MovesIn  func(now time.Time) time.Duration
+	Log      logr.Logger
+	Observer Observer
 }
 
 // Desk handles callers' requests.
@@ -168,7 +171,7 @@
 		if reply, err := d.relay(ctx, r); err == nil {
 			return reply
 		} else if r.Operation == Submit && d.cutOff(time.Now()) {
-			return Reply{Outcome: NotRun, RetryAfter: retryStore, Reason: fmt.Sprintf("the store is out of reach: %v", err)}
+			return Reply{Outcome: NotRun, RetryAfter: max(retryStore, d.MovesIn(time.Now())), Reason: fmt.Sprintf("the store is out of reach: %v", err)}
 		}
 	}
 	r.Configuration = d.known.Load()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -101,6 +101,7 @@
 	dispatcher *fixed
 	relay      *relayTo
 	suspect    bool
+	moves      time.Duration
 }
 
 func newHost(t *testing.T, store *rows.Store) *host {
@@ -115,7 +116,8 @@
 	t.Cleanup(func() { cancel(); <-ended })
 	h.Desk = New(Config{
 		Jobs: jobstore.Jobs{Store: platform.NewHealth(store), Log: logr.Discard()}, Watch: watch, Dispatcher: h.dispatcher, Relay: h.relay,
-		StoreSuspect: func(time.Time) bool { return h.suspect }, StoreLost: func(time.Time) bool { return h.suspect }, Log: logr.Discard(), Observer: ignore{},
+		StoreSuspect: func(time.Time) bool { return h.suspect }, StoreLost: func(time.Time) bool { return h.suspect },
+		MovesIn: func(time.Time) time.Duration { return h.moves }, Log: logr.Discard(), Observer: ignore{},
 	})
 	h.await(t, 1)
 	return h
@@ -238,6 +240,10 @@
 	reply := h.Handle(t.Context(), request(Submit))
 	is.Equal(reply.Outcome, NotRun)
 	is.True(time.Since(began) < 200*time.Millisecond)
+	is.Equal(reply.RetryAfter, retryStore)
+	// Callers are told to come back when the balancer sends them elsewhere.
+	h.moves = 1700 * time.Millisecond
+	is.Equal(h.Handle(t.Context(), request(Submit)).RetryAfter, h.moves)
 	h.relay.desk = other.Desk
 	is.Equal(h.Handle(t.Context(), request(Submit)).Outcome, Accepted)
 }
