election: small hosts leave the seat to large ones

It stood 16 ranks (0.4 s) back, but had read the unchanged seat 0.6 s before the large hosts noticed that its holder was late. Ruled out: the jobs' AZ preference (same placing times outside of that span). Change: much smaller hosts wait a second longer, whatever they have read.

--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -46,6 +46,10 @@
 	rankStep  = 25 * time.Millisecond
 	takeSlack = 2
 	mostRank  = 40
+	// dwarfedDelay is how much longer a host waits that is much smaller than others.
+	// These may notice the silence later, by the pause between two probes and the
+	// time that a probe may take.
+	dwarfedDelay = time.Second
 )
 
 // Elector keeps track of who coordinates and takes the seat when its holder
@@ -57,6 +61,8 @@
 	Log     logr.Logger
 	// Rank is this host's place among those that may take the seat, from 0.
 	Rank func() int
+	// Dwarfed reports whether another live host is much better suited.
+	Dwarfed func() bool
 	// Lead runs while this host holds the seat. It returns when the seat is lost
 	// or ctx ends.
 	Lead func(ctx context.Context, term *Term) error
@@ -196,6 +202,9 @@
 		step += takeSlack * readTook
 	}
 	rank := time.Duration(min(e.Rank(), mostRank)) * step
+	if e.Dwarfed() {
+		rank += dwarfedDelay
+	}
 	switch {
 	case seat.Holder == "":
 		return now.Sub(e.changed) >= rank
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -24,11 +24,8 @@
 	memberSilence = 10 * time.Second
 	// memberRemoval is when the row of a host that is gone is removed.
 	memberRemoval = time.Minute
-	// dwarfedFactor times a host's share of a core is much larger; dwarfedRank is
-	// how many places further back such a host stands, so that it takes the seat
-	// only when no larger one does.
+	// dwarfedFactor times a host's share of a core is much larger.
 	dwarfedFactor = 1.5
-	dwarfedRank   = 16
 )
 
 // member is the stored form of an entry host.
@@ -160,9 +157,6 @@
 			n++
 		}
 	}
-	if m.dwarfed() {
-		n += dwarfedRank
-	}
 	return n
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -122,7 +122,7 @@
 		Log:      log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
 		Dwarfed: p.members.dwarfed,
 	})
-	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Lead: p.local.Lead, Probe: p.peers.probe}
+	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Dwarfed: p.members.dwarfed, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
 	p.desk = intake.New(intake.Config{
 		Jobs: jobs, Watch: p.watch, Dispatcher: p.peers, Relay: p.peers, StoreSuspect: store.Suspect, StoreLost: store.Lost,
