maintenance: campaigns of the operators are carried out

Hosts are emptied (nothing new starts, tasks end by themselves, after half of the time left for a host they are moved), at most as many at once as allowed; services lose only as many tasks at a time as may be away. Orders carry the coordinator's name and epoch as fence; the first follows a takeover by the time that holders must keep apart, and each needs a seat confirmed of late. What has begun is stored. Tests: a planner by rapid (limits, takeovers, hosts that leave), services in the core, and separate processes with kills over a stand-in of the hosts' API.

--- a/internal/cellwatch/cellwatch.go
+++ b/internal/cellwatch/cellwatch.go
@@ -3,7 +3,9 @@
 package cellwatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,13 +31,14 @@
 	mu        sync.Mutex
 	cell      *workload.Cell
 	evacuated map[string]bool
+	campaigns map[int64]workload.Maintenance
 	readAt    time.Time
 	failing   bool
 }
 
 // New returns a view that has seen nothing yet.
 func New(feed platform.Feed[workload.OperatorChange], log logr.Logger) *Watch {
-	return &Watch{feed: feed, log: log, evacuated: map[string]bool{}}
+	return &Watch{feed: feed, log: log, evacuated: map[string]bool{}, campaigns: map[int64]workload.Maintenance{}}
 }
 
 // Run follows the operators' changes until ctx ends.
@@ -66,6 +69,18 @@
 	return out
 }
 
+// Campaigns returns the maintenance campaigns that operators ask for, in order.
+func (w *Watch) Campaigns() []workload.Maintenance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]workload.Maintenance, 0, len(w.campaigns))
+	for _, m := range w.campaigns {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b workload.Maintenance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Fresh reports whether the view is surely current.
 func (w *Watch) Fresh(now time.Time) bool {
 	w.mu.Lock()
@@ -93,6 +108,7 @@
 func (w *Watch) listed(ctx context.Context, all []workload.OperatorChange) error {
 	w.mu.Lock()
 	w.evacuated = map[string]bool{}
+	w.campaigns = map[int64]workload.Maintenance{}
 	w.mu.Unlock()
 	return w.changed(ctx, all)
 }
@@ -105,6 +121,13 @@
 		case ch.Cell != nil && (w.cell == nil || ch.Cell.Version > w.cell.Version):
 			w.log.Info("configuration in force", "version", ch.Cell.Version)
 			w.cell = ch.Cell
+		case ch.Maintenance != nil && ch.Withdrawn:
+			delete(w.campaigns, ch.Maintenance.ID)
+			w.log.Info("maintenance campaign withdrawn", "campaign", ch.Maintenance.ID)
+		case ch.Maintenance != nil:
+			w.campaigns[ch.Maintenance.ID] = *ch.Maintenance
+			w.log.Info("maintenance campaign", "campaign", ch.Maintenance.ID, "hosts", len(ch.Maintenance.Hosts),
+				"at_once", ch.Maintenance.AtOnce, "within", ch.Maintenance.Within)
 		case ch.EvacuatedAZ != "" && ch.Withdrawn:
 			delete(w.evacuated, ch.EvacuatedAZ)
 			w.log.Info("evacuation ends", "az", ch.EvacuatedAZ)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,6 +28,11 @@
 	Advisers func() []Adviser
 	Log      logr.Logger
 	Observer Observer
+	// Hosts operates the workers' hosts; nil where the platform has no such API.
+	Hosts workload.HostOperator
+	// OrderLease is how long after another holder's last order the first one of this
+	// one may follow.
+	OrderLease time.Duration
 	// Retention is how long ended jobs are shown.
 	Retention time.Duration
 	// Dwarfed reports whether another live host is much better suited to
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -48,6 +48,7 @@
 	events  chan any
 	links   *linkSet
 	advice  *adviceDesk
+	upkeep  *maintenanceDesk
 	commits chan commitRequest
 	// committing tells that a commit is under way; committedAt is when the last
 	// one succeeded, in nanoseconds since term.Since.
@@ -75,6 +76,7 @@
 	}
 	t.links = newLinkSet(c, term.Epoch, t.lastCommit, events)
 	t.advice = newAdviceDesk(c.Advisers, events)
+	t.upkeep = newMaintenanceDesk()
 	return t
 }
 
@@ -164,6 +166,8 @@
 		for _, id := range e {
 			t.core.Forget(id)
 		}
+	case campaignLoaded, hostsListed, maintained, campaignReported:
+		t.handleMaintenance(ctx, e, now)
 	case wake:
 		t.waking = false
 	case committed:
@@ -227,6 +231,7 @@
 	for id, over := range t.links.overs() {
 		t.core.LeaseUntil(id, over)
 	}
+	t.maintain(ctx, now)
 	t.core.Tick(now)
 	t.links.stale = true
 	t.Observer.Gauges(t.core.Stats())
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,7 @@
 type Core struct {
 	cell      *workload.Cell
 	evacuated map[string]bool
+	cordoned  map[string]bool      // workers on which nothing may start
 	suspectAZ map[string]time.Time // until when an AZ may be cut off
 	jobs      map[string]*job
 	active    map[string]*job // jobs that are not final
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -106,7 +106,7 @@
 
 // open reports whether tasks of any kind may start on a worker.
 func (c *Core) open(w *worker, now time.Time) bool {
-	return w.listed && w.contact && !w.info.Draining && !c.evacuated[w.info.AZ] &&
+	return w.listed && w.contact && !w.info.Draining && !c.evacuated[w.info.AZ] && !c.cordoned[w.info.ID] &&
 		!now.Before(w.backoff) && !now.Before(w.quarantine) && !now.Before(c.suspectAZ[w.info.AZ])
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -35,6 +35,7 @@
 	Workers   platform.Feed[workload.WorkerChange]
 	Commander workload.Commander
 	Advice    workload.Adviser
+	Hosts     workload.HostOperator // nil if there is none
 	// Callers serves the callers' interface, Readiness the balancer's question.
 	Callers   func(handle func(context.Context, intake.Request) intake.Reply) http.Handler
 	Readiness func(ready func() bool) http.Handler
@@ -120,7 +121,7 @@
 		Store: store, Jobs: jobs, Watch: p.watch, Workers: a.Workers, Commander: a.Commander,
 		Advisers: func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
 		Log:      log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
-		Dwarfed: p.members.dwarfed,
+		Dwarfed: p.members.dwarfed, Hosts: a.Hosts, OrderLease: s.OrderLease(),
 	})
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Dwarfed: p.members.dwarfed, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -25,6 +25,12 @@
 	// Advice every worker is eligible.
 	Store  string `json:"store"`
 	Advice string `json:"advice,omitempty"`
+	// HostAPI is the host:port of the API that operates the workers' hosts; without
+	// it maintenance campaigns are left alone.
+	HostAPI string `json:"host_api,omitempty"`
+	// OrderLeaseMS is the least time between orders of two holders to a host, in
+	// milliseconds; default 3000.
+	OrderLeaseMS float64 `json:"order_lease_ms,omitempty"`
 	// GraceS is the time between the request to stop and the kill, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// ShowEndedS is how long callers are shown a job that has ended, in seconds.
@@ -41,6 +47,9 @@
 // defaultShowEndedS is the time that callers are promised, with a margin.
 const defaultShowEndedS = 300
 
+// defaultOrderLeaseMS is the platform's usual figure.
+const defaultOrderLeaseMS = 3000
+
 // Codes of problems that the check finds.
 const (
 	codeMissing strictjson.Code = "missing"
@@ -86,8 +95,12 @@
 	}
 	address("metrics_listen", s.MetricsListen)
 	address("advice", s.Advice)
-	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 {
-		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb and cores must not be negative", ""))
+	address("host_api", s.HostAPI)
+	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 {
+		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores and order_lease_ms must not be negative", ""))
+	}
+	if s.OrderLeaseMS == 0 {
+		s.OrderLeaseMS = defaultOrderLeaseMS
 	}
 	if s.ShowEndedS == 0 {
 		s.ShowEndedS = defaultShowEndedS
@@ -103,5 +116,10 @@
 	return time.Duration(s.ShowEndedS * float64(time.Second))
 }
 
+// OrderLease returns the least time between orders of two holders to a host.
+func (s *Settings) OrderLease() time.Duration {
+	return time.Duration(s.OrderLeaseMS * float64(time.Millisecond))
+}
+
 // Grace returns the time between the request to stop and the kill.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
--- a/internal/workload/cell.go
+++ b/internal/workload/cell.go
@@ -110,5 +110,7 @@
 	// EvacuatedAZ is set when an evacuation of that zone begins, or ends if
 	// Withdrawn.
 	EvacuatedAZ string
+	// Maintenance is set when a campaign begins, or ends if Withdrawn.
+	Maintenance *Maintenance
 	Withdrawn   bool
 }
--- /dev/null
+++ b/internal/workload/maintenance.go
@@ -0,0 +1,44 @@
+package workload
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Maintenance is a campaign of the operators: each of some workers' hosts is to
+// have its maintenance, which ends all that runs there.
+type Maintenance struct {
+	ID     int64
+	Hosts  []string
+	Within time.Duration // from when it was asked for
+	AtOnce int           // most hosts that may be down for it at the same time
+}
+
+// WorkerHost is a host that carries one worker at a time.
+type WorkerHost struct {
+	ID     string
+	Pool   string
+	Up     bool   // neither moving, nor in maintenance, nor down
+	Worker string // ID of its present worker
+}
+
+// Errors of an order to a host. ErrNoAnswer leaves open whether it was or will be
+// carried out; every other error proves that it was not.
+var (
+	ErrHostBusy      = errors.New("host is not up, or about to leave")
+	ErrHostUnknown   = errors.New("host does not exist")
+	ErrNotInCampaign = errors.New("host does not belong to the maintenance campaign")
+	ErrTooManyCalls  = errors.New("platform takes no such calls for now")
+)
+
+// HostOperator acts on the workers' hosts.
+type HostOperator interface {
+	// Hosts lists all hosts.
+	Hosts(ctx context.Context) ([]WorkerHost, error)
+	// Maintain starts a host's maintenance. One that it has had already in this
+	// campaign counts as started. Orders of a holder with a lower fence are void.
+	Maintain(ctx context.Context, host string, campaign int64, holder string, fence int64) error
+	// Report tells the operators how far a campaign is.
+	Report(ctx context.Context, campaign int64, completed bool) error
+}
