coordinator: a holder that stops during a commit gives its seat up all the same

The commit under way landed, so the seat's version was not the one that the resignation expected, and it counted as deposed. Change: if the seat is still this term's, it is given up from its present version. The new test fails without it.

--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -93,10 +94,21 @@
 	return t.chain.commit(ctx, t.seat, puts, removes)
 }
 
-// resignTerm gives the seat up, so that another host takes it at once.
+// resignTerm gives the seat up, so that another host takes it at once. A commit
+// that was under way when the term ended may have landed; then the seat is still
+// this term's, one number further.
 func (t *Term) resignTerm(ctx context.Context) error {
 	seat := t.seat
 	seat.Holder, seat.Address = "", ""
+	err := t.chain.commit(ctx, seat, nil, nil)
+	if !errors.Is(err, errDeposed) {
+		return err
+	}
+	now, readErr := readSeat(ctx, t.chain.store)
+	if readErr != nil || now.Holder != t.seat.Holder || now.Epoch != t.seat.Epoch {
+		return err
+	}
+	t.chain.last = now
 	return t.chain.commit(ctx, seat, nil, nil)
 }
 
--- a/internal/coordinator/seat_test.go
+++ b/internal/coordinator/seat_test.go
@@ -104,3 +104,36 @@
 	s.SetDown(false)
 	is.NoErr(c.commit(t.Context(), seat, nil, nil))
 }
+
+// A holder that stops while a commit is under way gives the seat up all the same,
+// whether that commit lands or not.
+func TestResignDuringACommit(t *testing.T) {
+	for name, fault := range map[string]rows.Fault{"landed": rows.LostDone, "lost": rows.Refused} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := rows.New()
+			c, seat := takeSeat(t, s, "a")
+			s.SetFault(func(platform.Tx) rows.Fault { return fault })
+			ctx, cancel := context.WithTimeout(t.Context(), commitRetry/2)
+			defer cancel()
+			is.True(c.commit(ctx, seat, []platform.PartRow{progressRow("job", "one")}, nil) != nil)
+			s.SetFault(nil)
+			is.NoErr((&Term{Epoch: seat.Epoch, seat: seat, chain: c}).resignTerm(t.Context()))
+			now, err := readSeat(t.Context(), s)
+			is.NoErr(err)
+			is.Equal(now.Holder, "")
+		})
+	}
+}
+
+// A holder that was replaced leaves its successor's seat alone.
+func TestReplacedHolderDoesNotResign(t *testing.T) {
+	is := is.New(t)
+	s := rows.New()
+	c, seat := takeSeat(t, s, "a")
+	takeSeat(t, s, "b")
+	is.True(errors.Is((&Term{Epoch: seat.Epoch, seat: seat, chain: c}).resignTerm(t.Context()), errDeposed))
+	now, err := readSeat(t.Context(), s)
+	is.NoErr(err)
+	is.Equal(now.Holder, "b")
+}
