cells of thousands of workers and hundreds of hosts: cost follows what runs

Change: idle workers are looked at by their number; links and acknowledgements that changed only; hosts renew by their number; the seat is confirmed while jobs are read; a host that has not read the others' rows yet stands back. Ruled out: memory (314 MB of 536).

--- a/internal/coordinator/advicedesk.go
+++ b/internal/coordinator/advicedesk.go
@@ -20,6 +20,8 @@
 	// behind calls of half a second.
 	keptForShort = 2
 	anyAdvice    = time.Minute
+	// advisersFor is how long a list of the hosts is used.
+	advisersFor = 250 * time.Millisecond
 )
 
 // adviceDesk spreads calls for advice over the hosts: the service handles one
@@ -30,6 +32,8 @@
 	events   chan<- any
 	busy     map[string]bool
 	rest     map[string]time.Time
+	hosts    []Adviser
+	listed   time.Time
 }
 
 func newAdviceDesk(advisers func() []Adviser, events chan<- any) *adviceDesk {
@@ -38,8 +42,11 @@
 
 // ask makes the calls that the core wants on the hosts that are idle.
 func (d *adviceDesk) ask(ctx context.Context, core *dispatch.Core, now time.Time) {
+	if now.Sub(d.listed) >= advisersFor {
+		d.hosts, d.listed = d.advisers(), now
+	}
 	var idle []Adviser
-	for _, a := range d.advisers() {
+	for _, a := range d.hosts {
 		if !d.busy[a.Name] && !now.Before(d.rest[a.Name]) {
 			idle = append(idle, a)
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -142,7 +142,7 @@
 	t := newTermLoop(c, term, events)
 	c.leading.Store(t)
 	defer c.leading.Store(nil)
-	jobsVersion, err := t.load(ctx)
+	jobsVersion, err := t.loadUnderSeat(ctx)
 	if err != nil {
 		return fmt.Errorf("jobs cannot be loaded: %w", err)
 	}
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cuminloft/internal/dispatch"
@@ -27,7 +29,11 @@
 	TakeoverBound = unconfirmedLimit + time.Duration(clockSlack*float64(lease)) + time.Second
 
 	holdWaitBusy = 700 * time.Millisecond // of a hold on a worker with tasks
-	holdWaitIdle = 2 * time.Second        // of one without
+	// A worker without tasks is looked at every idlePause, at least idleSpacing times
+	// the number of workers: a coordinator can make some 500 such calls a second
+	// beside its work.
+	idlePause   = 2 * time.Second
+	idleSpacing = 2 * time.Millisecond
 	// holdSlack is added to the time that a hold may wait. A hold that is not
 	// answered hides the ends of tasks that long.
 	holdSlack   = 400 * time.Millisecond
@@ -79,14 +85,17 @@
 	worker    workload.Worker
 	fence     int64
 	confirmed func() time.Time // when the seat was last confirmed
+	workers   *atomic.Int64    // number of links
 	events    chan<- any
 	cancel    context.CancelFunc
 	orders    chan struct{} // a token for each order under way
 	acked     chan struct{} // signalled when ack grows
+	busy      chan struct{} // signalled when there is more to do than to look now and then
 
 	mu        sync.Mutex
 	ack       int64 // ends up to this one are stored
 	ackLife   int64 // life of the worker that ack counts in
+	ackSent   int64 // acknowledged with the latest hold that was answered
 	life      int64 // life that answered the latest hold
 	tasks     int
 	clock     int64     // the worker's clock, milliseconds
@@ -95,10 +104,10 @@
 	contact   bool      // the latest hold was answered
 }
 
-func newLink(l dispatch.Link, c *Coordinator, fence int64, confirmed func() time.Time, events chan<- any) *link {
+func newLink(l dispatch.Link, c *Coordinator, fence int64, confirmed func() time.Time, workers *atomic.Int64, events chan<- any) *link {
 	return &link{
-		commander: c.Commander, worker: l.Worker, fence: fence, confirmed: confirmed, events: events,
-		orders: make(chan struct{}, ordersAtOnce), acked: make(chan struct{}, 1), ack: l.Acked, ackLife: l.Born, tasks: l.Tasks,
+		commander: c.Commander, worker: l.Worker, fence: fence, confirmed: confirmed, workers: workers, events: events,
+		orders: make(chan struct{}, ordersAtOnce), acked: make(chan struct{}, 1), busy: make(chan struct{}, 1), ack: l.Acked, ackLife: l.Born, tasks: l.Tasks,
 	}
 }
 
@@ -109,13 +118,25 @@
 	l.tasks = v.Tasks
 	if v.Acked != l.ack || v.Born != l.ackLife {
 		l.ack, l.ackLife = v.Acked, v.Born
-		select {
-		case l.acked <- struct{}{}:
-		default:
-		}
+		signal(l.acked)
+	}
+	if !l.idle() {
+		signal(l.busy)
+	}
+}
+
+// signal wakes whoever waits for ch, now or later.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
 
+// idle reports whether nothing runs there and nothing is to be acknowledged. The
+// caller holds mu.
+func (l *link) idle() bool { return l.tasks == 0 && l.ackSent == l.ack && l.life == l.ackLife }
+
 // over returns when leases given here have surely ended.
 func (l *link) over() time.Time {
 	l.mu.Lock()
@@ -173,13 +194,42 @@
 			l.waitAck(ctx, inv.Ended[n-1].Seq)
 		}
 		_ = wait.For(ctx, holdPause) // the loop ends with ctx
+		l.rest(ctx)
+	}
+}
+
+// rest waits while the worker is idle, for a bounded time.
+func (l *link) rest(ctx context.Context) {
+	l.mu.Lock()
+	idle := l.idle()
+	l.mu.Unlock()
+	if !idle {
+		return
+	}
+	pause := max(idlePause, time.Duration(l.workers.Load())*idleSpacing)
+	timer := time.NewTimer(pause - rand.N(pause/4))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-l.busy:
+		}
+		l.mu.Lock()
+		idle := l.idle()
+		l.mu.Unlock()
+		if !idle {
+			return
+		}
 	}
 }
 
 // hold makes one call and reports its outcome.
 func (l *link) hold(ctx context.Context, first bool) (workload.Inventory, error) {
 	l.mu.Lock()
-	order := workload.HoldOrder{Fence: l.fence, AckSeq: l.acknowledged(), Wait: holdWaitIdle}
+	order := workload.HoldOrder{Fence: l.fence, AckSeq: l.acknowledged()}
 	if l.tasks > 0 {
 		order.Wait = holdWaitBusy
 	}
@@ -198,7 +248,7 @@
 	l.mu.Lock()
 	l.contact = err == nil
 	if err == nil {
-		l.life = inv.Born
+		l.life, l.ackSent = inv.Born, order.AckSeq
 	}
 	l.mu.Unlock()
 	l.send(ctx, report{l.worker.ID, inv, asked, err})
--- a/internal/coordinator/links.go
+++ b/internal/coordinator/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cuminloft/internal/dispatch"
@@ -15,41 +16,37 @@
 	confirmed func() time.Time
 	events    chan<- any
 	links     map[string]*link
+	count     atomic.Int64 // of links
 	running   sync.WaitGroup
-	stale     bool // the core's workers or acknowledgements may have changed
 }
 
 func newLinkSet(c *Coordinator, fence int64, confirmed func() time.Time, events chan<- any) *linkSet {
 	return &linkSet{c: c, fence: fence, confirmed: confirmed, events: events, links: map[string]*link{}}
 }
 
-// sync opens and closes links as the core's workers come and go.
+// sync opens, updates and closes links of the workers that the core has touched.
 func (s *linkSet) sync(ctx context.Context, core *dispatch.Core) {
-	s.stale = false
-	wanted := core.Links()
-	seen := make(map[string]bool, len(wanted))
-	for _, v := range wanted {
-		seen[v.Worker.ID] = true
-		l := s.links[v.Worker.ID]
-		if l != nil && l.worker.Address != v.Worker.Address {
+	for _, id := range core.TakeTouched() {
+		v, wanted := core.LinkOf(id)
+		l := s.links[id]
+		if l != nil && (!wanted || l.worker.Address != v.Worker.Address) {
 			l.cancel()
+			delete(s.links, id)
 			l = nil
 		}
+		if !wanted {
+			continue
+		}
 		if l == nil {
-			l = newLink(v, s.c, s.fence, s.confirmed, s.events)
-			s.links[v.Worker.ID] = l
+			l = newLink(v, s.c, s.fence, s.confirmed, &s.count, s.events)
+			s.links[id] = l
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
 			s.spawn(func() { l.run(linkCtx) })
 		}
 		l.update(v)
 	}
-	for id, l := range s.links {
-		if !seen[id] {
-			l.cancel()
-			delete(s.links, id)
-		}
-	}
+	s.count.Store(int64(len(s.links)))
 }
 
 func (s *linkSet) spawn(f func()) {
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -15,6 +15,33 @@
 // loadRetry is the pause between attempts to read what is stored.
 const loadRetry = 100 * time.Millisecond
 
+// loadUnderSeat loads the jobs and confirms the seat meanwhile: reading all takes
+// longer than others wait for a silent holder.
+func (t *termLoop) loadUnderSeat(ctx context.Context) (version int64, err error) {
+	group, ctx := errgroup.WithContext(ctx)
+	loaded := make(chan struct{})
+	group.Go(func() error {
+		defer close(loaded)
+		var err error
+		version, err = t.load(ctx)
+		return err
+	})
+	group.Go(func() error {
+		for {
+			select {
+			case <-loaded:
+				return nil
+			case <-time.After(heartbeat):
+			}
+			if err := t.commitRows(ctx, commitRequest{}); err != nil {
+				return err
+			}
+		}
+	})
+	err = group.Wait()
+	return version, err
+}
+
 // load reads the accepted jobs and their progress, and returns the version from
 // which to follow the job table.
 func (t *termLoop) load(ctx context.Context) (int64, error) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -39,8 +39,13 @@
 // errYield ends the term of a host that gives way.
 var errYield = errors.New("gives way to a host with a larger share of a core")
 
-// tick is how often what is due with time is looked at.
-const tick = 50 * time.Millisecond
+const (
+	// tick is how often what is due with time is looked at.
+	tick = 50 * time.Millisecond
+	// leasesPause is how often the leases of all workers are looked at; those of a
+	// worker that does not answer are known with its silence.
+	leasesPause = 500 * time.Millisecond
+)
 
 // termLoop is the task that owns the core during one term.
 type termLoop struct {
@@ -59,8 +64,9 @@
 	commitTime   time.Duration // smoothed
 	scheduled    time.Time     // when the last look for places ended
 	scheduleTook time.Duration
-	waking       bool // a wake event is due
-	reviewed     bool // the core was reviewed since, without placing anything
+	waking       bool      // a wake event is due
+	leasesRead   time.Time // when the links were last asked for their leases
+	reviewed     bool      // the core was reviewed since, without placing anything
 	book         *jobstore.ProgressBook
 	swept        time.Time // when ended jobs were last looked for
 	committedAt  atomic.Int64
@@ -140,12 +146,10 @@
 		t.takeEntries(e, now)
 	case registry:
 		t.takeRegistry(e)
-		t.links.stale = true
 	case registryChanges:
 		for _, ch := range e {
 			t.core.SetWorker(ch)
 		}
-		t.links.stale = true
 	case report:
 		t.takeReport(e, now)
 	case startAnswer:
@@ -177,7 +181,6 @@
 		t.committing = false
 		t.commitTime += time.Duration(commitWeight * float64(e.took-t.commitTime))
 		t.core.SetStartDelay(t.commitTime)
-		t.links.stale = true
 		if e.batch != nil {
 			t.links.start(ctx, t.core.Stored(e.batch))
 		}
@@ -207,9 +210,9 @@
 		named[ch.ID] = ch.Worker != nil
 		t.core.SetWorker(ch)
 	}
-	for _, l := range t.core.Links() {
-		if !named[l.Worker.ID] {
-			t.core.SetWorker(workload.WorkerChange{ID: l.Worker.ID})
+	for _, id := range t.core.Listed() {
+		if !named[id] {
+			t.core.SetWorker(workload.WorkerChange{ID: id})
 		}
 	}
 }
@@ -231,12 +234,14 @@
 	now := time.Now()
 	t.sweep(ctx, now)
 	t.syncCell()
-	for id, over := range t.links.overs() {
-		t.core.LeaseUntil(id, over)
+	if now.Sub(t.leasesRead) >= leasesPause {
+		t.leasesRead = now
+		for id, over := range t.links.overs() {
+			t.core.LeaseUntil(id, over)
+		}
 	}
 	t.maintain(ctx, now)
 	t.core.Tick(now)
-	t.links.stale = true
 	t.Observer.Gauges(t.core.Stats())
 }
 
@@ -254,9 +259,7 @@
 	t.schedule(ctx, now)
 	t.advice.ask(ctx, t.core, now)
 	t.commit(ctx, now)
-	if t.links.stale {
-		t.links.sync(ctx, t.core)
-	}
+	t.links.sync(ctx, t.core)
 	t.links.stop(ctx, t.core.TakeStops())
 	t.links.pace(ctx, t.core.TakePaces())
 	t.report()
@@ -336,16 +339,10 @@
 			return ctx.Err()
 		case r := <-t.commits:
 			began := time.Now()
-			if err := t.term.Commit(ctx, r.puts, r.removes); err != nil {
+			if err := t.commitRows(ctx, r); err != nil {
 				return err
 			}
-			// A lease may rest on this confirmation from when it was asked for.
-			t.committedAt.Store(int64(began.Sub(t.term.Since)))
 			took := time.Since(began)
-			t.Observer.Committed(len(r.puts), took)
-			if took >= slowCommit {
-				t.Log.Info("slow commit", "epoch", t.term.Epoch, "rows", len(r.puts), "took", took)
-			}
 			select {
 			case t.events <- committed{r.batch, took}:
 			case <-ctx.Done():
@@ -355,6 +352,22 @@
 	}
 }
 
+// commitRows stores rows under the seat, which that confirms.
+func (t *termLoop) commitRows(ctx context.Context, r commitRequest) error {
+	began := time.Now()
+	if err := t.term.Commit(ctx, r.puts, r.removes); err != nil {
+		return err
+	}
+	// A lease may rest on this confirmation from when it was asked for.
+	t.committedAt.Store(int64(began.Sub(t.term.Since)))
+	took := time.Since(began)
+	t.Observer.Committed(len(r.puts), took)
+	if took >= slowCommit {
+		t.Log.Info("slow commit", "epoch", t.term.Epoch, "rows", len(r.puts), "took", took)
+	}
+	return nil
+}
+
 // report logs the core's decisions.
 func (t *termLoop) report() {
 	for _, e := range t.core.TakeEvents() {
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -157,6 +157,7 @@
 	if s.advice.tickets == nil {
 		if p := c.round.pools[q.Pool]; p != nil {
 			all, _ := c.askCandidates(r, p.workers, now, false)
+			sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
 			return names(all[:min(len(all), askMost)])
 		}
 		return nil
@@ -219,14 +220,15 @@
 		case !s.takes(w) || s.advice.denied[w.info.ID]:
 		case known:
 			places += copies(w.info.Capacity, s.spec.Charged())
-		case len(unknown) < askMost:
+		default:
 			unknown = append(unknown, candidate{id: w.info.ID})
 		}
 	}
 	if places >= gangChoice*len(s.tasks) {
 		return nil
 	}
-	return names(unknown)
+	sort.Slice(unknown, func(a, b int) bool { return unknown[a].id < unknown[b].id })
+	return names(unknown[:min(len(unknown), askMost)])
 }
 
 // askCandidates returns those of the workers that a call could name, and the
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -19,8 +19,9 @@
 // so many bytes, or nil when there are none.
 func (c *Core) TakeBatch(jobs, bytes int) *Batch {
 	if len(c.dirty) == 0 {
-		for _, w := range c.workers {
-			w.acked = w.applied
+		for id, w := range c.unacked {
+			c.ack(w, w.applied)
+			delete(c.unacked, id)
 		}
 		return nil
 	}
@@ -38,14 +39,23 @@
 		j.starts = nil
 	}
 	if len(c.dirty) == 0 {
-		b.acks = make(map[string]int64, len(c.workers))
-		for id, w := range c.workers {
+		b.acks = make(map[string]int64, len(c.unacked))
+		for id, w := range c.unacked {
 			b.acks[id] = w.applied
 		}
 	}
 	return b
 }
 
+// ack takes note that a worker's ends up to seq are stored.
+func (c *Core) ack(w *worker, seq int64) {
+	w.acked = seq
+	c.touched[w.info.ID] = true
+	if w.acked == w.applied {
+		delete(c.unacked, w.info.ID)
+	}
+}
+
 // Stored takes note that a batch is stored and returns the starts to send: those
 // whose task still waits for them.
 func (c *Core) Stored(b *Batch) []Start {
@@ -54,7 +64,7 @@
 	}
 	for id, seq := range b.acks {
 		if w := c.workers[id]; w != nil && seq > w.acked && seq <= w.applied {
-			w.acked = seq
+			c.ack(w, seq)
 		}
 	}
 	var out []Start
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -23,6 +23,8 @@
 	jobs      map[string]*job
 	active    map[string]*job // jobs that are not final
 	workers   map[string]*worker
+	unacked   map[string]*worker         // with ends that are taken in and not yet stored
+	touched   map[string]bool            // workers whose Link may have changed
 	usage     map[string]model.Resources // by team, of all that may run
 	rates     map[string]*rateMeter      // by team
 	dirty     []*job
@@ -47,6 +49,8 @@
 		jobs:      map[string]*job{},
 		active:    map[string]*job{},
 		workers:   map[string]*worker{},
+		unacked:   map[string]*worker{},
+		touched:   map[string]bool{},
 		usage:     map[string]model.Resources{},
 		rates:     map[string]*rateMeter{},
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -273,6 +273,7 @@
 // occupy charges a task to its worker and team.
 func (c *Core) occupy(w *worker, s *step, i int) {
 	w.tasks[s.taskID(i)] = struct{}{}
+	c.touched[w.info.ID] = true
 	w.used = w.used.Add(s.spec.Charged())
 	w.filled += s.filledCores()
 	c.usage[s.job.spec.Team] = c.usage[s.job.spec.Team].Add(s.spec.Resources)
@@ -287,6 +288,7 @@
 	t := &s.tasks[i]
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.tasks, s.taskID(i))
+		c.touched[w.info.ID] = true
 		w.used = w.used.Sub(s.spec.Charged())
 		w.filled -= s.filledCores()
 		c.dropIfUnused(w)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -67,7 +67,8 @@
 	kept int64
 }
 
-// pool lists the workers of a pool on which tasks may start now.
+// pool lists the workers of a pool on which tasks may start now, in no particular
+// order.
 type pool struct {
 	workers []*worker
 	// most bounds the free capacity of each worker. It is not lowered as tasks are
@@ -96,9 +97,6 @@
 		p.used += w.used.MilliCores
 		p.capacity += w.info.Capacity.MilliCores
 	}
-	for _, p := range r.pools {
-		sort.Slice(p.workers, func(a, b int) bool { return p.workers[a].info.ID < p.workers[b].info.ID })
-	}
 	c.updatePeak(now)
 	r.kept = c.keep(n)
 	return r
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -26,6 +26,7 @@
 	for _, e := range inv.Ended {
 		if e.Seq > w.applied {
 			w.applied = e.Seq
+			c.unacked[id] = w
 			c.takeEnd(w, e, now)
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -79,6 +79,8 @@
 func (c *Core) dropIfUnused(w *worker) {
 	if !w.listed && len(w.tasks) == 0 {
 		delete(c.workers, w.info.ID)
+		delete(c.unacked, w.info.ID)
+		c.touched[w.info.ID] = true
 	}
 }
 
@@ -100,6 +102,7 @@
 	}
 	w.listed = true
 	w.info = *ch.Worker
+	c.touched[ch.ID] = true
 	if w.born != 0 && ch.Worker.Born != 0 && ch.Worker.Born > w.born {
 		c.reborn(w, ch.Worker.Born)
 	}
@@ -115,6 +118,8 @@
 		c.emit("worker started anew", "worker", w.info.ID, "born", born, "tasks", len(w.tasks))
 	}
 	w.born, w.applied, w.acked = born, 0, 0
+	delete(c.unacked, w.info.ID)
+	c.touched[w.info.ID] = true
 	w.contact = false
 	w.health, w.stretch = health{}, 0
 	for id := range w.tasks {
@@ -218,17 +223,28 @@
 	return Link{Worker: w.info, Tasks: len(w.tasks), Acked: w.acked, Born: w.born}
 }
 
-// Links returns every worker to keep in touch with.
-func (c *Core) Links() []Link {
-	out := make([]Link, 0, len(c.workers))
-	for _, w := range c.workers {
-		if w.info.Address != "" {
-			out = append(out, w.link())
+// Listed returns the IDs of the workers that the registry names.
+func (c *Core) Listed() []string {
+	out := make([]string, 0, len(c.workers))
+	for id, w := range c.workers {
+		if w.listed {
+			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// TakeTouched returns the workers whose links may have changed since the last
+// call.
+func (c *Core) TakeTouched() []string {
+	out := make([]string, 0, len(c.touched))
+	for id := range c.touched {
+		out = append(out, id)
+	}
+	clear(c.touched)
+	return out
+}
+
 // LinkOf returns one worker's link.
 func (c *Core) LinkOf(id string) (Link, bool) {
 	w := c.workers[id]
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -17,13 +17,18 @@
 // Membership.
 const (
 	memberTable = "hosts"
-	// memberRenewal is how often a host rewrites its row and reads the others'.
+	// memberRenewal is how often a host rewrites its row and reads the others', at
+	// least memberSpacing times the number of hosts: all rows that all hosts read
+	// grow with the square of their number.
 	memberRenewal = 3 * time.Second
-	// memberSilence is how long a row may stay unchanged, by the reader's steady
-	// clock, before its host counts as gone.
-	memberSilence = 10 * time.Second
+	memberSpacing = 40 * time.Millisecond
+	// memberSilence renewals may pass, by the reader's steady clock, before the host
+	// of a row that stays unchanged counts as gone.
+	memberSilence = 3.4
 	// memberRemoval is when the row of a host that is gone is removed.
 	memberRemoval = time.Minute
+	// unknownRank is the rank of a host that does not know the others yet.
+	unknownRank = 20
 	// dwarfedFactor times a host's share of a core is much larger.
 	dwarfedFactor = 1.5
 )
@@ -70,11 +75,23 @@
 		if err := m.read(ctx); err != nil {
 			m.log.V(1).Info("hosts' rows not read", "cause", err.Error())
 		}
-		_ = wait.For(ctx, memberRenewal) // the loop ends with ctx
+		_ = wait.For(ctx, m.renewal()) // the loop ends with ctx
 	}
 	return ctx.Err()
 }
 
+// renewal returns how often this host renews its row.
+func (m *members) renewal() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return renewalOf(len(m.peers))
+}
+
+// renewalOf returns how often each of so many hosts renews its row.
+func renewalOf(hosts int) time.Duration {
+	return max(memberRenewal, time.Duration(hosts)*memberSpacing)
+}
+
 func (m *members) renew(ctx context.Context) error {
 	m.self.Renewed++
 	value, err := json.Marshal(m.self)
@@ -151,6 +168,9 @@
 // with a larger share of a core, and of the same share those that started later.
 // Where hosts are restarted in turn, the latest is the least likely to stop soon.
 func (m *members) rank() int {
+	if !m.known() {
+		return unknownRank
+	}
 	n := 0
 	for _, p := range m.others() {
 		if p.before(&m.self, p.Host, m.host) {
@@ -160,6 +180,13 @@
 	return n
 }
 
+// known reports whether the other hosts' rows have been read.
+func (m *members) known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.readAt.IsZero()
+}
+
 // dwarfed reports whether a live host has a much larger share of a core.
 func (m *members) dwarfed() bool {
 	for _, p := range m.others() {
@@ -186,9 +213,10 @@
 func (m *members) others() []peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	silence := time.Duration(memberSilence * float64(renewalOf(len(m.peers))))
 	var out []peer
 	for _, p := range m.peers {
-		if p.Host != m.host && m.readAt.Sub(p.seen) < memberSilence {
+		if p.Host != m.host && m.readAt.Sub(p.seen) < silence {
 			out = append(out, *p)
 		}
 	}
