--- /dev/null
+++ b/internal/dispatch/place_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/workload"
+)
+
+// A ticket that will have expired when the record of a start is stored is not
+// used: the worker would refuse the start.
+func TestTicketOutlivesTheCommit(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}})
+	c.worker("w", 8)
+	c.job("j", workload.Step{Tasks: 1, Resources: cores(2)})
+	is.Equal(len(c.store(nil)), 0)
+	ask, ok := c.core.NextAsk(c.now, time.Second)
+	is.True(ok)
+	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "t"}}, nil, c.now)
+	c.core.SetStartDelay(time.Second)
+	c.now = c.now.Add(time.Second)
+	is.Equal(len(c.store(nil)), 0) // it holds for 0.7 s, the start takes 1 s
+	ask, ok = c.core.NextAsk(c.now, time.Second)
+	is.True(ok) // so the service is asked again
+	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "u"}}, nil, c.now)
+	is.Equal(len(c.store(nil)), 1)
+}
+
+// A service task that ended is started again where there is room, also long after
+// its job's objective and while the cell keeps room for better work.
+func TestServiceRestartsOnALoadedCell(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.worker("w", 8)
+	c.job("j", workload.Step{Tasks: 1, Resources: cores(1), Service: true})
+	first := c.store(nil)
+	is.Equal(len(first), 1)
+	c.job("k", workload.Step{Tasks: 6, Resources: cores(1), Estimate: time.Hour})
+	is.Equal(len(c.store(nil)), 6)
+	c.now = c.now.Add(time.Minute)
+	c.end(1, first[0], workload.Faulted, "")
+	is.Equal(len(c.store(nil)), 1)
+}
+
+// Load pattern: an AZ that is cut off. Few jobs must have a task there, whether
+// their tasks run singly or as gangs.
+func TestJobsKeepToOneAZ(t *testing.T) {
+	for name, gang := range map[string]bool{"single": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.core.SetCell(workload.NewCell(2, []workload.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second}},
+				[]workload.Team{{Name: "team", Weight: 100}}, nil))
+			azOf := map[string]string{}
+			for i := range 30 {
+				id, az := fmt.Sprint("w", i), fmt.Sprint("az", i%3)
+				azOf[id] = az
+				c.worker(id, 32)
+				c.core.SetWorker(workload.WorkerChange{ID: id, Worker: &workload.Worker{
+					ID: id, Born: testBorn, Address: id + ":1", AZ: az, Pool: "pool", Capacity: model.Resources{MilliCores: 32_000, MemoryMB: 64_000}}})
+			}
+			touched := map[string]map[string]bool{}
+			const jobs = 40
+			for i := range jobs {
+				c.job(fmt.Sprint("job-", i), workload.Step{Tasks: 3, Resources: cores(4), Gang: gang})
+				for _, st := range c.store(nil) {
+					id := st.Order.Run.Task.Job
+					if touched[id] == nil {
+						touched[id] = map[string]bool{}
+					}
+					touched[id][azOf[st.Worker.ID]] = true
+				}
+			}
+			is.Equal(len(touched), jobs)
+			split := 0
+			for _, azs := range touched {
+				if len(azs) > 1 {
+					split++
+				}
+			}
+			is.True(split <= jobs/10)
+		})
+	}
+}
