--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -41,7 +41,9 @@
 	// MemoryMB and Cores bound the process.
 	MemoryMB float64 `json:"memory_mb,omitempty"`
 	Cores    float64 `json:"cores,omitempty"`
-	LogLevel string  `json:"log_level,omitempty"` // debug, info or error; default info
+	// MaxDescriptors bounds the open descriptors of the process; 0: not known.
+	MaxDescriptors int    `json:"max_descriptors,omitempty"`
+	LogLevel       string `json:"log_level,omitempty"` // debug, info or error; default info
 }
 
 // defaultShowEndedS is the time that callers are promised, with a margin.
@@ -96,8 +98,8 @@
 	address("metrics_listen", s.MetricsListen)
 	address("advice", s.Advice)
 	address("host_api", s.HostAPI)
-	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 {
-		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores and order_lease_ms must not be negative", ""))
+	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 || s.MaxDescriptors < 0 {
+		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores, order_lease_ms and max_descriptors must not be negative", ""))
 	}
 	if s.OrderLeaseMS == 0 {
 		s.OrderLeaseMS = defaultOrderLeaseMS
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -72,6 +73,8 @@
 	LocalIP         string        // connections leave from this address
 	DialTimeout     time.Duration // to open a connection; default DialTimeout
 	MaxConnsPerHost int           // default: unlimited
+	// Open counts the client's open connections; may be nil.
+	Open *atomic.Int64
 }
 
 // NewClientWith returns a client as NewClient does, with options.
@@ -83,8 +86,19 @@
 	if local := net.ParseIP(o.LocalIP); local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: local}
 	}
+	dial := dialer.DialContext
+	if o.Open != nil {
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			o.Open.Add(1)
+			return &countedConn{Conn: conn, open: o.Open}, nil
+		}
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: MaxIdle,
 		MaxConnsPerHost:     o.MaxConnsPerHost,
 		IdleConnTimeout:     IdleTimeout,
@@ -92,6 +106,19 @@
 	}}
 }
 
+// countedConn is a connection that is counted while it is open.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // Send sends req and returns the answer if it is a success. Otherwise the error
 // is a *TransportError or a *StatusError and the answer's body is closed.
 func Send(c *http.Client, req *http.Request) (*http.Response, error) {
