coordinator: a takeover of thousands of workers makes its calls in turn

Cause, by a test: first holds to 3,000 workers at once cost the process 1.2 s, each may take 0.4 s; two thirds fail, and their repeats cost the same again. Before: 1,000 of 3,000 workers in reach after 6 s; after: all.

--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -34,6 +34,10 @@
 	// beside its work.
 	idlePause   = 2 * time.Second
 	idleSpacing = 2 * time.Millisecond
+	// shortHolds calls that need no waiting are under way at a time. Load pattern: a
+	// takeover in a cell of thousands of workers. Calls to all of them at once take
+	// the process longer than each may take, and their repeats would never end.
+	shortHolds = 256
 	// holdSlack is added to the time that a hold may wait. A hold that is not
 	// answered hides the ends of tasks that long.
 	holdSlack   = 400 * time.Millisecond
@@ -86,6 +90,7 @@
 	fence     int64
 	confirmed func() time.Time // when the seat was last confirmed
 	workers   *atomic.Int64    // number of links
+	short     chan struct{}    // a token for each call that needs no waiting
 	events    chan<- any
 	cancel    context.CancelFunc
 	orders    chan struct{} // a token for each order under way
@@ -104,9 +109,9 @@
 	contact   bool      // the latest hold was answered
 }
 
-func newLink(l dispatch.Link, c *Coordinator, fence int64, confirmed func() time.Time, workers *atomic.Int64, events chan<- any) *link {
+func newLink(l dispatch.Link, c *Coordinator, fence int64, confirmed func() time.Time, workers *atomic.Int64, short chan struct{}, events chan<- any) *link {
 	return &link{
-		commander: c.Commander, worker: l.Worker, fence: fence, confirmed: confirmed, workers: workers, events: events,
+		commander: c.Commander, worker: l.Worker, fence: fence, confirmed: confirmed, workers: workers, short: short, events: events,
 		orders: make(chan struct{}, ordersAtOnce), acked: make(chan struct{}, 1), busy: make(chan struct{}, 1), ack: l.Acked, ackLife: l.Born, tasks: l.Tasks,
 	}
 }
@@ -237,6 +242,14 @@
 	if first {
 		order.Wait = 0
 	}
+	if order.Wait == 0 {
+		select {
+		case l.short <- struct{}{}:
+			defer func() { <-l.short }()
+		case <-ctx.Done():
+			return workload.Inventory{}, ctx.Err()
+		}
+	}
 	order.LeaseUntil = l.leaseUntil()
 	asked := time.Now()
 	call, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,7 +56,7 @@
 		f := &fakeWorker{began: time.Now(), born: 1}
 		events := make(chan any, 10_000)
 		l := newLink(dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1},
-			&Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), events)
+			&Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), make(chan struct{}, 1), events)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -82,7 +83,7 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), born: 1}
 		view := dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Born: 1}
-		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), make(chan any, 10_000))
+		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), make(chan struct{}, 1), make(chan any, 10_000))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -124,7 +125,7 @@
 		view := dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Born: 1}
 		workers := new(atomic.Int64)
 		workers.Store(3000)
-		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, workers, make(chan any, 10_000))
+		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, workers, make(chan struct{}, 1), make(chan any, 10_000))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -155,3 +156,57 @@
 		<-ended
 	})
 }
+
+// busyHost answers holds one after the other; a call that its caller gave up has
+// cost its time all the same.
+type busyHost struct {
+	fakeWorker
+	mu   sync.Mutex
+	free time.Time
+}
+
+const callCost = 400 * time.Microsecond
+
+func (b *busyHost) Hold(ctx context.Context, _ *workload.Worker, o workload.HoldOrder) (workload.Inventory, error) {
+	b.mu.Lock()
+	if now := time.Now(); b.free.Before(now) {
+		b.free = now
+	}
+	b.free = b.free.Add(callCost)
+	done := b.free
+	b.mu.Unlock()
+	select {
+	case <-time.After(time.Until(done) + o.Wait):
+		return workload.Inventory{ClockMS: 1, Born: 1}, nil
+	case <-ctx.Done():
+		return workload.Inventory{}, workload.ErrNoAnswer
+	}
+}
+
+// Load pattern: a takeover with 3,000 workers on a process that can make 2,500
+// calls a second. All are in reach within a few times what the calls cost.
+func TestTakeoverOfManyWorkers(t *testing.T) {
+	const workers = 3000
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core := dispatch.New()
+		for i := range workers {
+			id := fmt.Sprint("w", i)
+			core.SetWorker(workload.WorkerChange{ID: id, Worker: &workload.Worker{ID: id, Born: 1, Address: id + ":1"}})
+		}
+		events := make(chan any, 100_000)
+		set := newLinkSet(&Coordinator{Commander: &busyHost{}}, 1, time.Now, events)
+		ctx, cancel := context.WithCancel(t.Context())
+		set.sync(ctx, core)
+		time.Sleep(5 * workers * callCost)
+		reached := map[string]bool{}
+		for len(events) > 0 {
+			if r, ok := (<-events).(report); ok && r.err == nil {
+				reached[r.worker] = true
+			}
+		}
+		is.Equal(len(reached), workers)
+		cancel()
+		set.closeAll()
+	})
+}
--- a/internal/coordinator/links.go
+++ b/internal/coordinator/links.go
@@ -17,11 +17,13 @@
 	events    chan<- any
 	links     map[string]*link
 	count     atomic.Int64 // of links
+	short     chan struct{}
 	running   sync.WaitGroup
 }
 
 func newLinkSet(c *Coordinator, fence int64, confirmed func() time.Time, events chan<- any) *linkSet {
-	return &linkSet{c: c, fence: fence, confirmed: confirmed, events: events, links: map[string]*link{}}
+	return &linkSet{c: c, fence: fence, confirmed: confirmed, events: events, links: map[string]*link{},
+		short: make(chan struct{}, shortHolds)}
 }
 
 // sync opens, updates and closes links of the workers that the core has touched.
@@ -38,7 +40,7 @@
 			continue
 		}
 		if l == nil {
-			l = newLink(v, s.c, s.fence, s.confirmed, &s.count, s.events)
+			l = newLink(v, s.c, s.fence, s.confirmed, &s.count, s.short, s.events)
 			s.links[id] = l
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
