coordinator: a holder that cannot read the jobs gives the seat up

Cause, found by reading: since the seat is confirmed while jobs are loaded, a host whose reads fail but whose writes pass would hold the seat for ever. Change: after 10 s it gives the seat up and leaves it to others for 5 s. A term that ends while loading gives the seat up too. The new test ends with the seat free.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -144,7 +144,10 @@
 	defer c.leading.Store(nil)
 	jobsVersion, err := t.loadUnderSeat(ctx)
 	if err != nil {
-		return fmt.Errorf("jobs cannot be loaded: %w", err)
+		if !errors.Is(err, errDeposed) {
+			c.resign(term)
+		}
+		return fmt.Errorf("%w: %w", errNotLoaded, err)
 	}
 	post := func(ctx context.Context, event any) error {
 		t.post(ctx, event)
@@ -185,6 +188,9 @@
 	}
 }
 
+// errNotLoaded ends a term in which the stored jobs could not be read.
+var errNotLoaded = errors.New("jobs cannot be loaded")
+
 // Events of the loop.
 type (
 	jobEntries      []jobstore.Entry
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -52,6 +52,9 @@
 	// These may notice the silence later, by the pause between two probes and the
 	// time that a probe may take.
 	dwarfedDelay = time.Second
+	// blindRest is how long a host that could not read the jobs leaves the seat to
+	// others.
+	blindRest = 5 * time.Second
 )
 
 // Elector keeps track of who coordinates and takes the seat when its holder
@@ -77,8 +80,9 @@
 	changed time.Time // when seen changed
 	leading bool
 	resign  bool
-	missed  int  // probes in a row without an answer
-	late    bool // the holder says that its last commit is long ago
+	rest    time.Time // until when this host does not take the seat
+	missed  int       // probes in a row without an answer
+	late    bool      // the holder says that its last commit is long ago
 }
 
 // ErrNobodyListens is a probe's error when the holder's process is gone: its
@@ -212,7 +216,7 @@
 		}
 		e.seen, e.changed = seat, now
 	}
-	if e.resign {
+	if e.resign || now.Before(e.rest) {
 		return false
 	}
 	if seat.Holder == e.Host {
@@ -254,6 +258,11 @@
 	e.setLeading(true, c.last)
 	err = e.Lead(ctx, &Term{Epoch: seat.Epoch, Since: time.Now(), seat: seat, chain: c})
 	e.setLeading(false, c.last)
+	if errors.Is(err, errNotLoaded) && !errors.Is(err, errDeposed) && ctx.Err() == nil {
+		e.mu.Lock()
+		e.rest = time.Now().Add(blindRest)
+		e.mu.Unlock()
+	}
 	cause := "ended"
 	if err != nil {
 		cause = err.Error()
--- a/internal/coordinator/lead_test.go
+++ b/internal/coordinator/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -167,3 +168,41 @@
 		}
 	})
 }
+
+// blindStore takes commits but cannot be read.
+type blindStore struct{ *rows.Store }
+
+func (blindStore) Scan(context.Context, string, string, string, string) (platform.Page, error) {
+	return platform.Page{}, platform.ErrUnavailable
+}
+
+// A host that holds the seat but cannot read the jobs gives way, and keeps the
+// seat confirmed until then.
+func TestHolderThatCannotReadGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := rows.New()
+		c, seat := takeSeat(t, store, "a")
+		c.store = blindStore{store}
+		cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p"}}, nil, nil)
+		watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, logr.Discard())
+		health := platform.NewHealth(c.store)
+		coordinator := New(Coordinator{
+			Store: health, Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Log: logr.Discard(), Observer: nothing{},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = watch.Run(ctx) })
+		time.Sleep(time.Second)
+		began := time.Now()
+		err := coordinator.Lead(ctx, &Term{Epoch: seat.Epoch, Since: began, seat: seat, chain: c})
+		is.True(errors.Is(err, errNotLoaded))
+		is.True(time.Since(began) <= loadTimeout+time.Second)
+		now, err := readSeat(t.Context(), store)
+		is.NoErr(err)
+		is.True(now.Seq >= int64(loadTimeout/heartbeat)/2) // confirmed meanwhile
+		is.Equal(now.Holder, "")                           // and given up
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -12,12 +12,19 @@
 	"cuminloft/internal/wait"
 )
 
-// loadRetry is the pause between attempts to read what is stored.
-const loadRetry = 100 * time.Millisecond
+const (
+	// loadRetry is the pause between attempts to read what is stored.
+	loadRetry = 100 * time.Millisecond
+	// loadTimeout is when a host that holds the seat but cannot read gives way. Reading
+	// takes 2 to 3 s at a store that is a hundred times slower than usual.
+	loadTimeout = 10 * time.Second
+)
 
 // loadUnderSeat loads the jobs and confirms the seat meanwhile: reading all takes
 // longer than others wait for a silent holder.
 func (t *termLoop) loadUnderSeat(ctx context.Context) (version int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	loaded := make(chan struct{})
 	group.Go(func() error {
--- a/internal/coordinator/maintain.go
+++ b/internal/coordinator/maintain.go
@@ -74,7 +74,7 @@
 
 // maintain does what the campaigns ask for next.
 func (t *termLoop) maintain(ctx context.Context, now time.Time) {
-	d := t.upkeep
+	d := t.hostDesk
 	asked := t.Watch.Campaigns()
 	if t.Hosts == nil {
 		return
@@ -107,7 +107,7 @@
 
 // carryOut cordons and empties workers and orders the maintenance of hosts.
 func (t *termLoop) carryOut(ctx context.Context, now time.Time) {
-	d := t.upkeep
+	d := t.hostDesk
 	hosts := make(map[string]maintenance.Host, len(d.hosts))
 	for _, h := range d.hosts {
 		n, _ := t.core.TasksOn(h.Worker) // an unknown worker runs nothing of ours
@@ -141,10 +141,10 @@
 }
 
 func (t *termLoop) cordon(workers []string) {
-	if len(workers) > 0 || t.upkeep.cordoned {
+	if len(workers) > 0 || t.hostDesk.cordoned {
 		t.core.Cordon(workers)
 	}
-	t.upkeep.cordoned = len(workers) > 0
+	t.hostDesk.cordoned = len(workers) > 0
 }
 
 // campaignRow is the stored form of how far a campaign is.
@@ -196,7 +196,7 @@
 
 // handleMaintenance takes the desk's events.
 func (t *termLoop) handleMaintenance(ctx context.Context, event any, now time.Time) {
-	d := t.upkeep
+	d := t.hostDesk
 	switch e := event.(type) {
 	case campaignLoaded:
 		delete(d.loading, e.campaign.ID)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -50,13 +50,13 @@
 // termLoop is the task that owns the core during one term.
 type termLoop struct {
 	*Coordinator
-	term    *Term
-	core    *dispatch.Core
-	events  chan any
-	links   *linkSet
-	advice  *adviceDesk
-	upkeep  *maintenanceDesk
-	commits chan commitRequest
+	term     *Term
+	core     *dispatch.Core
+	events   chan any
+	links    *linkSet
+	advice   *adviceDesk
+	hostDesk *maintenanceDesk
+	commits  chan commitRequest
 	// committing tells that a commit is under way; committedAt is when the last
 	// one succeeded, in nanoseconds since term.Since.
 	committing   bool
@@ -85,7 +85,7 @@
 	}
 	t.links = newLinkSet(c, term.Epoch, t.lastCommit, events)
 	t.advice = newAdviceDesk(c.Advisers, events)
-	t.upkeep = newMaintenanceDesk()
+	t.hostDesk = newMaintenanceDesk()
 	return t
 }
 
