--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -69,7 +70,7 @@
 	is.NoErr(a.renew(context.Background()))
 	is.NoErr(b.renew(context.Background()))
 	is.NoErr(a.read(context.Background()))
-	a.peers["b"].seen = a.peers["b"].seen.Add(-memberSilence * memberRenewal / 2)
+	a.peers["b"].seen = a.peers["b"].seen.Add(-time.Duration(memberSilence*float64(memberRenewal)) / 2)
 	store.SetDown(true)
 	is.True(a.read(context.Background()) != nil)
 	is.Equal(len(a.others()), 1)
