store: a copy that its caller gave up says nothing of the store

Cause, found by reading: once one of two copies of a commit settles it, the other is cancelled, and its end counted as a call without an answer. The store was suspect until the next answer, so requests went to other hosts without need. Ruled out: safety (a suspect store is only avoided). Change: a cancelled call is forgotten; a deadline still counts. begin and end carry the call's begin, feeds take the same way as other calls.

--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -92,47 +92,59 @@
 	return false
 }
 
-func (h *Health) begin() int {
+// begin takes note of a call that is to be answered at once.
+func (h *Health) begin() (call int, began time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.next++
-	h.open[h.next] = time.Now()
-	return h.next
+	began = time.Now()
+	h.open[h.next] = began
+	return h.next, began
 }
 
-// end takes note of a call's outcome. A refusal is an answer.
-func (h *Health) end(call int, answered bool) {
+// end takes note of the outcome of a call that begin took note of. A refusal is an
+// answer. A call that its caller gave up says nothing.
+func (h *Health) end(ctx context.Context, call int, began time.Time, answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	began, timed := h.open[call]
 	delete(h.open, call)
-	now := time.Now()
+	if !answered && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	// An answer that alone is missing is lost. If none came meanwhile, the store
 	// takes at least so long.
 	slow := !answered && h.answered.Before(began)
+	if took := time.Since(began); answered || slow && took > h.usual {
+		h.usual += time.Duration(usualWeight * float64(took-h.usual))
+	}
+	h.note(began, answered)
+}
+
+// note takes note of whether a call was answered. The caller holds mu.
+func (h *Health) note(began time.Time, answered bool) {
 	h.silent = !answered
-	if answered {
-		h.answered = now
-		h.noteNewest(began)
+	if !answered {
+		return
 	}
-	if timed && (answered || slow && now.Sub(began) > h.usual) {
-		h.usual += time.Duration(usualWeight * float64(now.Sub(began)-h.usual))
+	h.answered = time.Now()
+	if began.After(h.newest) {
+		h.newest = began
 	}
 }
 
 // Commit implements Store.
 func (h *Health) Commit(ctx context.Context, tx Tx) (int64, error) {
-	call := h.begin()
+	call, began := h.begin()
 	version, err := h.Store.Commit(ctx, tx)
-	h.end(call, !errors.Is(err, ErrAmbiguous))
+	h.end(ctx, call, began, !errors.Is(err, ErrAmbiguous))
 	return version, err
 }
 
 // Scan implements Store.
 func (h *Health) Scan(ctx context.Context, table, part, from, to string) (Page, error) {
-	call := h.begin()
+	call, began := h.begin()
 	page, err := h.Store.Scan(ctx, table, part, from, to)
-	h.end(call, err == nil)
+	h.end(ctx, call, began, err == nil)
 	return page, err
 }
 
@@ -142,21 +154,9 @@
 	began := time.Now()
 	rows, version, err := h.Store.Changes(ctx, table, after, wait)
 	if ctx.Err() == nil {
-		answered := err == nil || errors.Is(err, ErrHistoryLost)
-		h.end(0, answered)
-		if answered {
-			h.mu.Lock()
-			h.noteNewest(began)
-			h.mu.Unlock()
-		}
+		h.mu.Lock()
+		h.note(began, err == nil || errors.Is(err, ErrHistoryLost))
+		h.mu.Unlock()
 	}
 	return rows, version, err
 }
-
-// noteNewest takes note of the begin of a call that was answered. The caller
-// holds mu.
-func (h *Health) noteNewest(began time.Time) {
-	if began.After(h.newest) {
-		h.newest = began
-	}
-}
--- a/internal/platform/hedge.go
+++ b/internal/platform/hedge.go
@@ -32,7 +32,7 @@
 	}
 	send()
 	open, sent := 1, 1
-	began := time.Now()
+	began, most := time.Now(), max(silentRepeat, after)
 	second := time.NewTimer(after)
 	defer second.Stop()
 	var failed error
@@ -42,8 +42,8 @@
 			if sent == 2 {
 				continue
 			}
-			if age := time.Since(began); age < max(silentRepeat, after) && !overtaken(s, began) {
-				second.Reset(min(after, max(silentRepeat, after)-age))
+			if age := time.Since(began); age < most && !overtaken(s, began) {
+				second.Reset(min(after, most-age))
 				continue
 			}
 			send()
