read-through: simpler pieces, bounded calls

- elect_test and slow_test share one rig; links take their set instead of six of its fields; the elector compares one patience; gangs ask for the best group only.
- maintenanceDesk: one state a campaign in place of three maps and a flag; its calls have a time limit and a pause after a failure; completion follows 'running', which is only written where nothing is, as it may land late.
- gone: a planner's field and a host's pool that nobody read, a second delete of acknowledged workers, a result of TasksOn that only a test looked at (it counts).
Tests keep their bounds.

--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -16,6 +16,95 @@
 	"cuminloft/internal/standin/rows"
 )
 
+// election runs electors over one store. Its first holder can be lost: then it
+// commits nothing more.
+type election struct {
+	store  *rows.Slow
+	pause  time.Duration // between two commits of a holder
+	answer func() error  // of the lost holder to a probe
+	wait   sync.WaitGroup
+
+	mu        sync.Mutex
+	holder    int
+	epoch     int64
+	committed time.Time // last commit of the present holder
+	lost      time.Time
+	taken     time.Time // when the second term began
+}
+
+func newElection(pause time.Duration) *election {
+	return &election{store: rows.NewSlow(rows.New(), usualCall), pause: pause, holder: -1,
+		answer: func() error { return nil }}
+}
+
+// add starts the elector of a host of that rank after a delay.
+func (e *election) add(ctx context.Context, rank int, dwarfed bool, delay time.Duration) {
+	elector := &Elector{
+		Store: platform.NewHealth(e.store), Host: fmt.Sprint("host-", rank), Address: fmt.Sprint("host-", rank, ":1"),
+		Log: logr.Discard(), Rank: func() int { return rank }, Dwarfed: func() bool { return dwarfed },
+		Probe: func(context.Context, string) (int64, time.Duration, error) { return e.probe() },
+		Lead:  func(ctx context.Context, term *Term) error { return e.lead(ctx, rank, term) },
+	}
+	e.wait.Go(func() {
+		time.Sleep(delay)
+		_ = elector.Run(ctx) // ends with its context only
+	})
+}
+
+func (e *election) probe() (int64, time.Duration, error) {
+	e.mu.Lock()
+	gone, epoch, age := e.gone(e.epoch), e.epoch, time.Since(e.committed)
+	e.mu.Unlock()
+	if gone {
+		return epoch, age, e.answer()
+	}
+	return epoch, age, nil
+}
+
+// gone reports whether the holder of that term is lost. The caller holds mu.
+func (e *election) gone(epoch int64) bool { return epoch == 1 && !e.lost.IsZero() }
+
+func (e *election) lead(ctx context.Context, rank int, term *Term) error {
+	e.mu.Lock()
+	e.holder, e.epoch, e.committed = rank, term.Epoch, time.Now()
+	if term.Epoch == 2 {
+		e.taken = time.Now()
+	}
+	e.mu.Unlock()
+	for {
+		e.mu.Lock()
+		gone := e.gone(term.Epoch)
+		e.mu.Unlock()
+		if !gone {
+			if err := term.Commit(ctx, nil, nil); err != nil {
+				return err
+			}
+			e.mu.Lock()
+			e.committed = time.Now()
+			e.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(e.pause):
+		}
+	}
+}
+
+// lose loses the first holder.
+func (e *election) lose() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = time.Now()
+}
+
+// present returns the holder and its term.
+func (e *election) present() (holder int, epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder, e.epoch
+}
+
 // Load pattern: the store turns the coordinator and half of the large hosts away.
 // A large host takes the seat, though small ones may notice the silence earlier.
 func TestSmallHostsLeaveTheSeatToLargeOnes(t *testing.T) {
@@ -23,64 +112,25 @@
 	for seed := range 20 {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			store := rows.NewSlow(rows.New(), usualCall)
 			ctx, cancel := context.WithCancel(t.Context())
-			var running sync.WaitGroup
-			var mu sync.Mutex
-			holder, epoch, committed := -1, int64(0), time.Now()
-			turnedAway := false
+			e := newElection(commitPause)
 			for i := range large + small {
-				health := platform.NewHealth(store)
-				e := &Elector{
-					Store: health, Host: fmt.Sprint("host-", i), Address: fmt.Sprint("host-", i, ":1"), Log: logr.Discard(),
-					Rank: func() int { return i }, Dwarfed: func() bool { return i >= large },
-					Probe: func(context.Context, string) (int64, time.Duration, error) {
-						mu.Lock()
-						defer mu.Unlock()
-						return epoch, time.Since(committed), nil
-					},
-				}
-				e.Lead = func(ctx context.Context, term *Term) error {
-					mu.Lock()
-					holder, epoch = i, term.Epoch
-					mu.Unlock()
-					for {
-						mu.Lock()
-						away := turnedAway && term.Epoch == 1
-						mu.Unlock()
-						if !away {
-							if err := term.Commit(ctx, nil, nil); err != nil {
-								return err
-							}
-							mu.Lock()
-							committed = time.Now()
-							mu.Unlock()
-						}
-						select {
-						case <-ctx.Done():
-							return ctx.Err()
-						case <-time.After(commitPause):
-						}
-					}
+				delay := time.Duration(0)
+				if i >= large { // hosts reread the seat at different times
+					delay = time.Duration((i*7919+seed*104729)%int(seatReread.Milliseconds())) * time.Millisecond
 				}
-				running.Go(func() {
-					// Hosts reread the seat at different times.
-					if i >= large {
-						time.Sleep(time.Duration((i*7919+seed*104729)%int(seatReread.Milliseconds())) * time.Millisecond)
-					}
-					_ = e.Run(ctx)
-				})
+				e.add(ctx, i, i >= large, delay)
 			}
 			time.Sleep(8*time.Second + time.Duration(seed)*seatReread/20)
+			holder, _ := e.present()
 			is.True(holder >= 0 && holder < large)
-			mu.Lock()
-			turnedAway = true
-			mu.Unlock()
+			e.lose()
 			time.Sleep(5 * time.Second)
+			holder, epoch := e.present()
 			is.True(epoch > 1)
 			is.True(holder < large)
 			cancel()
-			running.Wait()
+			e.wait.Wait()
 		})
 	}
 }
@@ -91,8 +141,8 @@
 func TestTakeoverTime(t *testing.T) {
 	errSilent := errors.New("no answer")
 	for name, test := range map[string]struct {
-		probe func() error
-		most  time.Duration
+		answer func() error
+		most   time.Duration
 	}{
 		"killed":      {func() error { return ErrNobodyListens }, 500 * time.Millisecond},
 		"silent":      {func() error { time.Sleep(probeTimeout); return errSilent }, 1500 * time.Millisecond},
@@ -101,7 +151,7 @@
 		t.Run(name, func(t *testing.T) {
 			var worst time.Duration
 			for seed := range 50 {
-				worst = max(worst, takeover(t, seed, test.probe))
+				worst = max(worst, takeover(t, seed, test.answer))
 			}
 			t.Logf("worst of 50: %v", worst)
 			if worst > test.most {
@@ -112,69 +162,24 @@
 }
 
 // takeover returns the time from the loss of the first holder until the next has
-// the seat. Probe is how the lost holder answers.
-func takeover(t *testing.T, seed int, probe func() error) (took time.Duration) {
+// the seat.
+func takeover(t *testing.T, seed int, answer func() error) (took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		store := rows.NewSlow(rows.New(), usualCall)
 		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		var mu sync.Mutex
-		var lost, taken, committed time.Time
-		epoch := int64(0)
+		e := newElection(heartbeat)
+		e.answer = answer
 		for i := range 5 {
-			e := &Elector{Store: platform.NewHealth(store), Host: fmt.Sprint("host-", i), Address: fmt.Sprint("host-", i, ":1"),
-				Log: logr.Discard(), Rank: func() int { return i }, Dwarfed: func() bool { return false }}
-			e.Probe = func(context.Context, string) (int64, time.Duration, error) {
-				mu.Lock()
-				gone, now, age := !lost.IsZero() && epoch == 1, epoch, time.Since(committed)
-				mu.Unlock()
-				if gone {
-					return now, age, probe()
-				}
-				return now, age, nil
-			}
-			e.Lead = func(ctx context.Context, term *Term) error {
-				mu.Lock()
-				epoch = term.Epoch
-				if epoch == 2 {
-					taken = time.Now()
-				}
-				mu.Unlock()
-				for {
-					mu.Lock()
-					gone := !lost.IsZero() && term.Epoch == 1
-					mu.Unlock()
-					if !gone {
-						if err := term.Commit(ctx, nil, nil); err != nil {
-							return err
-						}
-						mu.Lock()
-						committed = time.Now()
-						mu.Unlock()
-					}
-					select {
-					case <-ctx.Done():
-						return ctx.Err()
-					case <-time.After(heartbeat):
-					}
-				}
-			}
-			running.Go(func() {
-				time.Sleep(time.Duration(i*31+seed*17%97) * time.Millisecond)
-				_ = e.Run(ctx)
-			})
+			e.add(ctx, i, false, time.Duration(i*31+seed*17%97)*time.Millisecond)
 		}
 		time.Sleep(8*time.Second + time.Duration(seed*41)*time.Millisecond)
-		mu.Lock()
-		lost = time.Now()
-		mu.Unlock()
+		e.lose()
 		time.Sleep(5 * time.Second)
 		cancel()
-		running.Wait()
-		if taken.IsZero() {
+		e.wait.Wait()
+		if e.taken.IsZero() {
 			t.Fatal("nobody took the seat")
 		}
-		took = taken.Sub(lost)
+		took = e.taken.Sub(e.lost)
 	})
 	return took
 }
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -230,16 +230,17 @@
 	if e.Dwarfed() {
 		rank += dwarfedDelay
 	}
-	switch {
-	case seat.Holder == "":
+	if seat.Holder == "" {
 		return now.Sub(e.changed) >= rank
+	}
+	patience := silence
+	switch {
 	case e.missed >= missedProbes:
-		return now.Sub(e.changed) > silenceProbed+readSlack*readTook+rank
+		patience = silenceProbed
 	case e.late:
-		return now.Sub(e.changed) > silenceLate+readSlack*readTook+rank
-	default:
-		return now.Sub(e.changed) > silence+readSlack*readTook+rank
+		patience = silenceLate
 	}
+	return now.Sub(e.changed) > patience+readSlack*readTook+rank
 }
 
 // take tries to take the seat and leads while it holds it.
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cuminloft/internal/dispatch"
@@ -85,17 +84,12 @@
 
 // link keeps in touch with one life of a worker.
 type link struct {
-	commander workload.Commander
-	worker    workload.Worker
-	fence     int64
-	confirmed func() time.Time // when the seat was last confirmed
-	workers   *atomic.Int64    // number of links
-	short     chan struct{}    // a token for each call that needs no waiting
-	events    chan<- any
-	cancel    context.CancelFunc
-	orders    chan struct{} // a token for each order under way
-	acked     chan struct{} // signalled when ack grows
-	busy      chan struct{} // signalled when there is more to do than to look now and then
+	set    *linkSet
+	worker workload.Worker
+	cancel context.CancelFunc
+	orders chan struct{} // a token for each order under way
+	acked  chan struct{} // signalled when ack grows
+	busy   chan struct{} // signalled when there is more to do than to look now and then
 
 	mu        sync.Mutex
 	ack       int64 // ends up to this one are stored
@@ -109,10 +103,10 @@
 	contact   bool      // the latest hold was answered
 }
 
-func newLink(l dispatch.Link, c *Coordinator, fence int64, confirmed func() time.Time, workers *atomic.Int64, short chan struct{}, events chan<- any) *link {
+func newLink(set *linkSet, l dispatch.Link) *link {
 	return &link{
-		commander: c.Commander, worker: l.Worker, fence: fence, confirmed: confirmed, workers: workers, short: short, events: events,
-		orders: make(chan struct{}, ordersAtOnce), acked: make(chan struct{}, 1), busy: make(chan struct{}, 1), ack: l.Acked, ackLife: l.Born, tasks: l.Tasks,
+		set: set, worker: l.Worker, orders: make(chan struct{}, ordersAtOnce),
+		acked: make(chan struct{}, 1), busy: make(chan struct{}, 1), ack: l.Acked, ackLife: l.Born, tasks: l.Tasks,
 	}
 }
 
@@ -167,7 +161,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clock == 0 || !l.contact || now.Sub(l.confirmed()) > unconfirmedLimit {
+	if l.clock == 0 || !l.contact || now.Sub(l.set.confirmed()) > unconfirmedLimit {
 		return 0
 	}
 	until := l.clock + now.Sub(l.clockAt).Milliseconds() + lease.Milliseconds()
@@ -180,7 +174,7 @@
 
 // run holds the worker until ctx ends.
 func (l *link) run(ctx context.Context) {
-	defer l.commander.Forget(&l.worker)
+	defer l.set.c.Commander.Forget(&l.worker)
 	first := true
 	for ctx.Err() == nil {
 		inv, err := l.hold(ctx, first)
@@ -205,16 +199,10 @@
 
 // rest waits while the worker is idle, for a bounded time.
 func (l *link) rest(ctx context.Context) {
-	l.mu.Lock()
-	idle := l.idle()
-	l.mu.Unlock()
-	if !idle {
-		return
-	}
-	pause := max(idlePause, time.Duration(l.workers.Load())*idleSpacing)
+	pause := max(idlePause, time.Duration(l.set.count.Load())*idleSpacing)
 	timer := time.NewTimer(pause - rand.N(pause/4))
 	defer timer.Stop()
-	for {
+	for l.isIdle() {
 		select {
 		case <-ctx.Done():
 			return
@@ -222,19 +210,19 @@
 			return
 		case <-l.busy:
 		}
-		l.mu.Lock()
-		idle := l.idle()
-		l.mu.Unlock()
-		if !idle {
-			return
-		}
 	}
 }
 
+func (l *link) isIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.idle()
+}
+
 // hold makes one call and reports its outcome.
 func (l *link) hold(ctx context.Context, first bool) (workload.Inventory, error) {
 	l.mu.Lock()
-	order := workload.HoldOrder{Fence: l.fence, AckSeq: l.acknowledged()}
+	order := workload.HoldOrder{Fence: l.set.fence, AckSeq: l.acknowledged()}
 	if l.tasks > 0 {
 		order.Wait = holdWaitBusy
 	}
@@ -244,8 +232,8 @@
 	}
 	if order.Wait == 0 {
 		select {
-		case l.short <- struct{}{}:
-			defer func() { <-l.short }()
+		case l.set.short <- struct{}{}:
+			defer func() { <-l.set.short }()
 		case <-ctx.Done():
 			return workload.Inventory{}, ctx.Err()
 		}
@@ -253,7 +241,7 @@
 	order.LeaseUntil = l.leaseUntil()
 	asked := time.Now()
 	call, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
-	inv, err := l.commander.Hold(call, &l.worker, order)
+	inv, err := l.set.c.Commander.Hold(call, &l.worker, order)
 	cancel()
 	if err == nil {
 		l.heard(inv.ClockMS)
@@ -302,7 +290,7 @@
 // send hands an event to the coordinator's loop.
 func (l *link) send(ctx context.Context, event any) {
 	select {
-	case l.events <- event:
+	case l.set.events <- event:
 	case <-ctx.Done():
 	}
 }
@@ -312,12 +300,12 @@
 func (l *link) start(ctx context.Context, st dispatch.Start) {
 	err := l.order(ctx, func(call context.Context) error {
 		order := st.Order
-		order.Fence = l.fence
+		order.Fence = l.set.fence
 		order.LeaseUntil = l.leaseUntil()
 		if order.LeaseUntil == 0 {
 			return workload.ErrUnhealthy
 		}
-		clock, err := l.commander.Start(call, &l.worker, order)
+		clock, err := l.set.c.Commander.Start(call, &l.worker, order)
 		l.heard(clock)
 		return err
 	}, startAttempts)
@@ -327,7 +315,7 @@
 // stop sends a stop order.
 func (l *link) stop(ctx context.Context, st dispatch.StopOrder) {
 	err := l.order(ctx, func(call context.Context) error {
-		return l.commander.Stop(call, &l.worker, st.Run, l.fence)
+		return l.set.c.Commander.Stop(call, &l.worker, st.Run, l.set.fence)
 	}, 1)
 	l.send(ctx, stopAnswer{st, err})
 }
@@ -335,7 +323,7 @@
 // pace sends a pace order.
 func (l *link) pace(ctx context.Context, o dispatch.PaceOrder) {
 	err := l.order(ctx, func(call context.Context) error {
-		return l.commander.Pace(call, &l.worker, o.Run, o.Percent, l.fence)
+		return l.set.c.Commander.Pace(call, &l.worker, o.Run, o.Percent, l.set.fence)
 	}, 1)
 	if err != nil {
 		l.send(ctx, paceFailed{o, err})
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,8 +54,8 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), born: 1}
 		events := make(chan any, 10_000)
-		l := newLink(dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1},
-			&Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), make(chan struct{}, 1), events)
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, events),
+			dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -83,7 +82,7 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), born: 1}
 		view := dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Born: 1}
-		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, new(atomic.Int64), make(chan struct{}, 1), make(chan any, 10_000))
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, make(chan any, 10_000)), view)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -123,9 +122,9 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), born: 1}
 		view := dispatch.Link{Worker: workload.Worker{ID: "w", Address: "w:1"}, Born: 1}
-		workers := new(atomic.Int64)
-		workers.Store(3000)
-		l := newLink(view, &Coordinator{Commander: f}, 1, time.Now, workers, make(chan struct{}, 1), make(chan any, 10_000))
+		set := newLinkSet(&Coordinator{Commander: f}, 1, time.Now, make(chan any, 10_000))
+		set.count.Store(3000)
+		l := newLink(set, view)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
--- a/internal/coordinator/links.go
+++ b/internal/coordinator/links.go
@@ -16,8 +16,8 @@
 	confirmed func() time.Time
 	events    chan<- any
 	links     map[string]*link
-	count     atomic.Int64 // of links
-	short     chan struct{}
+	count     atomic.Int64  // of links
+	short     chan struct{} // a token for each call that needs no waiting
 	running   sync.WaitGroup
 }
 
@@ -40,7 +40,7 @@
 			continue
 		}
 		if l == nil {
-			l = newLink(v, s.c, s.fence, s.confirmed, &s.count, s.short, s.events)
+			l = newLink(s, v)
 			s.links[id] = l
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
--- a/internal/coordinator/maintain.go
+++ b/internal/coordinator/maintain.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -20,8 +19,10 @@
 	// a listing older than hostsStale is not acted on.
 	hostsPause = time.Second
 	hostsStale = 3 * time.Second
-	// hostRest is the pause after an order that failed.
-	hostRest = time.Second
+	// deskRest is the pause after a call that failed.
+	deskRest = time.Second
+	// deskTimeout bounds a write of the state of a campaign.
+	deskTimeout = 2 * time.Second
 	// confirmedShare of the time that an order's holder must keep to itself is how
 	// recently the seat must have been confirmed; the call takes another part.
 	confirmedShare = 3
@@ -31,22 +32,24 @@
 
 // maintenanceDesk carries out maintenance campaigns during one term.
 type maintenanceDesk struct {
-	campaigns map[int64]*maintenance.Campaign
-	loading   map[int64]bool
-	completed map[int64]bool
+	campaigns map[int64]*campaign
 	hosts     []workload.WorkerHost
 	listed    time.Time
 	listing   bool
 	rest      map[string]time.Time // until when no order goes to a host
 	ordering  map[string]bool
-	cordoned  bool
+}
+
+// campaign is a campaign that operators ask for.
+type campaign struct {
+	*maintenance.Campaign           // nil until its stored state has been read
+	calling               bool      // its state is being read or reported
+	rest                  time.Time // until when neither is tried
+	running, completed    bool      // as reported
 }
 
 func newMaintenanceDesk() *maintenanceDesk {
-	return &maintenanceDesk{
-		campaigns: map[int64]*maintenance.Campaign{}, loading: map[int64]bool{}, completed: map[int64]bool{},
-		rest: map[string]time.Time{}, ordering: map[string]bool{},
-	}
+	return &maintenanceDesk{campaigns: map[int64]*campaign{}, rest: map[string]time.Time{}, ordering: map[string]bool{}}
 }
 
 // Events of the desk.
@@ -67,33 +70,38 @@
 		err          error
 	}
 	campaignReported struct {
-		campaign int64
-		err      error
+		campaign  int64
+		completed bool
+		err       error
 	}
 )
 
 // maintain does what the campaigns ask for next.
 func (t *termLoop) maintain(ctx context.Context, now time.Time) {
-	d := t.hostDesk
-	asked := t.Watch.Campaigns()
 	if t.Hosts == nil {
 		return
 	}
-	for id := range d.campaigns {
-		if !slices.ContainsFunc(asked, func(m workload.Maintenance) bool { return m.ID == id }) {
-			delete(d.campaigns, id)
-		}
-	}
+	d := t.hostDesk
+	asked := t.Watch.Campaigns()
+	d.keep(asked)
 	active := false
 	for _, m := range asked {
-		if d.campaigns[m.ID] == nil && !d.loading[m.ID] && !d.completed[m.ID] {
-			d.loading[m.ID] = true
+		c := d.campaigns[m.ID]
+		active = active || !c.completed
+		if c.calling || now.Before(c.rest) {
+			continue
+		}
+		switch {
+		case c.Campaign == nil:
+			c.calling = true
 			go t.loadCampaign(ctx, m)
+		case !c.running:
+			c.calling = true
+			go t.reportCampaign(ctx, m.ID, false)
 		}
-		active = active || !d.completed[m.ID]
 	}
 	if !active {
-		t.cordon(nil)
+		t.core.Cordon(nil)
 		return
 	}
 	if !d.listing && now.Sub(d.listed) >= hostsPause {
@@ -105,16 +113,30 @@
 	}
 }
 
+// keep drops the campaigns that are not asked for any more and adds new ones.
+func (d *maintenanceDesk) keep(asked []workload.Maintenance) {
+	kept := make(map[int64]*campaign, len(asked))
+	for _, m := range asked {
+		kept[m.ID] = d.campaigns[m.ID]
+		if kept[m.ID] == nil {
+			kept[m.ID] = &campaign{}
+		}
+	}
+	d.campaigns = kept
+}
+
 // carryOut cordons and empties workers and orders the maintenance of hosts.
 func (t *termLoop) carryOut(ctx context.Context, now time.Time) {
 	d := t.hostDesk
 	hosts := make(map[string]maintenance.Host, len(d.hosts))
 	for _, h := range d.hosts {
-		n, _ := t.core.TasksOn(h.Worker) // an unknown worker runs nothing of ours
-		hosts[h.ID] = maintenance.Host{Up: h.Up, Worker: h.Worker, Tasks: n}
+		hosts[h.ID] = maintenance.Host{Up: h.Up, Worker: h.Worker, Tasks: t.core.TasksOn(h.Worker)}
 	}
 	var cordoned []string
 	for id, c := range d.campaigns {
+		if c.Campaign == nil || c.completed {
+			continue
+		}
 		plan := c.Next(hosts, now)
 		cordoned = append(cordoned, plan.Cordon...)
 		for _, w := range plan.Vacate {
@@ -126,12 +148,12 @@
 				go t.order(ctx, id, host, hosts[host].Worker)
 			}
 		}
-		if plan.Completed && !d.completed[id] {
-			d.completed[id] = true
+		if plan.Completed && !c.calling && !now.Before(c.rest) {
+			c.calling = true
 			go t.reportCampaign(ctx, id, true)
 		}
 	}
-	t.cordon(cordoned)
+	t.core.Cordon(cordoned)
 }
 
 // mayOrder reports whether this coordinator is surely the only one that orders:
@@ -140,13 +162,6 @@
 	return now.Sub(t.term.Since) >= t.OrderLease && now.Sub(t.lastCommit()) <= t.OrderLease/confirmedShare
 }
 
-func (t *termLoop) cordon(workers []string) {
-	if len(workers) > 0 || t.hostDesk.cordoned {
-		t.core.Cordon(workers)
-	}
-	t.hostDesk.cordoned = len(workers) > 0
-}
-
 // campaignRow is the stored form of how far a campaign is.
 type campaignRow struct {
 	Begun []string `json:"begun"`
@@ -176,14 +191,18 @@
 }
 
 func (t *termLoop) reportCampaign(ctx context.Context, campaign int64, completed bool) {
-	err := t.Hosts.Report(ctx, campaign, completed)
-	t.post(ctx, campaignReported{campaign, err})
+	call, cancel := context.WithTimeout(ctx, deskTimeout)
+	err := t.Hosts.Report(call, campaign, completed)
+	cancel()
+	t.post(ctx, campaignReported{campaign, completed, err})
 }
 
 // saveCampaign stores which hosts have begun their maintenance, so that a
 // successor does not empty them once more. Another order of theirs would do no
 // harm, so the answer is only logged.
 func (t *termLoop) saveCampaign(ctx context.Context, id int64, begun []string) {
+	ctx, cancel := context.WithTimeout(ctx, deskTimeout)
+	defer cancel()
 	value, err := json.Marshal(campaignRow{begun})
 	if err == nil {
 		_, err = t.Store.Commit(ctx, platform.Tx{Puts: []platform.PartRow{{
@@ -199,13 +218,15 @@
 	d := t.hostDesk
 	switch e := event.(type) {
 	case campaignLoaded:
-		delete(d.loading, e.campaign.ID)
-		if e.err != nil {
+		c := d.campaigns[e.campaign.ID]
+		switch {
+		case c == nil: // withdrawn meanwhile
+		case e.err != nil:
+			c.failed(now)
 			t.Log.Info("maintenance campaign cannot begin yet", "campaign", e.campaign.ID, "cause", e.err.Error())
-			return
+		default:
+			c.Campaign, c.calling = maintenance.New(e.campaign, e.begun, now), false
 		}
-		d.campaigns[e.campaign.ID] = maintenance.New(e.campaign, e.begun, now)
-		go t.reportCampaign(ctx, e.campaign.ID, false)
 	case hostsListed:
 		d.listing = false
 		if e.err != nil {
@@ -217,20 +238,28 @@
 	case maintained:
 		delete(d.ordering, e.host)
 		if e.err != nil {
-			d.rest[e.host] = now.Add(hostRest)
+			d.rest[e.host] = now.Add(deskRest)
 			t.Log.Info("maintenance of host not begun", "campaign", e.campaign, "host", e.host, "cause", e.err.Error(),
 				"unknown", errors.Is(e.err, workload.ErrNoAnswer))
 			return
 		}
 		t.Log.Info("maintenance of host begun", "campaign", e.campaign, "host", e.host, "worker", e.worker)
-		if c := d.campaigns[e.campaign]; c != nil {
+		if c := d.campaigns[e.campaign]; c != nil && c.Campaign != nil {
 			c.Began(e.host, e.worker, now)
 			go t.saveCampaign(ctx, e.campaign, c.Begun())
 		}
 	case campaignReported:
-		if e.err != nil {
-			delete(d.completed, e.campaign) // told again
-			t.Log.Info("state of maintenance campaign not reported", "campaign", e.campaign, "cause", e.err.Error())
+		c := d.campaigns[e.campaign]
+		switch {
+		case c == nil: // withdrawn meanwhile
+		case e.err != nil:
+			c.failed(now)
+			t.Log.Info("state of maintenance campaign not reported", "campaign", e.campaign, "completed", e.completed, "cause", e.err.Error())
+		default:
+			c.running, c.completed, c.calling = true, e.completed, false
 		}
 	}
 }
+
+// failed takes note that a call failed.
+func (c *campaign) failed(now time.Time) { c.calling, c.rest = false, now.Add(deskRest) }
--- a/internal/coordinator/slow_test.go
+++ b/internal/coordinator/slow_test.go
@@ -102,44 +102,18 @@
 func TestSlowStoreDeposesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		slow := rows.NewSlow(rows.New(), usualCall)
 		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		var mu sync.Mutex
-		terms, lastCommit := 0, time.Now()
-		var epoch int64
+		e := newElection(commitPause)
 		for rank := range 10 {
-			e := &Elector{
-				Store: platform.NewHealth(slow), Host: fmt.Sprint("host-", rank), Address: fmt.Sprint("host-", rank, ":1"),
-				Log: logr.Discard(), Rank: func() int { return rank }, Dwarfed: func() bool { return false },
-				Lead: func(ctx context.Context, term *Term) error {
-					mu.Lock()
-					terms, epoch = terms+1, term.Epoch
-					mu.Unlock()
-					for {
-						if err := term.Commit(ctx, nil, nil); err != nil {
-							return err
-						}
-						mu.Lock()
-						lastCommit = time.Now()
-						mu.Unlock()
-						time.Sleep(commitPause)
-					}
-				},
-				Probe: func(context.Context, string) (int64, time.Duration, error) {
-					mu.Lock()
-					defer mu.Unlock()
-					return epoch, time.Since(lastCommit), nil
-				},
-			}
-			running.Go(func() { _ = e.Run(ctx) })
+			e.add(ctx, rank, false, 0)
 		}
 		time.Sleep(5 * time.Second)
-		slow.SetTook(slowCall)
+		e.store.SetTook(slowCall)
 		time.Sleep(10 * time.Second)
 		cancel()
-		running.Wait()
-		is.Equal(terms, 1)
+		e.wait.Wait()
+		_, epoch := e.present()
+		is.Equal(epoch, int64(1))
 	})
 }
 
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -19,9 +19,8 @@
 // so many bytes, or nil when there are none.
 func (c *Core) TakeBatch(jobs, bytes int) *Batch {
 	if len(c.dirty) == 0 {
-		for id, w := range c.unacked {
+		for _, w := range c.unacked {
 			c.ack(w, w.applied)
-			delete(c.unacked, id)
 		}
 		return nil
 	}
--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -18,14 +18,12 @@
 	c.cordoned = on
 }
 
-// TasksOn returns how many tasks may be running on a worker, and false for a
-// worker that is not known.
-func (c *Core) TasksOn(id string) (int, bool) {
-	w := c.workers[id]
-	if w == nil {
-		return 0, false
+// TasksOn returns how many tasks may be running on a worker.
+func (c *Core) TasksOn(id string) int {
+	if w := c.workers[id]; w != nil {
+		return len(w.tasks)
 	}
-	return len(w.tasks), true
+	return 0
 }
 
 // Vacate stops the tasks of a worker, which start again elsewhere. Of a service
--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -39,9 +39,7 @@
 		c.core.Tick(c.now)
 		stops := c.core.TakeStops()
 		is.Equal(len(stops), 1)
-		n, known := c.core.TasksOn("w")
-		is.True(known)
-		is.Equal(n, 3-moved)
+		is.Equal(c.core.TasksOn("w"), 3-moved)
 		run := stops[0].Run
 		c.core.StopAnswered(stops[0], nil, c.now)
 		c.report("w", workload.Inventory{Ended: []workload.RunEnd{{Seq: int64(moved + 1), Run: run, Outcome: workload.Stopped}}})
@@ -53,6 +51,5 @@
 		is.Equal(len(c.core.TakeStops()), 0) // the moved one is not at work yet
 		c.serve()
 	}
-	n, _ := c.core.TasksOn("w")
-	is.Equal(n, 0)
+	is.Equal(c.core.TasksOn("w"), 0)
 }
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -30,8 +30,8 @@
 }
 
 // gangPlan returns a worker for each task of a gang, or nil if they do not all
-// have room. Gangs that slow down over several racks try each rack alone first,
-// all others each AZ.
+// have room. Gangs that slow down over several racks keep to one rack if they can,
+// all gangs to one AZ.
 func (c *Core) gangPlan(r rankedStep, workers []*worker) []*worker {
 	sites, places := c.sites(r, workers)
 	n := len(r.step.tasks)
@@ -39,12 +39,12 @@
 		return nil
 	}
 	if r.step.spec.SameRack {
-		for _, group := range groupSites(sites, n, "", func(w *worker) string { return w.info.Rack }) {
-			return fill(group, n)
+		if rack := bestGroup(sites, n, "", func(w *worker) string { return w.info.Rack }); rack != nil {
+			return fill(rack, n)
 		}
 	}
-	for _, group := range groupSites(sites, n, r.step.job.home, func(w *worker) string { return w.info.AZ }) {
-		return fill(group, n)
+	if az := bestGroup(sites, n, r.step.job.home, func(w *worker) string { return w.info.AZ }); az != nil {
+		return fill(az, n)
 	}
 	return fill(sites, n)
 }
@@ -77,9 +77,9 @@
 	return sites, places
 }
 
-// groupSites returns the groups of sites with the same key that have n places:
-// the one called first, then those with the most places.
-func groupSites(sites []site, n int, first string, key func(*worker) string) [][]site {
+// bestGroup returns the sites with the same key that have n places: of the key
+// called first, else of the key with the most places; nil if no key has so many.
+func bestGroup(sites []site, n int, first string, key func(*worker) string) []site {
 	groups := map[string][]site{}
 	places := map[string]int{}
 	for _, x := range sites {
@@ -87,27 +87,19 @@
 		groups[k] = append(groups[k], x)
 		places[k] += x.room
 	}
-	keys := make([]string, 0, len(groups))
-	for k := range groups {
-		if places[k] >= n {
-			keys = append(keys, k)
-		}
+	if places[first] >= n {
+		return groups[first]
 	}
-	sort.Slice(keys, func(a, b int) bool {
-		x, y := keys[a], keys[b]
-		if (x == first) != (y == first) {
-			return x == first
-		}
-		if places[x] != places[y] {
-			return places[x] > places[y]
+	best := ""
+	for k, m := range places {
+		if m > places[best] || m == places[best] && k < best {
+			best = k
 		}
-		return x < y
-	})
-	out := make([][]site, 0, len(keys))
-	for _, k := range keys {
-		out = append(out, groups[k])
 	}
-	return out
+	if places[best] < n {
+		return nil
+	}
+	return groups[best]
 }
 
 // fill returns a worker for each of n tasks, the best sites first. They have room
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -37,14 +37,13 @@
 // Campaign is the state of one campaign. Not safe for concurrent use.
 type Campaign struct {
 	workload.Maintenance
-	since   time.Time            // when it was first seen here
 	begun   map[string]*start    // hosts whose maintenance has started
 	emptied map[string]time.Time // hosts being emptied, since when
 }
 
 // New returns a campaign of which the maintenance of some hosts has started.
 func New(m workload.Maintenance, begun []string, now time.Time) *Campaign {
-	c := &Campaign{Maintenance: m, since: now, begun: map[string]*start{}, emptied: map[string]time.Time{}}
+	c := &Campaign{Maintenance: m, begun: map[string]*start{}, emptied: map[string]time.Time{}}
 	for _, host := range begun {
 		c.begun[host] = &start{at: now}
 	}
--- a/internal/workload/maintenance.go
+++ b/internal/workload/maintenance.go
@@ -18,7 +18,6 @@
 // WorkerHost is a host that carries one worker at a time.
 type WorkerHost struct {
 	ID     string
-	Pool   string
 	Up     bool   // neither moving, nor in maintenance, nor down
 	Worker string // ID of its present worker
 }
@@ -29,7 +28,7 @@
 	ErrHostBusy      = errors.New("host is not up, or about to leave")
 	ErrHostUnknown   = errors.New("host does not exist")
 	ErrNotInCampaign = errors.New("host does not belong to the maintenance campaign")
-	ErrTooManyCalls  = errors.New("platform takes no such calls for now")
+	ErrHostAPIAway   = errors.New("API of the workers' hosts takes no calls for now")
 )
 
 // HostOperator acts on the workers' hosts.
@@ -39,6 +38,7 @@
 	// Maintain starts a host's maintenance. One that it has had already in this
 	// campaign counts as started. Orders of a holder with a lower fence are void.
 	Maintain(ctx context.Context, host string, campaign int64, holder string, fence int64) error
-	// Report tells the operators how far a campaign is.
+	// Report tells the operators that a campaign runs, or that it is completed. That
+	// it runs never takes the place of a completion.
 	Report(ctx context.Context, campaign int64, completed bool) error
 }
