dispatch: a successor knows that a gang is done while members keep places

Progress said 'done' member by member then, so the successor counted 5 of 9, found nothing of the others on their workers and started all nine again at 75.8. Ruled out: packs of progress, early acknowledgements, leases (read and compared with the log). Change: the gang's success is stored together with the places that are left. Before: the new test finds the gang unfinished; after: the next step starts, the gang does not.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -601,3 +601,49 @@
 	c.now = c.now.Add(time.Hour)
 	is.Equal(len(c.store(nil)), 0) // 14 of 16 cores are in use
 }
+
+// A gang is done when one member's end says so. A successor that takes over while
+// other members' workers are out of reach knows that, keeps their places, and does
+// not start the gang again when these workers know nothing of them any more.
+func TestSuccessorKnowsAFinishedGang(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	for _, w := range []string{"u", "v", "w"} {
+		c.worker(w, 4)
+	}
+	job := &workload.Job{ID: "j", Queue: "batch", Team: "team", AcceptedAt: c.now.UnixMilli(), Steps: []workload.Step{
+		{Tasks: 3, Resources: cores(4), Gang: true}, {Tasks: 1, Resources: cores(1), After: []int{0}}}}
+	c.core.AddJob(job, c.now)
+	starts := c.store(nil)
+	is.Equal(len(starts), 3)
+	done := starts[0]
+	for _, st := range starts[1:] {
+		c.core.LostContact(st.Worker.ID)
+	}
+	c.report(done.Worker.ID, workload.Inventory{Ended: []workload.RunEnd{{Seq: 1, Run: done.Order.Run, Outcome: workload.Done}}})
+	row := c.core.TakeBatch(10, 1<<20).Progress[0]
+
+	next := newCell(t)
+	next.now = c.now
+	is.NoErr(next.core.Restore(job, row.Data, false, next.now))
+	for _, w := range []string{"u", "v", "w"} {
+		next.core.SetWorker(workload.WorkerChange{ID: w, Worker: &workload.Worker{
+			ID: w, Born: testBorn, Address: w + ":1", AZ: "a", Pool: "pool", Capacity: model.Resources{MilliCores: 4000, MemoryMB: 64_000}}})
+	}
+	next.report(done.Worker.ID, workload.Inventory{})
+	second := next.store(nil)
+	is.Equal(len(second), 1) // the step after the gang, on the worker in reach
+	is.Equal(second[0].Order.Run.Task.Step, 1)
+	is.Equal(second[0].Worker.ID, done.Worker.ID)
+	is.Equal(next.core.TasksOn(starts[1].Worker.ID), 1) // its place is kept
+	for _, st := range starts[1:] {
+		next.report(st.Worker.ID, workload.Inventory{}) // it knows nothing of the run
+		is.Equal(next.core.TasksOn(st.Worker.ID), 0)
+	}
+	for _, st := range next.store(nil) {
+		is.True(st.Order.Run.Task.Step != 0)
+	}
+	next.end(1, second[0], workload.Done, "")
+	next.store(nil)
+	is.Equal(next.state(), workload.Completed)
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -33,11 +33,13 @@
 
 // StepProgress is the stored form of a step.
 type StepProgress struct {
-	Fails     int            `json:"fails,omitempty"`
-	FailedRun int            `json:"failed_run,omitempty"`
-	Saved     string         `json:"saved,omitempty"`
-	AllDone   bool           `json:"done,omitempty"`
-	Tasks     []TaskProgress `json:"tasks,omitempty"` // left out when all are done
+	Fails     int    `json:"fails,omitempty"`
+	FailedRun int    `json:"failed_run,omitempty"`
+	Saved     string `json:"saved,omitempty"`
+	AllDone   bool   `json:"done,omitempty"`
+	// Tasks is left out when all are done and none has a place any more. A gang is
+	// done with its first member's end, while others still have theirs.
+	Tasks []TaskProgress `json:"tasks,omitempty"`
 }
 
 // TaskProgress is the stored form of a task. On the wire it is 1 when done, 0
@@ -101,10 +103,8 @@
 func (o *occurrence) progress(p *Progress, lives map[WorkerLife]int) OccurrenceProgress {
 	out := OccurrenceProgress{K: o.k}
 	for _, s := range o.steps {
-		sp := StepProgress{Fails: s.fails, FailedRun: s.failedRun, Saved: s.saved}
-		if s.finished() && s.busy == 0 {
-			sp.AllDone = true
-		} else {
+		sp := StepProgress{Fails: s.fails, FailedRun: s.failedRun, Saved: s.saved, AllDone: s.finished()}
+		if !sp.AllDone || s.busy > 0 {
 			for i := range s.tasks {
 				sp.Tasks = append(sp.Tasks, s.tasks[i].progress(p, lives))
 			}
@@ -169,34 +169,34 @@
 
 func (c *Core) restoreStep(s *step, p StepProgress, lives []WorkerLife) {
 	s.fails, s.failedRun, s.saved = p.Fails, p.FailedRun, p.Saved
-	final := s.job.state.Final()
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if p.AllDone {
-			t.state = taskDone
-			s.pending--
-			s.done++
-			continue
-		}
-		if i >= len(p.Tasks) {
-			continue
+		var tp TaskProgress
+		if i < len(p.Tasks) {
+			tp = p.Tasks[i]
 		}
-		tp := p.Tasks[i]
 		t.run, t.fails, t.saved = tp.Run, tp.Fails, tp.Saved
-		switch {
-		case tp.Done:
-			t.state = taskDone
-			s.pending--
+		placed := tp.Worker > 0 && tp.Worker <= len(lives)
+		if tp.Done || p.AllDone {
 			s.done++
-		case tp.Worker > 0 && tp.Worker <= len(lives):
-			life := lives[tp.Worker-1]
-			t.state, t.worker, t.born = taskRunning, life.ID, life.Born
-			if final {
-				t.state = taskStopping
-			}
+			t.state = taskDone
+		}
+		if tp.Done || p.AllDone || placed {
 			s.pending--
-			s.busy++
-			c.occupy(c.ensureWorker(life.ID), s, i)
 		}
+		if placed {
+			c.restorePlace(s, i, lives[tp.Worker-1])
+		}
+	}
+}
+
+// restorePlace gives a task the place where it may be running.
+func (c *Core) restorePlace(s *step, i int, life WorkerLife) {
+	t := &s.tasks[i]
+	t.state, t.worker, t.born = taskRunning, life.ID, life.Born
+	if s.job.state.Final() {
+		t.state = taskStopping
 	}
+	s.busy++
+	c.occupy(c.ensureWorker(life.ID), s, i)
 }
