platform: a counter of the lost-answer test that two goroutines may touch

Ruled out: CommitTwice and Health share nothing but the channel and the lock. Change: an atomic counter.

--- a/internal/platform/hedge_test.go
+++ b/internal/platform/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,12 +23,11 @@
 // muteStore does not answer the first transaction that it takes.
 type muteStore struct {
 	*rows.Slow
-	taken int
+	taken atomic.Int64
 }
 
 func (s *muteStore) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
-	s.taken++
-	if s.taken > 1 {
+	if s.taken.Add(1) > 1 {
 		return s.Slow.Commit(ctx, tx)
 	}
 	<-ctx.Done()
@@ -53,7 +53,7 @@
 				_, err := platform.CommitTwice(t.Context(), h, putRow, repeatAfter)
 				is.NoErr(err)
 				is.True(time.Since(began) <= test.most)
-				is.Equal(store.taken, 2)
+				is.Equal(store.taken.Load(), int64(2))
 				synctest.Wait()
 				is.True(!h.Suspect(time.Now()))
 			})
