feeds: long answers are read on at once

The store's answers about changes hold at most 500 rows; the registry changes 2,000 times a second at that size, by heartbeats; with a pause of 250 ms after each answer at most 1,950 were read. The view grew older by some 0.1 s a second. Change: after 256 changes or more the next read follows without a pause. A heartbeat that tells nothing new makes the core look for places no more. Feeds that cannot be read, and are read again, are logged for the job table and the registry too. The stand-in cuts answers off like the store. Test: TestFollowKeepsUpWithAFastFeed; failed before (view older than 0.5 s). At 350 workers (230 changes a second) nothing changes.

--- a/internal/cellwatch/cellwatch.go
+++ b/internal/cellwatch/cellwatch.go
@@ -25,20 +25,22 @@
 
 // Watch is the view. Its configuration never goes back to an older version.
 type Watch struct {
-	feed platform.Feed[workload.OperatorChange]
-	log  logr.Logger
+	feed    platform.Feed[workload.OperatorChange]
+	log     logr.Logger
+	reading *platform.Reading
 
 	mu        sync.Mutex
 	cell      *workload.Cell
 	evacuated map[string]bool
 	campaigns map[int64]workload.Maintenance
-	readAt    time.Time
-	failing   bool
 }
 
 // New returns a view that has seen nothing yet.
 func New(feed platform.Feed[workload.OperatorChange], log logr.Logger) *Watch {
-	return &Watch{feed: feed, log: log, evacuated: map[string]bool{}, campaigns: map[int64]workload.Maintenance{}}
+	return &Watch{
+		feed: feed, log: log, reading: platform.NewReading(log, "operators' changes"),
+		evacuated: map[string]bool{}, campaigns: map[int64]workload.Maintenance{},
+	}
 }
 
 // Run follows the operators' changes until ctx ends.
@@ -47,7 +49,7 @@
 		Wait:    pollWait,
 		Listed:  w.listed,
 		Changed: w.changed,
-		Read:    w.read,
+		Read:    w.reading.Read,
 	})
 }
 
@@ -82,28 +84,7 @@
 }
 
 // Fresh reports whether the view is surely current.
-func (w *Watch) Fresh(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.failing && now.Sub(w.readAt) < staleAfter
-}
-
-func (w *Watch) read(err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err == nil {
-		w.readAt = time.Now()
-	}
-	if (err != nil) == w.failing {
-		return
-	}
-	w.failing = err != nil
-	if err != nil {
-		w.log.Info("operators' changes cannot be read", "cause", err.Error())
-	} else {
-		w.log.Info("operators' changes are read again")
-	}
-}
+func (w *Watch) Fresh(now time.Time) bool { return w.reading.Fresh(now, staleAfter) }
 
 func (w *Watch) listed(ctx context.Context, all []workload.OperatorChange) error {
 	w.mu.Lock()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -156,6 +156,7 @@
 	group.Go(func() error {
 		return platform.Follow(ctx, platform.Feed[jobstore.Entry](c.Jobs), jobsVersion, platform.Follower[jobstore.Entry]{
 			Wait: feedWait, Pause: jobsPause, Relist: jobsRelist,
+			Read:    platform.NewReading(c.Log, "jobs").Read,
 			Listed:  func(ctx context.Context, all []jobstore.Entry) error { return post(ctx, jobEntries(all)) },
 			Changed: func(ctx context.Context, all []jobstore.Entry) error { return post(ctx, jobEntries(all)) },
 		})
@@ -163,6 +164,7 @@
 	group.Go(func() error {
 		return platform.Follow(ctx, c.Workers, 0, platform.Follower[workload.WorkerChange]{
 			Wait: feedWait, Pause: registryPause,
+			Read:    platform.NewReading(c.Log, "workers' registry").Read,
 			Listed:  func(ctx context.Context, all []workload.WorkerChange) error { return post(ctx, registry(all)) },
 			Changed: func(ctx context.Context, all []workload.WorkerChange) error { return post(ctx, registryChanges(all)) },
 		})
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -100,13 +100,17 @@
 	} else if ch.Worker.Draining && !w.info.Draining {
 		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "remaining", ch.Worker.Remaining)
 	}
+	news := !w.listed || !ch.Worker.SameEntry(&w.info)
 	w.listed = true
 	w.info = *ch.Worker
-	c.touched[ch.ID] = true
 	if w.born != 0 && ch.Worker.Born != 0 && ch.Worker.Born > w.born {
 		c.reborn(w, ch.Worker.Born)
+		news = true
+	}
+	if news { // most changes are signs of life alone
+		c.touched[ch.ID] = true
+		c.changed = true
 	}
-	c.changed = true
 }
 
 // reborn takes note that a worker lives anew under its ID. What ran there is gone,
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -16,12 +16,17 @@
 	// is taken for the one to go on from: a feed that is deaf for a second returns
 	// new versions without their changes.
 	quietLag = 3 * time.Second
+	// longAnswer is the number of changes from which the next read follows without
+	// a pause: a store cuts answers off, at 500 rows or 1 MB, and a feed that
+	// changes fast would be read later and later.
+	longAnswer = 256
 )
 
 // Follower receives what a feed holds and its changes.
 type Follower[T any] struct {
 	// Wait is how long a read waits for a change; Pause is the least time between
-	// two reads, which bundles frequent changes.
+	// two reads, which bundles frequent changes. Long answers are followed by the
+	// next read at once.
 	Wait, Pause time.Duration
 	// Relist is how often the entries are listed anew, whatever the feed says; 0
 	// for never.
@@ -38,7 +43,7 @@
 // to go on from; 0 lists first.
 func Follow[T any](ctx context.Context, feed Feed[T], after int64, f Follower[T]) error {
 	note := func(err error) {
-		if f.Read != nil {
+		if f.Read != nil && ctx.Err() == nil {
 			f.Read(err)
 		}
 	}
@@ -78,7 +83,9 @@
 				return err
 			}
 		}
-		_ = wait.For(ctx, f.Pause) // the loop ends with ctx
+		if len(changes) < longAnswer {
+			_ = wait.For(ctx, f.Pause) // the loop ends with ctx
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/platform/follow_test.go
+++ b/internal/platform/follow_test.go
@@ -92,3 +92,46 @@
 		})
 	}
 }
+
+// fastFeed changes faster than one short answer after each pause could tell.
+type fastFeed struct {
+	began time.Time
+	every time.Duration // between two changes
+	most  int64         // entries in an answer
+}
+
+func (f *fastFeed) newest() int64 { return int64(time.Since(f.began) / f.every) }
+
+func (f *fastFeed) List(context.Context) ([]int64, int64, error) { return nil, f.newest(), nil }
+
+func (f *fastFeed) Next(_ context.Context, after int64, _ time.Duration) ([]int64, int64, error) {
+	time.Sleep(5 * time.Millisecond)
+	next := min(after+f.most, f.newest())
+	var out []int64
+	for v := after + 1; v <= next; v++ {
+		out = append(out, v)
+	}
+	return out, next, nil
+}
+
+// The view of a registry of 3,000 workers, which changes 2,000 times a second,
+// stays as old as the pause between two reads.
+func TestFollowKeepsUpWithAFastFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pause = 250 * time.Millisecond
+		f := &fastFeed{began: time.Now(), every: 500 * time.Microsecond, most: 500}
+		var last int64
+		note := func(ctx context.Context, all []int64) error {
+			if len(all) > 0 {
+				last = all[len(all)-1]
+			}
+			return ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		err := platform.Follow(ctx, f, 0, platform.Follower[int64]{Pause: pause, Listed: note, Changed: note})
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(time.Duration(f.newest()-last)*f.every <= 2*pause)
+	})
+}
--- /dev/null
+++ b/internal/platform/reading.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Reading keeps how reading one source goes, and logs when reads begin to fail
+// and when they succeed again.
+type Reading struct {
+	log    logr.Logger
+	source string
+
+	mu      sync.Mutex
+	last    time.Time // of the last read that succeeded
+	failing bool
+}
+
+// NewReading returns the state of a source that has not been read yet.
+func NewReading(log logr.Logger, source string) *Reading {
+	return &Reading{log: log, source: source}
+}
+
+// Read takes the outcome of a read.
+func (r *Reading) Read(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err != nil && !r.failing:
+		r.log.Info("source cannot be read", "source", r.source, "age", r.age(now), "cause", err.Error())
+	case err == nil && r.failing:
+		r.log.Info("source is read again", "source", r.source, "age", r.age(now))
+	}
+	if err == nil {
+		r.last = now
+	}
+	r.failing = err != nil
+}
+
+// age is the time since the last good read; the caller holds mu.
+func (r *Reading) age(now time.Time) string {
+	if r.last.IsZero() {
+		return "never read"
+	}
+	return now.Sub(r.last).String()
+}
+
+// Fresh reports whether the last read succeeded, less than within ago.
+func (r *Reading) Fresh(now time.Time, within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failing && now.Sub(r.last) < within
+}
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -135,7 +135,7 @@
 	return s.version, nil
 }
 
-// scanLimit is the number of rows in one page.
+// scanLimit is the number of rows in one page, and in an answer about changes.
 const scanLimit = 500
 
 // Scan implements platform.Store.
@@ -198,5 +198,9 @@
 		out = append(out, r)
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Version < out[b].Version })
+	if len(out) > scanLimit {
+		out = out[:scanLimit]
+		return out, out[scanLimit-1].Version, s.changed, nil
+	}
 	return out, s.version, s.changed, nil
 }
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cuminloft/internal/model"
@@ -23,6 +24,13 @@
 	Remaining time.Duration
 }
 
+// SameEntry reports whether both tell the same of a worker, but for the time that
+// remains to it.
+func (w *Worker) SameEntry(o *Worker) bool {
+	return w.ID == o.ID && w.Born == o.Born && w.Address == o.Address && w.AZ == o.AZ && w.Pool == o.Pool &&
+		w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels) && w.Rack == o.Rack && w.Draining == o.Draining
+}
+
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
