dispatch: Explain tells what tasks wait for

Change: once a second the coordinator logs what waits, with the first thing that each step waits for, and sets cuminloft_waiting_tasks. Gauges are set once a second instead of twenty times, and go to zero with the term.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -47,7 +47,8 @@
 type Observer interface {
 	Event(name string)
 	Committed(rows int, took time.Duration)
-	Gauges(dispatch.Stats)
+	// Gauges tells how things stand; zero when this host coordinates no more.
+	Gauges(dispatch.Stats, dispatch.Waiting)
 }
 
 // Adviser is a host through which the advice service can be asked.
@@ -142,6 +143,7 @@
 	t := newTermLoop(c, term, events)
 	c.leading.Store(t)
 	defer c.leading.Store(nil)
+	defer c.Observer.Gauges(dispatch.Stats{}, dispatch.Waiting{})
 	jobsVersion, err := t.loadUnderSeat(ctx)
 	if err != nil {
 		if !errors.Is(err, errDeposed) {
--- a/internal/coordinator/lead_test.go
+++ b/internal/coordinator/lead_test.go
@@ -75,9 +75,9 @@
 
 type nothing struct{}
 
-func (nothing) Event(string)                 {}
-func (nothing) Committed(int, time.Duration) {}
-func (nothing) Gauges(dispatch.Stats)        {}
+func (nothing) Event(string)                            {}
+func (nothing) Committed(int, time.Duration)            {}
+func (nothing) Gauges(dispatch.Stats, dispatch.Waiting) {}
 
 // lead runs a coordinator over the store until the test ends.
 func lead(t *testing.T, store *rows.Store, retention time.Duration) (*Coordinator, context.CancelFunc) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -45,6 +45,8 @@
 	// leasesPause is how often the leases of all workers are looked at; those of a
 	// worker that does not answer are known with its silence.
 	leasesPause = 500 * time.Millisecond
+	// statsPause is how often the gauges are set and what waits is logged.
+	statsPause = time.Second
 )
 
 // termLoop is the task that owns the core during one term.
@@ -66,6 +68,7 @@
 	scheduleTook time.Duration
 	waking       bool      // a wake event is due
 	leasesRead   time.Time // when the links were last asked for their leases
+	statsTold    time.Time // when the gauges were last set
 	reviewed     bool      // the core was reviewed since, without placing anything
 	book         *jobstore.ProgressBook
 	swept        time.Time // when ended jobs were last looked for
@@ -242,7 +245,27 @@
 	}
 	t.maintain(ctx, now)
 	t.core.Tick(now)
-	t.Observer.Gauges(t.core.Stats())
+	if now.Sub(t.statsTold) >= statsPause {
+		t.statsTold = now
+		t.tellStats(now)
+	}
+}
+
+// tellStats sets the gauges and logs what waits.
+func (t *termLoop) tellStats(now time.Time) {
+	stats, waiting := t.core.Stats(), t.core.Explain(now)
+	t.Observer.Gauges(stats, waiting)
+	if waiting.Steps == 0 {
+		return
+	}
+	fields := []any{"steps", waiting.Steps, "oldest", waiting.Oldest, "used millicores", stats.UsedMilliCores,
+		"of millicores", stats.CapacityMilliCores, "workers with kept room", stats.KeptWorkers}
+	for _, reason := range dispatch.WaitReasons {
+		if n := waiting.Tasks[reason]; n > 0 {
+			fields = append(fields, string(reason), n)
+		}
+	}
+	t.Log.Info("tasks wait", fields...)
 }
 
 // syncCell takes the operators' newest wishes into the core.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -143,11 +143,12 @@
 type Stats struct {
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
+	KeptWorkers                                  int // whose room is kept for gangs
 }
 
 // Stats returns the present gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active)}
+	s := Stats{ActiveJobs: len(c.active), KeptWorkers: len(c.holds)}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.contact {
--- /dev/null
+++ b/internal/dispatch/explain.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"time"
+
+	"cuminloft/internal/workload"
+)
+
+// WaitReason tells why tasks of a step that could start have no place.
+type WaitReason string
+
+// The reasons, in the order in which they are looked at.
+const (
+	WaitsForTeamLimit  WaitReason = "team's limit"
+	WaitsForRoom       WaitReason = "room"
+	WaitsForGangRoom   WaitReason = "room kept for a gang"
+	WaitsForUrgentRoom WaitReason = "room kept for better work"
+	WaitsForAdvice     WaitReason = "advice"
+	WaitsForLook       WaitReason = "next look for places"
+)
+
+// WaitReasons lists all reasons.
+var WaitReasons = [...]WaitReason{
+	WaitsForTeamLimit, WaitsForRoom, WaitsForGangRoom, WaitsForUrgentRoom, WaitsForAdvice, WaitsForLook,
+}
+
+// Waiting sums up what waits.
+type Waiting struct {
+	Steps  int
+	Tasks  map[WaitReason]int // of the steps looked at, best rank first
+	Oldest time.Duration      // since the acceptance of the oldest job with such a step
+}
+
+// explainMost bounds the steps that Explain looks at.
+const explainMost = 200
+
+// Explain tells why tasks wait, by the steps of the latest look for places. Load pattern:
+// work waits while cores are idle, and nobody can tell for what.
+func (c *Core) Explain(now time.Time) Waiting {
+	out := Waiting{Tasks: map[WaitReason]int{}}
+	if len(c.order) == 0 {
+		return out
+	}
+	c.round = c.newRound(now)
+	for _, r := range c.order {
+		s := r.step
+		if !s.startable() {
+			continue
+		}
+		out.Steps++
+		out.Oldest = max(out.Oldest, now.Sub(millisOf(s.job.spec.AcceptedAt)))
+		if out.Steps <= explainMost {
+			out.Tasks[c.waitReason(r)] += s.pending
+		}
+	}
+	return out
+}
+
+// waitReason tells why a step has no place for its next task, or a gang for all.
+func (c *Core) waitReason(r rankedStep) WaitReason {
+	s, q := r.step, c.queueOf(r.step.job)
+	need := 1
+	if s.spec.Gang {
+		need = len(s.tasks)
+	}
+	if c.teamRoom(s) < need {
+		return WaitsForTeamLimit
+	}
+	places := c.waitPlaces(r, q)
+	for _, reason := range [...]WaitReason{WaitsForRoom, WaitsForGangRoom, WaitsForUrgentRoom, WaitsForAdvice} {
+		if places[reason] < need {
+			return reason
+		}
+	}
+	return WaitsForLook
+}
+
+// waitPlaces counts the places for tasks of the step that are left when each
+// reason, and those before it, are taken into account.
+func (c *Core) waitPlaces(r rankedStep, q *workload.Queue) map[WaitReason]int {
+	s, now := r.step, c.round.now
+	places := map[WaitReason]int{}
+	p := c.round.pools[q.Pool]
+	if p == nil {
+		return places
+	}
+	for _, w := range p.workers {
+		if !s.takes(w) || s.advice.denied[w.info.ID] {
+			continue
+		}
+		places[WaitsForRoom] += fits(w, s)
+		if c.held(s, w, r.rank, now) {
+			continue
+		}
+		places[WaitsForGangRoom] += fits(w, s)
+		n := c.room(w, s, r.rank)
+		places[WaitsForUrgentRoom] += n
+		if q.Advice != nil {
+			if _, ok := s.advice.valid(w, c.arrival(now)); !ok {
+				continue
+			}
+		}
+		places[WaitsForAdvice] += n
+	}
+	return places
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,7 @@
 	commits  prometheus.Histogram
 	rows     prometheus.Counter
 	gauges   *prometheus.GaugeVec
+	waiting  *prometheus.GaugeVec
 }
 
 // latencyBuckets are upper bounds in seconds, from a store transaction to a
@@ -41,8 +42,10 @@
 			Name: "cuminloft_commit_rows_total", Help: "Progress rows stored."}),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cuminloft_coordinator", Help: "The coordinator's view of jobs, workers and cores."}, []string{"what"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cuminloft_waiting_tasks", Help: "Tasks without a place, by what they wait for."}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges)
+	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting)
 	return m
 }
 
@@ -62,13 +65,17 @@
 }
 
 // Gauges implements coordinator.Observer.
-func (m *metrics) Gauges(s dispatch.Stats) {
+func (m *metrics) Gauges(s dispatch.Stats, w dispatch.Waiting) {
 	m.gauges.WithLabelValues("jobs").Set(float64(s.ActiveJobs))
 	m.gauges.WithLabelValues("workers").Set(float64(s.Workers))
 	m.gauges.WithLabelValues("workers_in_reach").Set(float64(s.Reachable))
 	m.gauges.WithLabelValues("tasks").Set(float64(s.RunningTasks))
 	m.gauges.WithLabelValues("used_millicores").Set(float64(s.UsedMilliCores))
 	m.gauges.WithLabelValues("capacity_millicores").Set(float64(s.CapacityMilliCores))
+	m.gauges.WithLabelValues("workers_with_kept_room").Set(float64(s.KeptWorkers))
+	for _, reason := range dispatch.WaitReasons {
+		m.waiting.WithLabelValues(string(reason)).Set(float64(w.Tasks[reason]))
+	}
 }
 
 func (m *metrics) handler() http.Handler {
