dispatch: tickets are used before the service is asked about the step again

In the logs a second call follows each answer within a millisecond: when an answer comes in, the next look for places is up to 15 ms away, and the step seemed to wait for places still. Ruled out: too few tickets in the first answer (all tasks started 20 ms later). Change: a step with new tickets is asked about again only after places have been looked for. Test: TestAnswerIsUsedBeforeTheNextCall; fails before.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -28,6 +28,7 @@
 	denied  map[string]bool
 	asking  bool
 	asked   time.Time
+	news    bool // tickets came in since places were last looked for
 }
 
 func (a *adviceState) drop(worker string) { delete(a.tickets, worker) }
@@ -61,7 +62,7 @@
 	looked := 0
 	for _, r := range c.order {
 		s := r.step
-		if s.advice.asking || now.Sub(s.advice.asked) < askPause || !s.startable() {
+		if s.advice.asking || s.advice.news || now.Sub(s.advice.asked) < askPause || !s.startable() {
 			continue
 		}
 		q := c.queueOf(s.job)
@@ -301,6 +302,7 @@
 		c.emit("advice failed", "step", a.Step.String(), "workers", len(a.Workers), "cause", err.Error())
 		return
 	}
+	s.advice.news = len(tickets) > 0
 	if s.advice.tickets == nil {
 		s.advice.tickets = map[string]ticket{}
 		s.advice.denied = map[string]bool{}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -126,6 +126,9 @@
 func (c *Core) Review(now time.Time) {
 	c.changed = false
 	c.order = c.readySteps(now)
+	for _, r := range c.order {
+		r.step.advice.news = false
+	}
 	c.round = c.newRound(now)
 }
 
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -88,3 +88,26 @@
 		})
 	}
 }
+
+// Load pattern: many steps that wait for few hosts that ask for advice. What was
+// answered is looked at before the service is asked about the step again.
+func TestAnswerIsUsedBeforeTheNextCall(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}})
+	for i := range 3 * askLeast {
+		c.worker(fmt.Sprint("w", i), 4)
+	}
+	c.job("j", workload.Step{Tasks: 2, Resources: cores(2)})
+	is.Equal(len(c.store(nil)), 0)
+	ask, ok := c.core.NextAsk(c.now, time.Second)
+	is.True(ok)
+	is.True(len(ask.Workers) < 3*askLeast)
+	c.now = c.now.Add(time.Second)
+	c.core.Advised(ask, []workload.Ticket{{Worker: ask.Workers[0], Text: "t"}}, nil, c.now)
+	_, ok = c.core.NextAsk(c.now, time.Second)
+	is.True(!ok)
+	is.Equal(len(c.store(nil)), 2)
+	_, ok = c.core.NextAsk(c.now, time.Second)
+	is.True(!ok)
+}
