advice: gangs ask first where there is room; dead hosts hold calls up less

Cause: after a lost AZ most tasks wait for advice ('tasks wait'). A gang's first call named 100 workers, 0.95 s of a host's time, and a second call as many again; label and urgent steps had no host left to ask through. Calls through hosts that were gone held steps up for up to 1.9 s each. Change: the first call names workers with room now, of one AZ, if all members are likely to find a place there; else 100 as before, or what the gang needs to choose from when less than half of the hosts are idle. Later calls count on a third of the workers never asked about, not on all. A call may be 0.3 s late (1 s before), and a host that fails rests 2, 4, then 8 s.

--- a/internal/coordinator/advicedesk.go
+++ b/internal/coordinator/advicedesk.go
@@ -11,15 +11,24 @@
 
 // Calls for advice.
 const (
-	adviceSlack = time.Second            // over the time that the service should take
-	adviserRest = 2 * time.Second        // an adviser that failed is left alone so long
-	busyRest    = 200 * time.Millisecond // the same when the service has too many calls
+	// adviceSlack is added to the time that the service should take. Hosts make one
+	// call at a time, so calls wait for nothing but the network.
+	adviceSlack = 300 * time.Millisecond
+	// A host whose call failed is left alone for adviserRest, twice as long after
+	// each further failure, up to longestRest.
+	adviserRest = 2 * time.Second
+	longestRest = 8 * time.Second
+	// restDoublings bounds the shift that doubles adviserRest.
+	restDoublings = 3
+	busyRest      = 200 * time.Millisecond // the same when the service has too many calls
 	// shortAdvice is the longest call that may use the hosts kept for short calls.
 	shortAdvice = 60 * time.Millisecond
 	// keptForShort hosts make only short calls, so that urgent steps do not wait
 	// behind calls of half a second.
 	keptForShort = 2
 	anyAdvice    = time.Minute
+	// scarceShare is the share of idle hosts below which calls are kept short.
+	scarceShare = 0.5
 	// advisersFor is how long a list of the hosts is used.
 	advisersFor = 250 * time.Millisecond
 )
@@ -32,12 +41,13 @@
 	events   chan<- any
 	busy     map[string]bool
 	rest     map[string]time.Time
+	failures map[string]int // since the last answer, by host
 	hosts    []Adviser
 	listed   time.Time
 }
 
 func newAdviceDesk(advisers func() []Adviser, events chan<- any) *adviceDesk {
-	return &adviceDesk{advisers: advisers, events: events, busy: map[string]bool{}, rest: map[string]time.Time{}}
+	return &adviceDesk{advisers: advisers, events: events, busy: map[string]bool{}, rest: map[string]time.Time{}, failures: map[string]int{}}
 }
 
 // ask makes the calls that the core wants on the hosts that are idle.
@@ -52,11 +62,11 @@
 		}
 	}
 	for len(idle) > 0 {
-		longest := anyAdvice
+		hosts := dispatch.Askers{Longest: anyAdvice, Scarce: float64(len(idle)) < scarceShare*float64(len(d.hosts))}
 		if len(idle) <= keptForShort {
-			longest = shortAdvice
+			hosts.Longest = shortAdvice
 		}
-		ask, ok := core.NextAsk(now, longest)
+		ask, ok := core.NextAsk(now, hosts)
 		if !ok {
 			return
 		}
@@ -84,7 +94,10 @@
 	case errors.Is(e.err, workload.ErrAdviceBusy):
 		d.rest[e.adviser] = now.Add(busyRest)
 	case e.err != nil:
-		d.rest[e.adviser] = now.Add(adviserRest)
+		d.rest[e.adviser] = now.Add(min(longestRest, adviserRest<<d.failures[e.adviser]))
+		d.failures[e.adviser] = min(d.failures[e.adviser]+1, restDoublings)
+	default:
+		delete(d.failures, e.adviser)
 	}
 }
 
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -56,9 +56,15 @@
 	Cost    time.Duration // how long the service will take
 }
 
-// NextAsk returns the most pressing call for advice that takes at most
-// longest, or false. The caller answers with Advised.
-func (c *Core) NextAsk(now time.Time, longest time.Duration) (Ask, bool) {
+// Askers tells what the hosts that ask for advice have time for.
+type Askers struct {
+	Longest time.Duration // the longest call to make
+	Scarce  bool          // few of them are idle
+}
+
+// NextAsk returns the most pressing call for advice for which the hosts have time,
+// or false. The caller answers with Advised.
+func (c *Core) NextAsk(now time.Time, hosts Askers) (Ask, bool) {
 	looked := 0
 	for _, r := range c.order {
 		s := r.step
@@ -66,13 +72,13 @@
 			continue
 		}
 		q := c.queueOf(s.job)
-		if q.Advice == nil || q.Advice.PerCall > longest {
+		if q.Advice == nil || q.Advice.PerCall > hosts.Longest {
 			continue
 		}
 		if looked++; looked > askLook {
 			break
 		}
-		workers := c.askWorkers(r, q, now)
+		workers := c.askWorkers(r, q, hosts, now)
 		if len(workers) == 0 {
 			s.advice.asked = now
 			continue
@@ -108,9 +114,9 @@
 // askWorkers picks the workers to name. Load pattern: calls are the bottleneck
 // when many steps start at once, so no more are named than are likely to be
 // needed.
-func (c *Core) askWorkers(r rankedStep, q *workload.Queue, now time.Time) []string {
+func (c *Core) askWorkers(r rankedStep, q *workload.Queue, hosts Askers, now time.Time) []string {
 	if r.step.spec.Gang {
-		return c.askGang(r, q, now)
+		return c.askGang(r, q, hosts, now)
 	}
 	candidates, _ := c.askCandidates(r, c.round.eligible(r.step, q), now, true)
 	// Known ones first, then those of one AZ, then the fullest that have room: small
@@ -132,7 +138,8 @@
 		}
 		return x.id < y.id
 	})
-	return cutAsk(r.step, q, candidates)
+	named, _ := cutAsk(r.step, q, candidates)
+	return named
 }
 
 // roomiestAZ returns the AZ whose candidates have room for the most tasks.
@@ -150,24 +157,18 @@
 	return best
 }
 
-// askGang picks workers for a gang. The first call names all workers, since the
-// allowed ones must be known to keep room on them; later ones renew tickets when
-// there is room, or is about to be.
-func (c *Core) askGang(r rankedStep, q *workload.Queue, now time.Time) []string {
+// askGang picks workers for a gang. The first call finds out which ones the gang
+// may choose from; later calls renew tickets when there is room, or is about to be.
+func (c *Core) askGang(r rankedStep, q *workload.Queue, hosts Askers, now time.Time) []string {
 	s := r.step
 	if s.advice.tickets == nil {
-		if p := c.round.pools[q.Pool]; p != nil {
-			all, _ := c.askCandidates(r, p.workers, now, false)
-			sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
-			return names(all[:min(len(all), askMost)])
-		}
-		return nil
+		return c.firstAsk(r, q, hosts, now)
 	}
 	if unknown := c.askFurther(r, q); len(unknown) > 0 {
 		return unknown
 	}
-	candidates, room := c.askCandidates(r, c.round.eligible(s, q), now, true)
-	if room >= len(s.tasks) {
+	candidates, likely := c.askCandidates(r, c.round.eligible(s, q), now, true)
+	if likely >= float64(len(s.tasks)) {
 		sort.Slice(candidates, func(a, b int) bool {
 			x, y := candidates[a], candidates[b]
 			if x.known != y.known {
@@ -178,7 +179,8 @@
 			}
 			return x.id < y.id
 		})
-		return cutAsk(s, q, candidates)
+		named, _ := cutAsk(s, q, candidates)
+		return named
 	}
 	if s.heldFrom.IsZero() {
 		return nil
@@ -200,6 +202,50 @@
 	return held
 }
 
+// firstAsk names the workers of a gang's first call: those with room now, if all
+// members are likely to find a place on the allowed ones. Else it names as many as
+// a call may, since room is kept on the allowed ones and more to choose from is
+// better; if hosts that ask are scarce, no more than the gang needs to choose
+// from. Load pattern: a lost AZ, which leaves more gangs than hosts that ask; a
+// call that names 100 workers takes a host twice as long as one that names 30.
+func (c *Core) firstAsk(r rankedStep, q *workload.Queue, hosts Askers, now time.Time) []string {
+	s, p := r.step, c.round.pools[q.Pool]
+	if p == nil {
+		return nil
+	}
+	if named, enough := c.askRoomy(r, q, p.workers, now); enough {
+		return named
+	}
+	all, _ := c.askCandidates(r, p.workers, now, false)
+	sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
+	places := 0.0
+	for i, x := range all {
+		if i >= askMost || hosts.Scarce && places >= float64(gangChoice*len(s.tasks)) {
+			return names(all[:i])
+		}
+		places += askAllowedShare * float64(copies(c.workers[x.id].info.Capacity, s.spec.Charged()))
+	}
+	return names(all)
+}
+
+// askRoomy names workers that have room now, those of the roomiest AZ first, and
+// tells whether they are likely to be enough.
+func (c *Core) askRoomy(r rankedStep, q *workload.Queue, workers []*worker, now time.Time) ([]string, bool) {
+	roomy, _ := c.askCandidates(r, workers, now, true)
+	az := roomiestAZ(roomy)
+	sort.Slice(roomy, func(a, b int) bool {
+		x, y := roomy[a], roomy[b]
+		if (x.az == az) != (y.az == az) {
+			return x.az == az
+		}
+		if x.room != y.room {
+			return x.room > y.room
+		}
+		return x.id < y.id
+	})
+	return cutAsk(r.step, q, roomy)
+}
+
 // gangChoice is how many times a gang's tasks should fit on its allowed workers
 // if these were empty. With less to choose from, they would hardly ever have room
 // for all of them at once (docs/design/0007).
@@ -232,12 +278,12 @@
 	return names(unknown[:min(len(unknown), askMost)])
 }
 
-// askCandidates returns those of the workers that a call could name, and the
-// room on these and on those with a valid ticket.
-func (c *Core) askCandidates(r rankedStep, workers []*worker, now time.Time, withRoom bool) ([]candidate, int) {
+// askCandidates returns those of the workers that a call could name, and how many
+// places the step is likely to be allowed on these and on those with a valid ticket.
+func (c *Core) askCandidates(r rankedStep, workers []*worker, now time.Time, withRoom bool) ([]candidate, float64) {
 	s := r.step
 	var out []candidate
-	total := 0
+	likely := 0.0
 	for _, w := range workers {
 		if !s.takes(w) || s.advice.denied[w.info.ID] {
 			continue
@@ -249,26 +295,32 @@
 		if withRoom && n == 0 {
 			continue
 		}
-		total += n
+		_, known := s.advice.tickets[w.info.ID]
+		if known {
+			likely += float64(n)
+		} else {
+			likely += askAllowedShare * float64(n)
+		}
 		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
 			continue
 		}
-		_, known := s.advice.tickets[w.info.ID]
 		out = append(out, candidate{w.info.ID, w.info.AZ, known, n})
 	}
-	return out, total
+	return out, likely
 }
 
-// cutAsk cuts a list of candidates to those that are likely to be needed.
-func cutAsk(s *step, q *workload.Queue, candidates []candidate) []string {
+// cutAsk cuts a list of candidates to those that are likely to be needed, and
+// tells whether they are likely to be enough.
+func cutAsk(s *step, q *workload.Queue, candidates []candidate) ([]string, bool) {
 	least := askLeast
 	if cost := q.Advice; cost.PerWorker > 0 {
 		least = max(least, int(askSpread*float64(cost.PerCall)/float64(cost.PerWorker)))
 	}
 	expected := 0.0
 	for i, x := range candidates {
-		if i >= askMost || i >= least && expected >= askSurplus*float64(s.pending) {
-			return names(candidates[:i])
+		enough := expected >= askSurplus*float64(s.pending)
+		if i >= askMost || i >= least && enough {
+			return names(candidates[:i]), enough
 		}
 		if x.known {
 			expected += float64(x.room)
@@ -276,7 +328,7 @@
 			expected += askAllowedShare * float64(x.room)
 		}
 	}
-	return names(candidates)
+	return names(candidates), expected >= askSurplus*float64(s.pending)
 }
 
 func names(candidates []candidate) []string {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -20,13 +20,13 @@
 	c.worker("w", 8)
 	c.job("j", workload.Step{Tasks: 1, Resources: cores(2)})
 	is.Equal(len(c.store(nil)), 0)
-	ask, ok := c.core.NextAsk(c.now, time.Second)
+	ask, ok := c.core.NextAsk(c.now, Askers{Longest: time.Second})
 	is.True(ok)
 	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "t"}}, nil, c.now)
 	c.core.SetStartDelay(time.Second)
 	c.now = c.now.Add(time.Second)
 	is.Equal(len(c.store(nil)), 0) // it holds for 0.7 s, the start takes 1 s
-	ask, ok = c.core.NextAsk(c.now, time.Second)
+	ask, ok = c.core.NextAsk(c.now, Askers{Longest: time.Second})
 	is.True(ok) // so the service is asked again
 	c.core.Advised(ask, []workload.Ticket{{Worker: "w", Text: "u"}}, nil, c.now)
 	is.Equal(len(c.store(nil)), 1)
@@ -100,14 +100,58 @@
 	}
 	c.job("j", workload.Step{Tasks: 2, Resources: cores(2)})
 	is.Equal(len(c.store(nil)), 0)
-	ask, ok := c.core.NextAsk(c.now, time.Second)
+	ask, ok := c.core.NextAsk(c.now, Askers{Longest: time.Second})
 	is.True(ok)
 	is.True(len(ask.Workers) < 3*askLeast)
 	c.now = c.now.Add(time.Second)
 	c.core.Advised(ask, []workload.Ticket{{Worker: ask.Workers[0], Text: "t"}}, nil, c.now)
-	_, ok = c.core.NextAsk(c.now, time.Second)
+	_, ok = c.core.NextAsk(c.now, Askers{Longest: time.Second})
 	is.True(!ok)
 	is.Equal(len(c.store(nil)), 2)
-	_, ok = c.core.NextAsk(c.now, time.Second)
+	_, ok = c.core.NextAsk(c.now, Askers{Longest: time.Second})
 	is.True(!ok)
 }
+
+// Load pattern: more gangs than hosts that ask for advice. A gang's first call
+// names the workers that have room, if these are likely to be enough; on a full
+// cell it names as many as it may, fewer if such hosts are scarce.
+func TestFirstCallForAGang(t *testing.T) {
+	for name, test := range map[string]struct {
+		full   int // workers without room
+		hosts  Askers
+		most   int
+		roomed bool // only workers with room are named
+	}{
+		"room":                {60, Askers{Longest: time.Second}, 30, true},
+		"no room":             {100, Askers{Longest: time.Second}, askMost, false},
+		"no room, few askers": {100, Askers{Longest: time.Second, Scarce: true}, 60, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			configure := func(version int64, advice *workload.AdviceCost) {
+				c.core.SetCell(workload.NewCell(version, []workload.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2,
+					Allowance: time.Second, Advice: advice}}, []workload.Team{{Name: "team", Weight: 100}}, nil))
+			}
+			configure(2, nil)
+			for i := range 100 {
+				c.worker(fmt.Sprintf("w%02d", i), 8)
+			}
+			c.job("first", workload.Step{Tasks: test.full, Resources: cores(8), MaxPerWorker: 1, Estimate: time.Hour})
+			busy := map[string]bool{}
+			for _, st := range c.store(nil) {
+				busy[st.Worker.ID] = true
+			}
+			is.Equal(len(busy), test.full)
+			configure(3, &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second})
+			c.job("gang", workload.Step{Tasks: 5, Resources: cores(4), Gang: true, Estimate: time.Second})
+			is.Equal(len(c.store(nil)), 0)
+			ask, ok := c.core.NextAsk(c.now, test.hosts)
+			is.True(ok)
+			is.True(len(ask.Workers) > 0 && len(ask.Workers) <= test.most)
+			for _, id := range ask.Workers {
+				is.True(!test.roomed || !busy[id])
+			}
+		})
+	}
+}
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -76,6 +76,8 @@
 	jobs    map[string]*replayJob
 	factor  map[string]float64 // of the arrivals of a queue
 	n       int
+	// pausedUntil is when the coordinator decides again.
+	pausedUntil time.Time
 }
 
 type pendingAdvice struct {
@@ -147,6 +149,10 @@
 		if r.now.Sub(r.begin) < r.length {
 			r.arrive()
 		}
+		if r.now.Before(r.pausedUntil) {
+			r.now = r.now.Add(replayStep)
+			continue
+		}
 		r.finishRuns()
 		r.core.Tick(r.now)
 		r.advise()
@@ -227,11 +233,11 @@
 		if until.After(r.now) {
 			continue
 		}
-		longest := time.Minute
+		hosts := Askers{Longest: time.Minute, Scarce: 2*idle < len(r.busy)}
 		if idle <= 2 {
-			longest = 60 * time.Millisecond
+			hosts.Longest = 60 * time.Millisecond
 		}
-		ask, ok := r.core.NextAsk(r.now, longest)
+		ask, ok := r.core.NextAsk(r.now, hosts)
 		if !ok {
 			return
 		}
@@ -374,6 +380,26 @@
 		at: map[time.Duration]func(*replay){4 * time.Second: cut("az0", true), 10 * time.Second: cut("az0", false)}}
 }
 
+// lostThird loses a third of the cell for 7 s, with what runs there and a third of
+// the hosts that ask for advice. The successor of the coordinator that was lost
+// with them decides from 1.2 s later on.
+func lostThird() pattern {
+	lose := func(r *replay) {
+		cut("az0", true)(r)
+		for _, w := range r.workers {
+			if w.cut {
+				clear(w.runs)
+			}
+		}
+		r.pausedUntil = r.now.Add(1200 * time.Millisecond)
+		for i := range r.busy[:len(r.busy)/3] {
+			r.busy[i] = r.now.Add(7 * time.Second)
+		}
+	}
+	return pattern{workers: 350, cores: 32, hosts: 29, length: 24 * time.Second, kinds: unlikeWork(),
+		at: map[time.Duration]func(*replay){8 * time.Second: lose, 15 * time.Second: cut("az0", false)}}
+}
+
 // evacuatedAndCut cuts a third off while another one is evacuated: 110% of what is
 // left, then 220%.
 func evacuatedAndCut() pattern {
@@ -420,6 +446,7 @@
 func TestReplay(t *testing.T) {
 	for name, p := range map[string]func() pattern{
 		"evacuated": evacuatedThird, "cut": cutThird, "evacuated-and-cut": evacuatedAndCut, "bursts": bursts, "flood": flood,
+		"lost": lostThird,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
