--- /dev/null
+++ b/internal/dispatch/ask.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"cuminloft/internal/workload"
+)
+
+// Sizes of a call for advice.
+const (
+	// askAllowedShare is the share of workers that a strict policy allows.
+	askAllowedShare = 0.35
+	askLeast        = 8
+	// askSpread is the share of a call's fixed time that naming workers may add
+	// without need; a second call costs the fixed time again.
+	askSpread = 0.3
+	askMost   = 100 // the service's limit
+	// askSurplus is how many times the places needed a call should yield, since
+	// other steps take some of them before the answer is in.
+	askSurplus = 2.0
+)
+
+// candidate is a worker that a call for advice could name.
+type candidate struct {
+	id    string
+	az    string
+	known bool // it was allowed before; its ticket has expired
+	room  int
+}
+
+// askWorkers picks the workers to name. Load pattern: calls are the bottleneck
+// when many steps start at once, so no more are named than are likely to be
+// needed.
+func (c *Core) askWorkers(r rankedStep, q *workload.Queue, hosts Askers, now time.Time) []string {
+	if r.step.spec.Gang {
+		return c.askGang(r, q, hosts, now)
+	}
+	candidates, _ := c.askCandidates(r, c.round.eligible(r.step, q), now, true)
+	// Known ones first, then those of one AZ, then the fullest that have room: small
+	// tasks fill gaps and leave whole workers to gangs.
+	home := r.step.job.home
+	if home == "" {
+		home = roomiestAZ(candidates)
+	}
+	sort.Slice(candidates, func(a, b int) bool {
+		x, y := candidates[a], candidates[b]
+		if x.known != y.known {
+			return x.known
+		}
+		if (x.az == home) != (y.az == home) {
+			return x.az == home
+		}
+		if x.room != y.room {
+			return x.room < y.room
+		}
+		return x.id < y.id
+	})
+	named, _ := cutAsk(r.step, q, candidates)
+	return named
+}
+
+// roomiestAZ returns the AZ whose candidates have room for the most tasks.
+func roomiestAZ(candidates []candidate) string {
+	room := map[string]int{}
+	best := ""
+	for _, x := range candidates {
+		room[x.az] += x.room
+	}
+	for az, n := range room {
+		if best == "" || n > room[best] || n == room[best] && az < best {
+			best = az
+		}
+	}
+	return best
+}
+
+// askCandidates returns those of the workers that a call could name, and how many
+// places the step is likely to be allowed on these and on those with a valid ticket.
+func (c *Core) askCandidates(r rankedStep, workers []*worker, now time.Time, withRoom bool) ([]candidate, float64) {
+	s := r.step
+	var out []candidate
+	likely := 0.0
+	for _, w := range workers {
+		if !s.takes(w) || s.advice.denied[w.info.ID] {
+			continue
+		}
+		n := 0
+		if !c.held(s, w, r.rank, now) {
+			n = c.room(w, s, r.rank)
+		}
+		if withRoom && n == 0 {
+			continue
+		}
+		_, known := s.advice.tickets[w.info.ID]
+		if known {
+			likely += float64(n)
+		} else {
+			likely += askAllowedShare * float64(n)
+		}
+		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
+			continue
+		}
+		out = append(out, candidate{w.info.ID, w.info.AZ, known, n})
+	}
+	return out, likely
+}
+
+// cutAsk cuts a list of candidates to those that are likely to be needed, and
+// tells whether they are likely to be enough.
+func cutAsk(s *step, q *workload.Queue, candidates []candidate) ([]string, bool) {
+	least := askLeast
+	if cost := q.Advice; cost.PerWorker > 0 {
+		least = max(least, int(askSpread*float64(cost.PerCall)/float64(cost.PerWorker)))
+	}
+	expected := 0.0
+	for i, x := range candidates {
+		enough := expected >= askSurplus*float64(s.pending)
+		if i >= askMost || i >= least && enough {
+			return names(candidates[:i]), enough
+		}
+		if x.known {
+			expected += float64(x.room)
+		} else {
+			expected += askAllowedShare * float64(x.room)
+		}
+	}
+	return names(candidates), expected >= askSurplus*float64(s.pending)
+}
+
+func names(candidates []candidate) []string {
+	out := make([]string, 0, len(candidates))
+	for _, x := range candidates {
+		out = append(out, x.id)
+	}
+	return out
+}
