--- a/internal/coordinator/advicedesk.go
+++ b/internal/coordinator/advicedesk.go
@@ -29,8 +29,6 @@
 	anyAdvice    = time.Minute
 	// scarceShare is the share of idle hosts below which calls are kept short.
 	scarceShare = 0.5
-	// cheapShare is the share of hosts that are left to queues with cheaper calls.
-	cheapShare = 0.34
 	// advisersFor is how long a list of the hosts is used.
 	advisersFor = 250 * time.Millisecond
 )
@@ -64,8 +62,7 @@
 		}
 	}
 	for len(idle) > 0 {
-		idleShare := float64(len(idle)) / float64(len(d.hosts))
-		hosts := dispatch.Askers{Longest: anyAdvice, Scarce: idleShare < scarceShare, Cheap: idleShare <= cheapShare}
+		hosts := dispatch.Askers{Longest: anyAdvice, Scarce: float64(len(idle)) < scarceShare*float64(len(d.hosts))}
 		if len(idle) <= keptForShort {
 			hosts.Longest = shortAdvice
 		}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"cuminloft/internal/workload"
@@ -60,16 +59,11 @@
 type Askers struct {
 	Longest time.Duration // the longest call to make
 	Scarce  bool          // few of them are idle
-	Cheap   bool          // the rest is left to queues with cheaper calls
 }
 
 // NextAsk returns the most pressing call for advice for which the hosts have time,
 // or false. The caller answers with Advised.
 func (c *Core) NextAsk(now time.Time, hosts Askers) (Ask, bool) {
-	costly := time.Duration(math.MaxInt64)
-	if hosts.Cheap {
-		costly = c.costlyCall()
-	}
 	looked := 0
 	for _, r := range c.order {
 		s := r.step
@@ -77,7 +71,7 @@
 			continue
 		}
 		q := c.queueOf(s.job)
-		if q.Advice == nil || q.Advice.PerCall > hosts.Longest || q.Advice.PerCall >= costly {
+		if q.Advice == nil || q.Advice.PerCall > hosts.Longest {
 			continue
 		}
 		if looked++; looked > askLook {
@@ -94,21 +88,6 @@
 	return Ask{}, false
 }
 
-// costlyCall returns the time of a call of the queue whose calls take longest, of
-// those that ask; more than any call takes if they are all alike.
-func (c *Core) costlyCall() time.Duration {
-	least, most := time.Duration(math.MaxInt64), time.Duration(0)
-	for _, r := range c.order {
-		if q := c.queueOf(r.step.job); q.Advice != nil {
-			least, most = min(least, q.Advice.PerCall), max(most, q.Advice.PerCall)
-		}
-	}
-	if least >= most {
-		return math.MaxInt64
-	}
-	return most
-}
-
 // askLook bounds the steps that one NextAsk looks at.
 const askLook = 60
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -233,7 +233,7 @@
 		if until.After(r.now) {
 			continue
 		}
-		hosts := Askers{Longest: time.Minute, Scarce: 2*idle < len(r.busy), Cheap: 3*idle <= len(r.busy)}
+		hosts := Askers{Longest: time.Minute, Scarce: 2*idle < len(r.busy)}
 		if idle <= 2 {
 			hosts.Longest = 60 * time.Millisecond
 		}
