store: reads and commits go on at once when a silent store is back

A read that had failed was followed by one that waits 900 ms for a change, so even an answering store was only heard of after that; a read sent during the silence was waited for to its end. Callers have 3 s and five attempts: what they sent in the last 2.8 s of the silence could be saved by an answer at once.

Change: a feed that failed is read without waiting, anew every 150 ms while earlier reads are open; a transaction is sent again when the store has answered a call made after its latest copy (CommitTwice is CommitRepeated now, 5 copies at most); an old call that ends without an answer no longer makes a store suspect that has answered a later one.

Tests that fail first: TestFollowHearsAtOnceThatASilentStoreIsBack, TestCommitAfterASilence.

--- a/internal/coordinator/seat.go
+++ b/internal/coordinator/seat.go
@@ -98,7 +98,7 @@
 	}
 	for {
 		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
-		version, err := platform.CommitTwice(attempt, c.store, tx, max(commitLeast, commitFactor*platform.UsualTime(c.store)))
+		version, err := platform.CommitRepeated(attempt, c.store, tx, max(commitLeast, commitFactor*platform.UsualTime(c.store)))
 		cancel()
 		if err == nil {
 			c.last = seatRow{next, version}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -163,7 +163,7 @@
 func (j Jobs) commit(ctx context.Context, tx platform.Tx) error {
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err := platform.CommitTwice(call, j.Store, tx, max(repeatLeast, repeatFactor*j.Store.Usual()))
+	_, err := platform.CommitRepeated(call, j.Store, tx, max(repeatLeast, repeatFactor*j.Store.Usual()))
 	if errors.Is(err, platform.ErrAmbiguous) {
 		return fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -10,8 +10,12 @@
 
 // Reading feeds.
 const (
-	// followRetry is the pause after a failed read.
+	// followRetry is the pause after a failed read, and between the reads by which a
+	// source that does not answer is tried again.
 	followRetry = 150 * time.Millisecond
+	// followOpen bounds these reads under way: a read at a store that is a hundred
+	// times slower than usual takes half a second.
+	followOpen = 6
 	// quietLag is how long a feed must have said nothing before its newest version
 	// is taken for the one to go on from: a feed that is deaf for a second returns
 	// new versions without their changes.
@@ -49,6 +53,7 @@
 	}
 	listed := time.Now()
 	var quiet quietVersion
+	failing := false
 	for ctx.Err() == nil {
 		if f.Relist > 0 && time.Since(listed) >= f.Relist {
 			after = 0
@@ -65,8 +70,13 @@
 			}
 			after, listed, quiet = version, time.Now(), quietVersion{}
 		}
-		changes, next, err := feed.Next(ctx, after, f.Wait)
+		read := next[T]
+		if failing {
+			read = reread[T]
+		}
+		changes, version, err := read(ctx, feed, after, f.Wait)
 		note(err)
+		failing = err != nil && !errors.Is(err, ErrHistoryLost)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			after = 0
@@ -76,9 +86,9 @@
 			continue
 		}
 		if len(changes) == 0 {
-			after = quiet.advance(after, next, time.Now())
+			after = quiet.advance(after, version, time.Now())
 		} else {
-			after, quiet = next, quietVersion{}
+			after, quiet = version, quietVersion{}
 			if err := f.Changed(ctx, changes); err != nil {
 				return err
 			}
@@ -90,6 +100,51 @@
 	return ctx.Err()
 }
 
+// next reads the changes of a feed once.
+func next[T any](ctx context.Context, feed Feed[T], after int64, wait time.Duration) ([]T, int64, error) {
+	return feed.Next(ctx, after, wait)
+}
+
+// reread reads the changes of a feed whose last read failed. It waits for no change
+// and reads anew every followRetry while earlier reads are open, since those that were
+// sent to a source that is silent may never be answered. It returns the first success,
+// else the failure of the last read when none is left. Load pattern: a store that was
+// silent is back, and callers come again and again.
+func reread[T any](ctx context.Context, feed Feed[T], after int64, _ time.Duration) ([]T, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		changes []T
+		version int64
+		err     error
+	}
+	answers := make(chan answer, followOpen)
+	open := 0
+	send := func() {
+		open++
+		go func() {
+			changes, version, err := feed.Next(ctx, after, 0)
+			answers <- answer{changes, version, err}
+		}()
+	}
+	send()
+	again := time.NewTicker(followRetry)
+	defer again.Stop()
+	for {
+		select {
+		case <-again.C:
+			if open < followOpen {
+				send()
+			}
+		case a := <-answers:
+			open--
+			if a.err == nil || errors.Is(a.err, ErrHistoryLost) || open == 0 {
+				return a.changes, a.version, a.err
+			}
+		}
+	}
+}
+
 // quietVersion is a version that a feed returned without changes.
 type quietVersion struct {
 	version int64
--- a/internal/platform/follow_test.go
+++ b/internal/platform/follow_test.go
@@ -135,3 +135,65 @@
 		is.True(time.Duration(f.newest()-last)*f.every <= 2*pause)
 	})
 }
+
+// silentFeed answers no read that begins before back; a read that waits for an answer
+// gives up after its own wait and patience.
+type silentFeed struct {
+	silent, back time.Time
+	patience     time.Duration
+}
+
+func (f *silentFeed) List(context.Context) ([]string, int64, error) { return nil, 1, nil }
+
+func (f *silentFeed) Next(ctx context.Context, after int64, wait time.Duration) ([]string, int64, error) {
+	began := time.Now()
+	ends := began.Add(wait)
+	lost := ends.After(f.silent) && began.Before(f.back)
+	if lost {
+		ends = ends.Add(f.patience)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	case <-time.After(time.Until(ends)):
+	}
+	if lost {
+		return nil, after, context.DeadlineExceeded
+	}
+	return nil, after, nil
+}
+
+// Load pattern: callers try again and again while the store is silent; each tenth of a
+// second after its return counts.
+func TestFollowHearsAtOnceThatASilentStoreIsBack(t *testing.T) {
+	const soon = 300 * time.Millisecond
+	for _, silence := range []time.Duration{3 * time.Second, 3300 * time.Millisecond, 3800 * time.Millisecond, 4200 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now().Add(2 * time.Second)
+				f := &silentFeed{began, began.Add(silence), 700 * time.Millisecond}
+				var again time.Time
+				failing := false
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error)
+				nothing := func(context.Context, []string) error { return nil }
+				go func() {
+					ended <- platform.Follow(ctx, f, 0, platform.Follower[string]{
+						Wait: 900 * time.Millisecond, Listed: nothing, Changed: nothing,
+						Read: func(err error) {
+							if failing && err == nil {
+								again = time.Now()
+							}
+							failing = err != nil
+						}})
+				}()
+				time.Sleep(2*time.Second + silence + 2*time.Second)
+				cancel()
+				<-ended
+				is.True(!again.IsZero())
+				is.True(again.Sub(f.back) <= soon)
+			})
+		})
+	}
+}
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -120,12 +120,14 @@
 	h.note(began, answered)
 }
 
-// note takes note of whether a call was answered. The caller holds mu.
+// note takes note of whether a call was answered. One that was not says nothing if a
+// call that was made later was. The caller holds mu.
 func (h *Health) note(began time.Time, answered bool) {
-	h.silent = !answered
 	if !answered {
+		h.silent = h.silent || !h.newest.After(began)
 		return
 	}
+	h.silent = false
 	h.answered = time.Now()
 	if began.After(h.newest) {
 		h.newest = began
--- a/internal/platform/hedge.go
+++ b/internal/platform/hedge.go
@@ -6,48 +6,55 @@
 	"time"
 )
 
-// silentRepeat is the age of a transaction from which it is repeated though the
-// store has answered nothing else since; its connection may be dead.
-const silentRepeat = time.Second
+// Copies of a transaction.
+const (
+	// silentRepeat is the age of a transaction from which it is repeated though the
+	// store has answered nothing else since; its connection may be dead.
+	silentRepeat = time.Second
+	// copiesMost bounds the copies of a transaction. All but the second are sent only
+	// when the store has answered a call that was made after the one before.
+	copiesMost = 5
+)
 
-// CommitTwice applies a transaction whose repeat is harmless. If the first copy
+// CommitRepeated applies a transaction whose repeat is harmless. If the first copy
 // is not answered within after, though later calls are, its answer is taken for
-// lost and a second copy is sent. The first one stays open all the same. The
-// first answer that settles the outcome counts. Load pattern: a store that turns
-// many times slower at once; it would be buried under copies of what it is about
-// to do anyway.
-func CommitTwice(ctx context.Context, s Store, tx Tx, after time.Duration) (int64, error) {
+// lost and another copy is sent. The earlier ones stay open all the same. The
+// first answer that settles the outcome counts. Load patterns: a store that turns
+// many times slower at once, which would be buried under copies of what it is about
+// to do anyway; a store that was silent for seconds and has lost all copies.
+func CommitRepeated(ctx context.Context, s Store, tx Tx, after time.Duration) (int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
 		version int64
 		err     error
 	}
-	answers := make(chan answer, 2)
+	answers := make(chan answer, copiesMost)
+	open, sent := 0, 0
+	var latest time.Time // when the latest copy was sent
 	send := func() {
+		open, sent, latest = open+1, sent+1, time.Now()
 		go func() {
 			version, err := s.Commit(ctx, tx)
 			answers <- answer{version, err}
 		}()
 	}
 	send()
-	open, sent := 1, 1
-	began, most := time.Now(), max(silentRepeat, after)
-	second := time.NewTimer(after)
-	defer second.Stop()
+	most := max(silentRepeat, after)
+	check := time.NewTimer(after)
+	defer check.Stop()
 	var failed error
 	for {
 		select {
-		case <-second.C:
-			if sent == 2 {
-				continue
+		case <-check.C:
+			left := most - time.Since(latest)
+			if sent < copiesMost && (sent == 1 && left <= 0 || overtaken(s, latest)) {
+				send()
 			}
-			if age := time.Since(began); age < most && !overtaken(s, began) {
-				second.Reset(min(after, most-age))
-				continue
+			check.Reset(after)
+			if sent == 1 {
+				check.Reset(min(after, left))
 			}
-			send()
-			open, sent = open+1, 2
 		case a := <-answers:
 			open--
 			if a.err == nil || errors.Is(a.err, ErrConflict) {
@@ -57,10 +64,9 @@
 				failed = a.err
 			}
 			switch {
-			case open > 0: // the other copy may yet settle it
+			case open > 0: // another copy may yet settle it
 			case sent == 1 && errors.Is(a.err, ErrAmbiguous) && ctx.Err() == nil:
 				send()
-				open, sent = 1, 2
 			default:
 				return 0, failed
 			}
--- a/internal/platform/hedge_test.go
+++ b/internal/platform/hedge_test.go
@@ -36,7 +36,7 @@
 
 // A lost answer is taken for lost as soon as a later call has been answered, else
 // after a second; the copy that is given up does not make the store suspect.
-func TestCommitTwiceAfterALostAnswer(t *testing.T) {
+func TestCommitRepeatedAfterALostAnswer(t *testing.T) {
 	for name, test := range map[string]struct {
 		later bool
 		most  time.Duration
@@ -50,7 +50,7 @@
 				if test.later {
 					time.AfterFunc(50*time.Millisecond, func() { _, _ = h.Scan(context.Background(), "t", "p", "", "") })
 				}
-				_, err := platform.CommitTwice(t.Context(), h, putRow, repeatAfter)
+				_, err := platform.CommitRepeated(t.Context(), h, putRow, repeatAfter)
 				is.NoErr(err)
 				is.True(time.Since(began) <= test.most)
 				is.Equal(store.taken.Load(), int64(2))
@@ -62,11 +62,11 @@
 }
 
 // A store that is only slow gets one copy.
-func TestCommitTwiceAtASlowStore(t *testing.T) {
+func TestCommitRepeatedAtASlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := rows.NewSlow(rows.New(), 94*usualCall)
-		_, err := platform.CommitTwice(t.Context(), platform.NewHealth(store), putRow, repeatAfter)
+		_, err := platform.CommitRepeated(t.Context(), platform.NewHealth(store), putRow, repeatAfter)
 		is.NoErr(err)
 		commits, _ := store.Counts()
 		is.Equal(commits, 1)
@@ -74,13 +74,66 @@
 }
 
 // A refusal of one copy leaves the outcome to the other.
-func TestCommitTwiceRefused(t *testing.T) {
+func TestCommitRepeatedRefused(t *testing.T) {
 	is := is.New(t)
 	store := rows.New()
 	store.SetDown(true)
-	_, err := platform.CommitTwice(t.Context(), store, putRow, repeatAfter)
+	_, err := platform.CommitRepeated(t.Context(), store, putRow, repeatAfter)
 	is.True(err != nil)
 	store.SetDown(false)
-	_, err = platform.CommitTwice(t.Context(), store, putRow, repeatAfter)
+	_, err = platform.CommitRepeated(t.Context(), store, putRow, repeatAfter)
 	is.NoErr(err)
 }
+
+// silentStore answers no call that begins before back.
+type silentStore struct {
+	*rows.Slow
+	back time.Time
+}
+
+func (s *silentStore) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return 0, platform.ErrAmbiguous
+	}
+	return s.Slow.Commit(ctx, tx)
+}
+
+func (s *silentStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.PartRow, int64, error) {
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return nil, after, platform.ErrUnavailable
+	}
+	return s.Slow.Changes(ctx, table, after, wait)
+}
+
+// A transaction of which two copies were sent to a silent store is sent again as soon
+// as the store has answered something else.
+func TestCommitAfterASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const silence = 4200 * time.Millisecond
+		store := &silentStore{rows.NewSlow(rows.New(), usualCall), time.Now().Add(silence)}
+		h := platform.NewHealth(store)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				go func() {
+					read, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+					defer cancel()
+					_, _, _ = h.Changes(read, "t", 0, 0)
+				}()
+				time.Sleep(150 * time.Millisecond)
+			}
+		}()
+		call, giveUp := context.WithTimeout(ctx, 10*time.Second)
+		defer giveUp()
+		_, err := platform.CommitRepeated(call, h, putRow, repeatAfter)
+		is.NoErr(err)
+		is.True(time.Now().Sub(store.back) <= 2*repeatAfter)
+		is.True(!h.Lost(time.Now()))
+		cancel()
+		time.Sleep(time.Second) // until the reader has ended
+	})
+}
