store: a partition that refuses does not make the whole store suspect

Ruled out: the operators' feed (it was read all the while), the relay (the other hosts believed the same).

Change: a refusal is an answer. A store turns a host away only when it has refused calls for 1.2 s and served none; until then each submission is tried here and handed on when refused, as before. The operators' view stays fresh while their rows are refused and other calls are served: then operators cannot change them either. A call that could not be sent is no answer any more.

Tests that fail first: TestSubmitWhilePartOfTheStoreRefuses, TestHealthOfAStoreThatRefuses; TestSubmitWhileTheOperatorsRowsAreRefused and TestHealthOfAStoreThatCannotBeReached are new.

--- a/internal/cellwatch/cellwatch.go
+++ b/internal/cellwatch/cellwatch.go
@@ -28,6 +28,7 @@
 	feed    platform.Feed[workload.OperatorChange]
 	log     logr.Logger
 	reading *platform.Reading
+	serves  func(now time.Time) bool
 
 	mu        sync.Mutex
 	cell      *workload.Cell
@@ -35,10 +36,11 @@
 	campaigns map[int64]workload.Maintenance
 }
 
-// New returns a view that has seen nothing yet.
-func New(feed platform.Feed[workload.OperatorChange], log logr.Logger) *Watch {
+// New returns a view that has seen nothing yet. Serves tells whether the store has
+// served other calls of this process lately.
+func New(feed platform.Feed[workload.OperatorChange], serves func(now time.Time) bool, log logr.Logger) *Watch {
 	return &Watch{
-		feed: feed, log: log, reading: platform.NewReading(log, "operators' changes"),
+		feed: feed, log: log, reading: platform.NewReading(log, "operators' changes"), serves: serves,
 		evacuated: map[string]bool{}, campaigns: map[int64]workload.Maintenance{},
 	}
 }
@@ -83,8 +85,12 @@
 	return out
 }
 
-// Fresh reports whether the view is surely current.
-func (w *Watch) Fresh(now time.Time) bool { return w.reading.Fresh(now, staleAfter) }
+// Fresh reports whether the view is current. It is, too, while the store refuses to
+// read the operators' rows but serves other calls: then these rows are out of reach of
+// the operators as well. Load pattern: a store of which some partitions are down.
+func (w *Watch) Fresh(now time.Time) bool {
+	return w.reading.Fresh(now, staleAfter) || w.reading.Refused() && w.serves(now)
+}
 
 func (w *Watch) listed(ctx context.Context, all []workload.OperatorChange) error {
 	w.mu.Lock()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -114,7 +114,7 @@
 	p := &process{settings: s, adapter: a, log: log, metrics: newMetrics()}
 	store := a.Store
 	jobs := jobstore.Jobs{Store: store, Log: log}
-	p.watch = cellwatch.New(a.Operators, log)
+	p.watch = cellwatch.New(a.Operators, a.Store.Serves, log)
 	p.members = newMembers(store, s.Host, member{Address: s.RPCListen, AZ: s.AZ, Share: s.CoreShare, Started: time.Now().UnixMilli()}, log)
 	p.peers = newPeers(p.members, log)
 	p.local = coordinator.New(coordinator.Coordinator{
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -8,7 +8,7 @@
 )
 
 // A store that answers no call for a while is first suspected, then counts as
-// out of reach.
+// out of reach. One that refuses all calls counts as out of reach.
 const (
 	// suspectFactor times the usual time of an answer, within the bounds below, is
 	// when a store is suspected.
@@ -17,6 +17,14 @@
 	// lostAfter is longer than a transaction takes at a store that is a hundred
 	// times slower than usual.
 	lostAfter = time.Second
+	// refusedPatience is how long calls may be refused, with none served, until the
+	// store turns this host away. It is longer than a feed that has nothing to tell
+	// waits (cellwatch). Load pattern: a store of which some partitions are down; most
+	// hosts meet only refusals now and then.
+	refusedPatience = 1200 * time.Millisecond
+	// servedLately is the age of the latest call served up to which the store serves
+	// this host.
+	servedLately = time.Second
 	// usualWeight is the weight of the latest answer in the usual time.
 	usualWeight = 0.2
 )
@@ -30,6 +38,8 @@
 	answered time.Time         // when a call was last answered
 	newest   time.Time         // begin of the latest call that was answered
 	silent   bool              // the latest call to end got no answer
+	served   time.Time         // when a call was last served
+	refused  time.Time         // when a call was first refused since; zero if none was
 	usual    time.Duration     // smoothed time of an answer
 }
 
@@ -40,14 +50,26 @@
 func (h *Health) Suspect(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.unanswered(now, min(lostAfter, max(suspectLeast, suspectFactor*h.usual)))
+	return h.turnedAway(now) || h.unanswered(now, min(lostAfter, max(suspectLeast, suspectFactor*h.usual)))
 }
 
 // Lost reports whether the store is out of reach from here.
 func (h *Health) Lost(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.unanswered(now, lostAfter)
+	return h.turnedAway(now) || h.unanswered(now, lostAfter)
+}
+
+// Serves reports whether the store has served a call of this host lately.
+func (h *Health) Serves(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.served) <= servedLately
+}
+
+// turnedAway reports whether the store refuses all calls. The caller holds mu.
+func (h *Health) turnedAway(now time.Time) bool {
+	return !h.refused.IsZero() && now.Sub(h.refused) > refusedPatience
 }
 
 // UsualTime returns the smoothed time that a watched store takes to answer; 0 for
@@ -102,33 +124,60 @@
 	return h.next, began
 }
 
-// end takes note of the outcome of a call that begin took note of. A refusal is an
-// answer. A call that its caller gave up says nothing.
-func (h *Health) end(ctx context.Context, call int, began time.Time, answered bool) {
+// answer is how a call ended.
+type answer int
+
+const (
+	unanswered answer = iota
+	refused
+	served
+)
+
+// answerOf tells by a call's error how it ended.
+func answerOf(err error) answer {
+	switch {
+	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrHistoryLost):
+		return served
+	case errors.Is(err, ErrRefused):
+		return refused
+	default:
+		return unanswered
+	}
+}
+
+// end takes note of the outcome of a call that begin took note of. A call that its
+// caller gave up says nothing.
+func (h *Health) end(ctx context.Context, call int, began time.Time, a answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.open, call)
-	if !answered && errors.Is(ctx.Err(), context.Canceled) {
+	if a == unanswered && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	// An answer that alone is missing is lost. If none came meanwhile, the store
 	// takes at least so long.
-	slow := !answered && h.answered.Before(began)
-	if took := time.Since(began); answered || slow && took > h.usual {
+	slow := a == unanswered && h.answered.Before(began)
+	if took := time.Since(began); a == served || slow && took > h.usual {
 		h.usual += time.Duration(usualWeight * float64(took-h.usual))
 	}
-	h.note(began, answered)
+	h.note(began, a)
 }
 
-// note takes note of whether a call was answered. One that was not says nothing if a
+// note takes note of how a call ended. One that was not answered says nothing if a
 // call that was made later was. The caller holds mu.
-func (h *Health) note(began time.Time, answered bool) {
-	if !answered {
+func (h *Health) note(began time.Time, a answer) {
+	now := time.Now()
+	switch {
+	case a == unanswered:
 		h.silent = h.silent || !h.newest.After(began)
 		return
+	case a == served:
+		h.served, h.refused = now, time.Time{}
+	case h.refused.IsZero():
+		h.refused = now
 	}
 	h.silent = false
-	h.answered = time.Now()
+	h.answered = now
 	if began.After(h.newest) {
 		h.newest = began
 	}
@@ -138,7 +187,7 @@
 func (h *Health) Commit(ctx context.Context, tx Tx) (int64, error) {
 	call, began := h.begin()
 	version, err := h.Store.Commit(ctx, tx)
-	h.end(ctx, call, began, !errors.Is(err, ErrAmbiguous))
+	h.end(ctx, call, began, answerOf(err))
 	return version, err
 }
 
@@ -146,7 +195,7 @@
 func (h *Health) Scan(ctx context.Context, table, part, from, to string) (Page, error) {
 	call, began := h.begin()
 	page, err := h.Store.Scan(ctx, table, part, from, to)
-	h.end(ctx, call, began, err == nil)
+	h.end(ctx, call, began, answerOf(err))
 	return page, err
 }
 
@@ -157,7 +206,7 @@
 	rows, version, err := h.Store.Changes(ctx, table, after, wait)
 	if ctx.Err() == nil {
 		h.mu.Lock()
-		h.note(began, err == nil || errors.Is(err, ErrHistoryLost))
+		h.note(began, answerOf(err))
 		h.mu.Unlock()
 	}
 	return rows, version, err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,12 +6,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
 // Errors of the platform. Adapters wrap them; callers test with errors.Is.
 var (
 	// ErrUnavailable: the call had no effect and may be repeated.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrRefused: the platform answered that it does not take the call now. It is an
+	// ErrUnavailable.
+	ErrRefused = fmt.Errorf("%w: call refused", ErrUnavailable)
 	// ErrAmbiguous: the answer was lost; a write may have taken effect. The
 	// writer settles it by reading back its own nonce.
 	ErrAmbiguous = errors.New("platform answer lost")
--- a/internal/platform/reading.go
+++ b/internal/platform/reading.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	mu      sync.Mutex
 	last    time.Time // of the last read that succeeded
 	failing bool
+	refused bool // the last read was refused
 }
 
 // NewReading returns the state of a source that has not been read yet.
@@ -37,7 +39,7 @@
 	if err == nil {
 		r.last = now
 	}
-	r.failing = err != nil
+	r.failing, r.refused = err != nil, errors.Is(err, ErrRefused)
 }
 
 // age is the time since the last good read; the caller holds mu.
@@ -48,6 +50,13 @@
 	return now.Sub(r.last).String()
 }
 
+// Refused reports whether the source has answered the last read with a refusal.
+func (r *Reading) Refused() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused
+}
+
 // Fresh reports whether the last read succeeded, less than within ago.
 func (r *Reading) Fresh(now time.Time, within time.Duration) bool {
 	r.mu.Lock()
