--- a/internal/dispatch/replay_large_test.go
+++ b/internal/dispatch/replay_large_test.go
@@ -77,11 +77,23 @@
 	evacuate := func(az string, on bool) func(*replay) {
 		return func(r *replay) { r.core.SetEvacuated(az, on) }
 	}
-	p := manyWorkersPattern(34*time.Second, map[time.Duration]func(*replay){
+	// Two teams send several times their usual, one after the other.
+	hot := func(x float64) func(*replay) {
+		return func(r *replay) {
+			for queue := range r.factor {
+				r.factor[queue] *= x
+			}
+		}
+	}
+	p := manyWorkersPattern(40*time.Second, map[time.Duration]func(*replay){
+		1020 * time.Millisecond:  hot(1.25),
+		8980 * time.Millisecond:  hot(1 / 1.25),
+		9040 * time.Millisecond:  hot(1.35),
+		17 * time.Second:         hot(1 / 1.35),
 		time.Second:              evacuate("az0", true),
-		9 * time.Second:          factor("slip", 2.1),
+		9020 * time.Millisecond:  factor("slip", 2.1),
 		11 * time.Second:         evacuate("az0", false),
-		13 * time.Second:         factor("slip", 1),
+		13 * time.Second:         factor("slip", 1.35),
 		13200 * time.Millisecond: takeover(1200 * time.Millisecond),
 		18 * time.Second:         takeover(4200 * time.Millisecond),
 		22400 * time.Millisecond: factor("blend", 1.7),
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -173,8 +173,10 @@
 type replayRun struct {
 	run    workload.Run
 	begin  time.Time
-	length time.Duration
+	length time.Duration // of its own work
 	fails  bool
+	// until is when it ends; members of a gang end together.
+	until time.Time
 }
 
 type replayJob struct {
@@ -334,6 +336,7 @@
 
 // start stores what was decided and starts the runs.
 func (r *replay) start() {
+	members := map[workload.StepID][]*replayRun{}
 	for b := r.core.TakeBatch(2000, 1<<20); b != nil; b = r.core.TakeBatch(2000, 1<<20) {
 		for _, st := range r.core.Stored(b) {
 			w := r.workers[st.Worker.ID]
@@ -345,10 +348,21 @@
 			id := st.Order.Run.Task
 			j := r.jobs[id.Job]
 			seconds := j.seconds[id.Step][id.Index] / w.speed
-			w.runs[id] = &replayRun{st.Order.Run, r.now, time.Duration(seconds * float64(time.Second)), r.fails(st.Order.Run, r.kinds[j.kind])}
+			run := &replayRun{run: st.Order.Run, begin: r.now, length: time.Duration(seconds * float64(time.Second)), fails: r.fails(st.Order.Run, r.kinds[j.kind])}
+			run.until = r.now.Add(run.length)
+			w.runs[id] = run
+			if r.core.findStep(id.StepID).spec.Gang {
+				members[id.StepID] = append(members[id.StepID], run)
+			}
 			r.core.StartAnswered(st, nil, r.now)
 		}
 	}
+	for _, runs := range members {
+		last := slices.MaxFunc(runs, func(a, b *replayRun) int { return a.until.Compare(b.until) }).until
+		for _, run := range runs {
+			run.until = last
+		}
+	}
 }
 
 // fails tells whether a run fails by its own fault. Of a gang only the first member does.
@@ -371,7 +385,7 @@
 	for _, w := range r.sorted() {
 		news := r.now.Sub(w.seen) > 700*time.Millisecond
 		for id, run := range w.runs {
-			if r.now.Sub(run.begin) < run.length {
+			if r.now.Before(run.until) {
 				continue
 			}
 			delete(w.runs, id)
@@ -391,7 +405,7 @@
 		w.ends = nil
 		for _, run := range w.runs {
 			inv.Running = append(inv.Running, workload.RunStatus{Run: run.run,
-				Percent: int(100 * r.now.Sub(run.begin) / run.length)})
+				Percent: min(100, int(100*r.now.Sub(run.begin)/run.length))})
 		}
 		r.core.Report(w.info.ID, inv, r.now, r.now)
 	}
@@ -421,6 +435,8 @@
 	total   float64
 	byKind  map[string]float64
 	windows float64 // mean of the two worst windows of 2 s
+	// byWindow has each window of 2 s.
+	byWindow []float64
 }
 
 func (r *replay) gain() gain {
@@ -462,9 +478,10 @@
 		g.byKind[name] /= owed[name]
 	}
 	var shares []float64
-	for w, owed := range windowOwed {
-		shares = append(shares, windowGot[w]/owed)
+	for w := range len(windowOwed) {
+		shares = append(shares, windowGot[w]/windowOwed[w])
 	}
+	g.byWindow = slices.Clone(shares)
 	slices.Sort(shares)
 	g.windows = (shares[0] + shares[1]) / 2
 	g.total = got / all
@@ -584,6 +601,7 @@
 				idle, worst = idle+r.idle.sum/n, worst+r.idle.worst/n
 				if testing.Verbose() {
 					t.Log(a.Calls, a.Time)
+					t.Logf("by window %.2f, with hindsight %.2f", g.byWindow, most.byWindow)
 				}
 				for k, v := range g.byKind {
 					mean.byKind[k] += v / n
