dispatch: run times are learned, objectives and kept room go by them

Cause: estimates are off by a factor of two and more.

Change: a run's pace (percent over time) tells its end; each queue keeps a regression of run times on estimates, which stands in for the estimate of steps that have not run; the objective of a job and what is left of it follow what is known.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -34,7 +34,8 @@
 	order     []rankedStep    // steps to place, as of the latest Schedule
 	holds     map[string]hold // room kept for gangs, by worker; of the latest Schedule
 	urgentRoom
-	stretch float64 // as worker.stretch, over the cell
+	runTimes map[string]*runTimes // by queue
+	stretch  float64              // as worker.stretch, over the cell
 	// startDelay is how long a start waits for its record to be stored.
 	startDelay time.Duration
 	round      *round // of the latest Schedule
@@ -55,6 +56,7 @@
 		usage:     map[string]model.Resources{},
 		rates:     map[string]*rateMeter{},
 		account:   newAdviceAccount(),
+		runTimes:  map[string]*runTimes{},
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,9 +37,13 @@
 	stopped    time.Time // when the stop was answered
 	percent    int
 	progressed time.Time // when percent last changed
-	load       float64   // of a service: its tail latency in milliseconds
-	paced      int       // percent of its speed, of a filling task
-	urgent     bool      // counted as urgent when it was placed
+	// The run's pace is measured from a moment and the percent that it had then.
+	paceFrom    time.Time
+	pacePercent int
+	measured    bool    // the length of this task counts in what is known of the step
+	load        float64 // of a service: its tail latency in milliseconds
+	paced       int     // percent of its speed, of a filling task
+	urgent      bool    // counted as urgent when it was placed
 }
 
 // step is a step of one occurrence.
@@ -58,6 +62,9 @@
 	saved     string         // latest checkpoint of a gang
 	avoid     map[string]int // failures of this step by worker
 	advice    adviceState
+	measured  measured
+	ends      time.Time // when a gang that runs is likely to end, as of endsAsOf
+	endsAsOf  time.Time
 	heldFrom  time.Time // when room kept for this gang should be free; zero if none is
 }
 
@@ -65,10 +72,7 @@
 type occurrence struct {
 	k     int
 	steps []*step
-	// rest is the longest chain of estimated work that is left, and restDone the
-	// number of finished steps that it was worked out for.
-	rest     time.Duration
-	restDone int
+	objective
 }
 
 // job is an accepted job.
@@ -87,7 +91,6 @@
 	endedAt int64   // Unix milliseconds at which the final state was decided
 	// restored is set for a job that an earlier term had already.
 	restored bool
-	objective
 }
 
 // visible is the state that callers are told: only what is stored, except that
@@ -126,9 +129,8 @@
 		"steps", len(spec.Steps), "excess", j.excess)
 }
 
-// rate sets the job's objective and whether it exceeds its team's rate.
+// rate sets whether the job exceeds its team's rate.
 func (c *Core) rate(j *job) {
-	j.objective = newObjective(j.spec, c.queueOf(j))
 	if c.cell == nil {
 		return
 	}
@@ -154,7 +156,7 @@
 }
 
 func newOccurrence(j *job, k int) *occurrence {
-	o := &occurrence{k: k, restDone: -1}
+	o := &occurrence{k: k}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		o.steps = append(o.steps, &step{
@@ -302,6 +304,7 @@
 	}
 	s.busy--
 	t.worker, t.born = "", 0
+	t.paceFrom, t.pacePercent = time.Time{}, 0
 	t.confirmed, t.stopSent, t.stopped = time.Time{}, time.Time{}, time.Time{}
 	c.changed = true
 }
--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -14,41 +14,60 @@
 // chain's length is reckoned.
 const adviceSample = 30
 
-// objective is when a job is due and what remains to do.
+// objective is what an occurrence's chain of work is taken to be.
 type objective struct {
-	due  time.Time // worth its whole price until then
-	late time.Time // worth a part of it until then
+	span time.Duration // worth its whole price for so long from when it is due to begin
+	rest time.Duration // the longest chain of work that is left
+	// known counts the steps that are finished or whose length is known, as of which
+	// the above was worked out; 0 before that.
+	known int
 }
 
-// newObjective works out a job's objective from its estimates.
-func newObjective(spec *workload.Job, q *workload.Queue) objective {
-	chain := longestChain(spec, q, nil)
-	span := time.Duration(q.Slack*float64(chain)) + q.Allowance
-	accepted := millisOf(spec.AcceptedAt)
-	return objective{due: accepted.Add(span), late: accepted.Add(lateFactor * span)}
-}
-
-// longestChain returns the longest chain of estimated work over the steps for
-// which skip is false.
-func longestChain(spec *workload.Job, q *workload.Queue, skip func(i int) bool) time.Duration {
+// longestChain returns the longest chain over the steps, each of which takes the
+// given time.
+func longestChain(spec *workload.Job, length func(i int) time.Duration) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(spec.Steps))
 	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		for _, before := range s.After {
+		for _, before := range spec.Steps[i].After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if skip == nil || !skip(i) {
-			ends[i] += s.Estimate
-			if q.Advice != nil {
-				ends[i] += q.Advice.Duration(adviceSample)
-			}
-		}
+		ends[i] += length(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// refresh works the objective out anew when more is known of the steps.
+func (o *occurrence) refresh(c *Core, q *workload.Queue) {
+	known := 1
+	for _, s := range o.steps {
+		if s.finished() {
+			known++
+		}
+		if s.measured.n > 0 {
+			known++
+		}
+	}
+	if known == o.known {
+		return
+	}
+	o.known = known
+	spec := o.steps[0].job.spec
+	var advice time.Duration
+	if q.Advice != nil {
+		advice = q.Advice.Duration(adviceSample)
+	}
+	chain := longestChain(spec, func(i int) time.Duration { return c.expected(o.steps[i]) + advice })
+	o.span = time.Duration(q.Slack*float64(chain)) + q.Allowance
+	o.rest = longestChain(spec, func(i int) time.Duration {
+		if o.steps[i].finished() {
+			return 0
+		}
+		return c.expected(o.steps[i]) + advice
+	})
+}
+
 // Groups of the order in which steps are placed; the lower goes first.
 const (
 	groupUrgent  = iota // of the first priority, and can still be on time
@@ -74,32 +93,16 @@
 	return r.latest.Before(o.latest)
 }
 
-// remaining returns the longest chain of estimated work that is left.
-func (o *occurrence) remaining(q *workload.Queue) time.Duration {
-	done := 0
-	for _, s := range o.steps {
-		if s.finished() {
-			done++
-		}
-	}
-	if done != o.restDone {
-		spec := o.steps[0].job.spec
-		o.rest = longestChain(spec, q, func(i int) bool { return o.steps[i].finished() })
-		o.restDone = done
-	}
-	return o.rest
-}
-
 // rankOf ranks the steps of an occurrence.
 func (c *Core) rankOf(j *job, o *occurrence, now time.Time) rank {
 	q := c.queueOf(j)
-	rest := o.remaining(q)
-	due, late := j.due, j.late
+	o.refresh(c, q)
+	begin := millisOf(j.spec.AcceptedAt)
 	if at := j.spec.Due(o.k); at != 0 {
-		shift := millisOf(at).Sub(millisOf(j.spec.AcceptedAt))
-		due, late = due.Add(shift), late.Add(shift)
+		begin = millisOf(at)
 	}
-	latest := due.Add(-rest)
+	rest := o.rest
+	latest, late := begin.Add(o.span-rest), begin.Add(lateFactor*o.span)
 	switch {
 	case j.excess:
 		return rank{groupExcess, latest}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -317,6 +317,7 @@
 	t := &s.tasks[i]
 	t.state, t.run, t.worker, t.born = taskAssigned, run, w.info.ID, w.born
 	t.confirmed, t.percent, t.progressed = time.Time{}, 0, time.Time{}
+	t.paceFrom, t.pacePercent = time.Time{}, 0
 	t.load, t.paced = 0, paceFull
 	s.pending--
 	s.busy++
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -73,9 +73,7 @@
 	}
 	t.load = r.Load
 	c.noteStretch(w, s, t, r, now)
-	if r.Percent != t.percent || t.progressed.IsZero() {
-		t.percent, t.progressed = r.Percent, now
-	}
+	c.notePace(s, t, r.Percent, now)
 }
 
 // dropUnlisted frees the places of tasks that the worker neither runs nor lists
@@ -107,6 +105,9 @@
 	switch e.Outcome {
 	case workload.Done:
 		w.note(false, now)
+		if !s.spec.Gang && t.run == 1 && !t.paceFrom.IsZero() && t.pacePercent == 0 {
+			c.learn(s, t, now.Sub(t.paceFrom))
+		}
 	case workload.Faulted:
 		// Services may fail at any time, which says little of the worker.
 		if !s.spec.Service && w.note(true, now) {
@@ -253,6 +254,9 @@
 		if t.state == taskAssigned {
 			t.state = taskRunning
 			t.progressed, t.percent = now, 0
+			if t.run == 1 {
+				t.paceFrom, t.pacePercent = now, 0 // no checkpoint to go on from
+			}
 		}
 		return
 	}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -97,7 +97,7 @@
 	releases := make([]release, 0, len(w.tasks))
 	for id := range w.tasks {
 		if other, t := c.find(id); t != nil {
-			releases = append(releases, release{t.expectedEnd(other, now), other})
+			releases = append(releases, release{c.expectedEnd(other, t, now), other})
 		}
 	}
 	sort.Slice(releases, func(a, b int) bool { return releases[a].at.Before(releases[b].at) })
@@ -116,21 +116,6 @@
 	return slots
 }
 
-// expectedEnd judges when a run ends from its progress and the step's estimate.
-func (t *task) expectedEnd(s *step, now time.Time) time.Time {
-	if s.spec.Service {
-		return now.Add(2 * holdHorizon)
-	}
-	if t.state != taskRunning || t.progressed.IsZero() {
-		return now.Add(max(overrun, s.spec.Estimate))
-	}
-	left := time.Duration(float64(s.spec.Estimate) * float64(100-t.percent) / 100)
-	if end := t.progressed.Add(left); end.After(now) {
-		return end
-	}
-	return now.Add(overrun)
-}
-
 // held reports whether a worker's room is kept from tasks of the step: another
 // gang needs it before they would be done.
 func (c *Core) held(s *step, w *worker, r rank, now time.Time) bool {
@@ -141,7 +126,7 @@
 	if !ok || h.step == s {
 		return false
 	}
-	length := time.Duration(backfillMargin * float64(s.spec.Estimate))
+	length := time.Duration(backfillMargin * float64(c.expected(s)))
 	return now.Add(length).After(h.at)
 }
 
