advice: steps ask when their turn is near and where room comes free; gangs have more to choose from

Label runs called again for every task or two, naming the 5 to 7 workers that had room at that moment (3,732 calls of 0.15 s, 572 host-seconds of 1,750); steps hundreds of places behind held tickets that expired.

Change: a step asks while the steps before it want no more than what is free, or comes free within the life of a ticket; single tasks name workers where room comes free, too, and do not ask again while their tickets are enough; renewals for gangs name known workers only. Gangs learn of workers until they would fit 30 times into empty ones (8 while few hosts are idle), and room is kept on at most 0.7 of the workers (0.5).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -67,12 +67,16 @@
 // or false. The caller answers with Advised.
 func (c *Core) NextAsk(now time.Time, hosts Askers) (Ask, bool) {
 	looked := 0
+	turn := &turn{c.lookAhead(now), map[string]float64{}}
 	for _, r := range c.order {
 		s := r.step
-		if s.advice.asking || s.advice.news || now.Sub(s.advice.asked) < askPause || !s.startable() {
+		if !s.startable() {
 			continue
 		}
 		q := c.queueOf(s.job)
+		if near := turn.near(s, q); !near || s.advice.asking || s.advice.news || now.Sub(s.advice.asked) < askPause {
+			continue
+		}
 		if q.Advice == nil || q.Advice.PerCall > hosts.Longest {
 			continue
 		}
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -26,7 +26,8 @@
 	id    string
 	az    string
 	known bool // it was allowed before; its ticket has expired
-	room  int
+	room  int  // for tasks now
+	soon  int  // the same within turnHorizon
 }
 
 // askWorkers picks the workers to name. Load pattern: calls are the bottleneck
@@ -36,9 +37,12 @@
 	if r.step.spec.Gang {
 		return c.askGang(r, q, hosts, now)
 	}
-	candidates, _ := c.askCandidates(r, c.round.eligible(r.step, q), now, true)
-	// Known ones first, then those of one AZ, then the fullest that have room: small
-	// tasks fill gaps and leave whole workers to gangs.
+	candidates, enough := c.askSoon(r, q, now)
+	if enough {
+		return nil
+	}
+	// Known ones first, then those with room now, those of one AZ, and the fullest:
+	// small tasks fill gaps and leave whole workers to gangs.
 	home := r.step.job.home
 	if home == "" {
 		home = roomiestAZ(candidates)
@@ -48,18 +52,57 @@
 		if x.known != y.known {
 			return x.known
 		}
+		if (x.room > 0) != (y.room > 0) {
+			return x.room > 0
+		}
 		if (x.az == home) != (y.az == home) {
 			return x.az == home
 		}
 		if x.room != y.room {
 			return x.room < y.room
 		}
+		if x.soon != y.soon {
+			return x.soon > y.soon
+		}
 		return x.id < y.id
 	})
 	named, _ := cutAsk(r.step, q, candidates)
 	return named
 }
 
+// askSoon returns the workers that a call could name which have room now or soon, and
+// whether the valid tickets are enough for what waits. Load pattern: a full cell, where
+// room comes free here and there; asking for the few workers that have room at each
+// moment takes a call for every task or two.
+func (c *Core) askSoon(r rankedStep, q *workload.Queue, now time.Time) (out []candidate, enough bool) {
+	s, p := r.step, c.round.pools[q.Pool]
+	if p == nil {
+		return nil, false
+	}
+	ahead := c.lookAhead(now)
+	ready := 0
+	for _, w := range p.workers {
+		if !s.takes(w) || s.advice.denied[w.info.ID] {
+			continue
+		}
+		n := 0
+		if !c.held(s, w, r.rank, now) {
+			n = c.room(w, s, r.rank)
+		}
+		soon := max(n, copies(ahead.free[w], s.spec.Charged()))
+		if soon == 0 {
+			continue
+		}
+		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
+			ready += soon
+			continue
+		}
+		_, known := s.advice.tickets[w.info.ID]
+		out = append(out, candidate{id: w.info.ID, az: w.info.AZ, known: known, room: n, soon: soon})
+	}
+	return out, ready >= s.pending
+}
+
 // roomiestAZ returns the AZ whose candidates have room for the most tasks.
 func roomiestAZ(candidates []candidate) string {
 	room := map[string]int{}
@@ -101,7 +144,7 @@
 		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
 			continue
 		}
-		out = append(out, candidate{w.info.ID, w.info.AZ, known, n})
+		out = append(out, candidate{id: w.info.ID, az: w.info.AZ, known: known, room: n, soon: n})
 	}
 	return out, likely
 }
@@ -120,9 +163,9 @@
 			return names(candidates[:i]), enough
 		}
 		if x.known {
-			expected += float64(x.room)
+			expected += float64(x.soon)
 		} else {
-			expected += askAllowedShare * float64(x.room)
+			expected += askAllowedShare * float64(x.soon)
 		}
 	}
 	return names(candidates), expected >= askSurplus*float64(s.pending)
--- a/internal/dispatch/askgang.go
+++ b/internal/dispatch/askgang.go
@@ -14,10 +14,10 @@
 	if s.advice.tickets == nil {
 		return c.firstAsk(r, q, hosts, now)
 	}
-	if unknown := c.askFurther(r, q); len(unknown) > 0 {
+	if unknown := c.askFurther(r, q, hosts); len(unknown) > 0 {
 		return unknown
 	}
-	candidates, likely := c.askCandidates(r, c.round.eligible(s, q), now, true)
+	candidates, likely := c.askCandidates(r, c.allowed(s, q, c.round.eligible(s, q)), now, true)
 	if likely >= float64(len(s.tasks)) {
 		sort.Slice(candidates, func(a, b int) bool {
 			x, y := candidates[a], candidates[b]
@@ -70,7 +70,7 @@
 	sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
 	places := 0.0
 	for i, x := range all {
-		if i >= askMost || hosts.Scarce && places >= float64(gangChoice*len(s.tasks)) {
+		if i >= askMost || hosts.Scarce && places >= float64(hosts.choice()*len(s.tasks)) {
 			return names(all[:i])
 		}
 		places += askAllowedShare * float64(copies(c.workers[x.id].info.Capacity, s.spec.Charged()))
@@ -96,15 +96,27 @@
 	return cutAsk(r.step, q, roomy)
 }
 
-// gangChoice is how many times a gang's tasks should fit on its allowed workers
-// if these were empty. With less to choose from, they would hardly ever have room
-// for all of them at once (docs/design/0007).
-const gangChoice = 8
+// How many times a gang's tasks should fit on its allowed workers if these were empty.
+// With less to choose from, they would hardly ever have room for all of them at once
+// (docs/design/0007).
+const (
+	gangChoice = 30
+	// scarceChoice holds while few of the hosts that ask are idle.
+	scarceChoice = 8
+)
+
+// choice returns the one that applies.
+func (h Askers) choice() int {
+	if h.Scarce {
+		return scarceChoice
+	}
+	return gangChoice
+}
 
 // askFurther names workers that the service has not been asked about, if those
 // that it allowed are too few for the gang even when empty. Load pattern: gangs
 // as wide as a tenth of a large cell.
-func (c *Core) askFurther(r rankedStep, q *workload.Queue) []string {
+func (c *Core) askFurther(r rankedStep, q *workload.Queue, hosts Askers) []string {
 	s, p := r.step, c.round.pools[q.Pool]
 	if p == nil {
 		return nil
@@ -121,7 +133,7 @@
 			unknown = append(unknown, candidate{id: w.info.ID})
 		}
 	}
-	if places >= gangChoice*len(s.tasks) {
+	if places >= hosts.choice()*len(s.tasks) {
 		return nil
 	}
 	sort.Slice(unknown, func(a, b int) bool { return unknown[a].id < unknown[b].id })
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,8 +38,9 @@
 	stretch  float64              // as worker.stretch, over the cell
 	// startDelay is how long a start waits for its record to be stored.
 	startDelay time.Duration
-	round      *round // of the latest Schedule
-	changed    bool   // something happened that may let a task start
+	round      *round   // of the latest Schedule
+	ahead      *outlook // the latest one
+	changed    bool     // something happened that may let a task start
 	account    AdviceAccount
 }
 
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -12,7 +12,7 @@
 const (
 	// holdShare is the share of a pool's workers on which room is kept at a time;
 	// more would idle the cell.
-	holdShare = 0.5
+	holdShare = 0.7
 	// holdHorizon is how far ahead room is kept; estimates further out are too
 	// uncertain to turn other work away for.
 	holdHorizon = 15 * time.Second
--- /dev/null
+++ b/internal/dispatch/turn.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"time"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/workload"
+)
+
+// Which steps are near enough to their turn to ask for advice. Load pattern: a backlog
+// of hundreds of steps; tickets hold two seconds, and those of steps far behind expire
+// before there is room for them, while the hosts that ask are needed by the first.
+const (
+	// turnHorizon is how far ahead room is taken into account that comes free: about
+	// as long as a ticket holds.
+	turnHorizon = 2 * time.Second
+	// turnRoom times the cores that are free or come free by then may be wanted by
+	// steps that ask: not all of these fit where there is room.
+	turnRoom = 1.0
+	// turnKept is how long the room that comes free is reckoned with as it was.
+	turnKept = 100 * time.Millisecond
+)
+
+// outlook is what is likely to be free within turnHorizon.
+type outlook struct {
+	asOf  time.Time
+	free  map[*worker]model.Resources
+	pools map[string]float64 // millicores of each pool
+}
+
+// lookAhead returns the outlook for the open workers.
+func (c *Core) lookAhead(now time.Time) *outlook {
+	if c.round == nil {
+		return &outlook{}
+	}
+	if c.ahead != nil && now.Sub(c.ahead.asOf) < turnKept {
+		return c.ahead
+	}
+	o := &outlook{asOf: now, free: map[*worker]model.Resources{}, pools: map[string]float64{}}
+	for name, p := range c.round.pools {
+		for _, w := range p.workers {
+			free := w.free()
+			for id := range w.tasks {
+				if s, t := c.find(id); t != nil && c.expectedEnd(s, t, now).Sub(now) <= turnHorizon {
+					free = free.Add(s.spec.Charged())
+				}
+			}
+			o.free[w] = free
+			o.pools[name] += float64(free.MilliCores)
+		}
+	}
+	c.ahead = o
+	return o
+}
+
+// turn counts what steps want, best rank first.
+type turn struct {
+	*outlook
+	wanted map[string]float64 // by pool: millicores wanted by the steps so far
+}
+
+// near counts a step and reports whether its turn is near: the steps before it do not
+// want more than comes free.
+func (t *turn) near(s *step, q *workload.Queue) bool {
+	before := t.wanted[q.Pool]
+	t.wanted[q.Pool] += float64(int64(s.pending) * s.spec.Charged().MilliCores)
+	return before <= turnRoom*t.pools[q.Pool]
+}
