advice: steps of a team at its limit neither ask nor stand in the way

Change: a step counts with the tasks that its team may start beside the better ones, and asks only if there are any.

Tests that fail first: TestStepsOfATeamAtItsLimitDoNotAsk.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -67,8 +67,11 @@
 // or false. The caller answers with Advised.
 func (c *Core) NextAsk(now time.Time, hosts Askers) (Ask, bool) {
 	looked := 0
-	turn := &turn{c.lookAhead(now), map[string]float64{}}
+	turn := c.newTurn(now)
 	for _, r := range c.order {
+		if turn.over() {
+			break
+		}
 		s := r.step
 		if !s.startable() {
 			continue
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"cuminloft/internal/workload"
@@ -46,6 +47,20 @@
 	return b
 }
 
+// TakeAll returns the progress of all jobs whose rows are whole, to be stored in place
+// of all that was stored before.
+func (c *Core) TakeAll() *Batch {
+	for _, j := range c.jobs {
+		if !j.marked {
+			c.touch(j)
+		}
+	}
+	if b := c.TakeBatch(math.MaxInt, math.MaxInt); b != nil {
+		return b
+	}
+	return &Batch{}
+}
+
 // ack takes note that a worker's ends up to seq are stored.
 func (c *Core) ack(w *worker, seq int64) {
 	w.acked = seq
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -196,7 +196,10 @@
 }
 
 // teamRoom returns how many more tasks of the step its team's limit allows.
-func (c *Core) teamRoom(s *step) int {
+func (c *Core) teamRoom(s *step) int { return c.teamRoomBeside(s, model.Resources{}) }
+
+// teamRoomBeside is teamRoom beside other work that the team is about to start.
+func (c *Core) teamRoomBeside(s *step, other model.Resources) int {
 	if c.cell == nil {
 		return 0
 	}
@@ -204,7 +207,7 @@
 	if team == nil {
 		return len(s.tasks)
 	}
-	left := team.Limit.Sub(c.usage[team.Name])
+	left := team.Limit.Sub(c.usage[team.Name]).Sub(other)
 	size := s.spec.Resources
 	// A zero component of the limit means none.
 	if team.Limit.MilliCores == 0 {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -16,7 +16,7 @@
 	turnHorizon = 2 * time.Second
 	// turnRoom times the cores that are free or come free by then may be wanted by
 	// steps that ask: not all of these fit where there is room.
-	turnRoom = 1.0
+	turnRoom = 1.5
 	// turnKept is how long the room that comes free is reckoned with as it was.
 	turnKept = 100 * time.Millisecond
 )
@@ -56,13 +56,36 @@
 // turn counts what steps want, best rank first.
 type turn struct {
 	*outlook
+	core   *Core
 	wanted map[string]float64 // by pool: millicores wanted by the steps so far
+	teams  map[string]model.Resources
 }
 
-// near counts a step and reports whether its turn is near: the steps before it do not
-// want more than comes free.
+// newTurn returns a turn in which no step has been counted.
+func (c *Core) newTurn(now time.Time) *turn {
+	return &turn{c.lookAhead(now), c, map[string]float64{}, map[string]model.Resources{}}
+}
+
+// over reports whether no further step is near.
+func (t *turn) over() bool {
+	for name, millicores := range t.pools {
+		if t.wanted[name] <= turnRoom*millicores {
+			return false
+		}
+	}
+	return true
+}
+
+// near counts a step and reports whether its turn is near: it may start within its
+// team's limit, and the steps before it do not want more than comes free.
 func (t *turn) near(s *step, q *workload.Queue) bool {
+	team, size := s.job.spec.Team, s.spec.Resources
+	n := min(s.pending, t.core.teamRoomBeside(s, t.teams[team]))
+	if n <= 0 || s.spec.Gang && n < len(s.tasks) {
+		return false
+	}
+	t.teams[team] = t.teams[team].Add(size.Scale(int64(n)))
 	before := t.wanted[q.Pool]
-	t.wanted[q.Pool] += float64(int64(s.pending) * s.spec.Charged().MilliCores)
+	t.wanted[q.Pool] += float64(int64(n) * s.spec.Charged().MilliCores)
 	return before <= turnRoom*t.pools[q.Pool]
 }
--- /dev/null
+++ b/internal/dispatch/turn_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/workload"
+)
+
+// askedFor returns the jobs for which calls are made while hosts are idle.
+func askedFor(c *cell) map[string]bool {
+	asked := map[string]bool{}
+	for {
+		ask, ok := c.core.NextAsk(c.now, Askers{Longest: time.Minute})
+		if !ok {
+			return asked
+		}
+		asked[ask.Step.Job] = true
+	}
+}
+
+// advisedCell has a queue whose steps need advice, and two teams, of which one may run
+// four cores.
+func advisedCell(t *testing.T) *cell {
+	c := newCell(t)
+	c.core.SetCell(workload.NewCell(2, []workload.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 100 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}}},
+		[]workload.Team{{Name: "team", Weight: 1000}, {Name: "small", Weight: 1000, Limit: cores(4)}}, nil))
+	return c
+}
+
+// Load pattern: a backlog. Steps ask for which room comes free while a ticket holds.
+func TestStepsFarBehindDoNotAsk(t *testing.T) {
+	is := is.New(t)
+	c := advisedCell(t)
+	for i := range 4 {
+		c.worker(fmt.Sprintf("w%d", i), 8)
+	}
+	for i := range 40 {
+		c.job(fmt.Sprintf("j%02d", i), workload.Step{Tasks: 4, Resources: cores(2), Estimate: time.Second})
+		c.now = c.now.Add(time.Millisecond)
+	}
+	is.Equal(len(c.store(nil)), 0)
+	asked := askedFor(c)
+	is.True(asked["j00"] && asked["j03"]) // 32 cores are free
+	is.True(!asked["j20"])
+}
+
+// Load pattern: a team sends many times its usual and is held by its limit. Its steps
+// neither ask nor stand in the way of others.
+func TestStepsOfATeamAtItsLimitDoNotAsk(t *testing.T) {
+	is := is.New(t)
+	c := advisedCell(t)
+	for i := range 4 {
+		c.worker(fmt.Sprintf("w%d", i), 8)
+	}
+	submit := func(id, team string) {
+		c.core.AddJob(&workload.Job{ID: id, Queue: "batch", Pool: "pool", Team: team, AcceptedAt: c.now.UnixMilli(),
+			Steps: []workload.Step{{Tasks: 4, Resources: cores(2), Estimate: time.Second}}}, c.now)
+		c.now = c.now.Add(time.Millisecond)
+	}
+	for i := range 40 {
+		submit(fmt.Sprintf("s%02d", i), "small")
+	}
+	submit("other", "team")
+	is.Equal(len(c.store(nil)), 0)
+	is.Equal(askedFor(c), map[string]bool{"s00": true, "other": true})
+}
