coordinator: the seat moves to a second partition while its own is down

Change: the seat has a row in each of two partitions; the one with more moves is active. A holder whose partition refuses commits for 0.25 s, while the store serves it otherwise, stores the progress of all jobs in the other one, which becomes the active one with its last transaction. Who takes the seat claims the other row first and then the active one, so a predecessor can neither commit nor move; a claim is never overridden. Each write has a number of its own, so one that was given up and landed is not taken for another.

Weighed: lanes of jobs, each with a chain in a partition of its own (a quarter of the jobs would still stand, and a takeover needs all lanes); starting without a record (a successor would have to wait out leases of every worker out of reach). The price: a takeover is not possible while either of the two is down (before: its own), and takes one more transaction.

Tests: move_test.go; TestCoordinatorGoesOnInAnotherPartition fails without the moves.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -209,10 +209,13 @@
 		err     error
 	}
 	committed struct {
-		batch *dispatch.Batch
-		took  time.Duration
+		batches []*dispatch.Batch
+		book    *jobstore.ProgressBook // set after a move
+		took    time.Duration
 	}
-	wake    struct{}
-	marked  map[string]jobstore.Ended // jobs whose rows are marks now
-	removed []string                  // jobs whose marks are gone
+	// partRefuses tells that a commit was given up.
+	partRefuses struct{ request commitRequest }
+	wake        struct{}
+	marked      map[string]jobstore.Ended // jobs whose rows are marks now
+	removed     []string                  // jobs whose marks are gone
 )
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cuminloft/internal/jobstore"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/wait"
 )
@@ -98,11 +99,38 @@
 	chain *chain
 }
 
+// Part returns the partition that holds the progress of jobs.
+func (t *Term) Part() string { return jobstore.ProgressParts[t.chain.last.part] }
+
 // Commit stores changes of the progress partition.
 func (t *Term) Commit(ctx context.Context, puts, removes []platform.PartRow) error {
 	return t.chain.commit(ctx, t.seat, puts, removes)
 }
 
+// CommitOrMove is Commit, but returns errPartRefuses when the partition takes no
+// commits. Then the progress of all jobs is to be stored by Rebase.
+func (t *Term) CommitOrMove(ctx context.Context, puts, removes []platform.PartRow) error {
+	return t.chain.commitPatiently(ctx, t.seat, puts, removes, refusedPatience)
+}
+
+// Rebase stores the progress of all jobs in the partition that takes it first, the
+// other one before the present one.
+func (t *Term) Rebase(ctx context.Context, rows []platform.PartRow) error {
+	for {
+		for _, part := range [...]int{1 - t.chain.last.part, t.chain.last.part} {
+			err := t.chain.rebase(ctx, part, t.seat, rows)
+			switch {
+			case err == nil:
+				return nil
+			case errors.Is(err, errDeposed) && part != t.chain.last.part:
+				// Another host has begun to take the seat. It has it with the active row.
+			case !errors.Is(err, errPartRefuses):
+				return err
+			}
+		}
+	}
+}
+
 // resignTerm gives the seat up, so that another host takes it at once. A commit
 // that was under way when the term ended may have landed; then the seat is still
 // this term's, one number further.
@@ -203,7 +231,7 @@
 }
 
 // due takes note of the seat and reports whether this host should take it.
-func (e *Elector) due(seat seatRow, readTook time.Duration) bool {
+func (e *Elector) due(seat seats, readTook time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -214,7 +242,7 @@
 		if seat.Epoch != e.seen.Epoch {
 			e.missed, e.late = 0, false
 		}
-		e.seen, e.changed = seat, now
+		e.seen, e.changed = seat.seatRow, now
 	}
 	if e.resign || now.Before(e.rest) {
 		return false
@@ -244,21 +272,21 @@
 }
 
 // take tries to take the seat and leads while it holds it.
-func (e *Elector) take(ctx context.Context, from seatRow) {
+func (e *Elector) take(ctx context.Context, from seats) {
 	silent := time.Since(e.changed)
 	c := &chain{store: e.Store, last: from}
 	seat := Seat{Holder: e.Host, Address: e.Address, Epoch: from.Epoch + 1}
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
-	err := c.commit(attempt, seat, nil, nil)
+	err := c.take(attempt, seat)
 	cancel()
 	if err != nil {
 		e.Log.Info("coordinator's seat not taken", "epoch", seat.Epoch, "cause", err.Error())
 		return
 	}
 	e.Log.Info("coordinator's seat taken", "epoch", seat.Epoch, "from", from.Holder, "silent for", silent)
-	e.setLeading(true, c.last)
+	e.setLeading(true, c.last.seatRow)
 	err = e.Lead(ctx, &Term{Epoch: seat.Epoch, Since: time.Now(), seat: seat, chain: c})
-	e.setLeading(false, c.last)
+	e.setLeading(false, c.last.seatRow)
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errDeposed) && ctx.Err() == nil {
 		e.mu.Lock()
 		e.rest = time.Now().Add(blindRest)
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -40,7 +41,8 @@
 				return nil
 			case <-time.After(heartbeat):
 			}
-			if err := t.commitRows(ctx, commitRequest{}); err != nil {
+			// A partition that refuses commits refuses to be read, too.
+			if err := t.commitRows(ctx, commitRequest{}); err != nil && !errors.Is(err, errPartRefuses) {
 				return err
 			}
 		}
@@ -78,7 +80,7 @@
 func (t *termLoop) readAll(ctx context.Context) (entries []jobstore.Entry, progress []platform.PartRow, version int64, err error) {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		progress, _, err = platform.ScanAll(ctx, t.Store, jobstore.ProgressTable, jobstore.ProgressPart)
+		progress, _, err = platform.ScanAll(ctx, t.Store, jobstore.ProgressTable, t.term.Part())
 		return err
 	})
 	group.Go(func() (err error) {
--- /dev/null
+++ b/internal/coordinator/move_test.go
@@ -0,0 +1,188 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/jobstore"
+	"cuminloft/internal/model"
+	"cuminloft/internal/platform"
+	"cuminloft/internal/standin/rows"
+	"cuminloft/internal/workload"
+)
+
+// takeWatched returns the chain of a new holder whose store is watched.
+func takeWatched(t *testing.T, s *rows.Store, host string) (*chain, *Term) {
+	t.Helper()
+	c, seat := takeSeat(t, s, host)
+	h := platform.NewHealth(s)
+	c.store = h
+	if _, err := h.Scan(t.Context(), "any", "any", "", ""); err != nil {
+		t.Fatal(err)
+	}
+	return c, &Term{Epoch: seat.Epoch, seat: seat, chain: c}
+}
+
+// valueIn returns the value of the test's progress row in a partition.
+func valueIn(t *testing.T, s *rows.Store, part string) string {
+	t.Helper()
+	page, err := s.Scan(t.Context(), jobstore.ProgressTable, part, "job", "job\x00")
+	if err != nil || len(page.Rows) == 0 {
+		return ""
+	}
+	return string(page.Rows[0].Value)
+}
+
+// Load pattern: a quarter of the store's partitions are down, the one with the seat
+// among them. The holder goes on in the other one, and back.
+func TestChainMovesToThePartitionThatServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := rows.New()
+		_, term := takeWatched(t, s, "a")
+		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("one")}, nil))
+		for n, part := range []string{jobstore.SparePart, jobstore.ProgressPart, jobstore.SparePart} {
+			down := term.Part()
+			s.SetPartDown(down, true)
+			began := time.Now()
+			err := term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("refused")}, nil)
+			is.True(errors.Is(err, errPartRefuses))
+			is.NoErr(term.Rebase(t.Context(), []platform.PartRow{progressRow(fmt.Sprint("moved ", n))}))
+			is.True(time.Since(began) <= 500*time.Millisecond)
+			is.Equal(term.Part(), part)
+			is.Equal(valueIn(t, s, part), fmt.Sprint("moved ", n))
+			is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("after")}, nil))
+			is.Equal(valueIn(t, s, part), "after")
+			s.SetPartDown(down, false)
+		}
+		now, err := readSeat(t.Context(), s)
+		is.NoErr(err)
+		is.Equal(now.Holder, "a")
+		is.Equal(jobstore.ProgressParts[now.part], jobstore.SparePart)
+	})
+}
+
+// A store that turns the host away makes it neither move nor give up.
+func TestNobodyMovesWhenAllRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := rows.New()
+		_, term := takeWatched(t, s, "a")
+		s.SetDown(true)
+		time.AfterFunc(10*time.Second, func() { s.SetDown(false) })
+		time.Sleep(2 * time.Second) // nothing was served lately
+		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("one")}, nil))
+		is.Equal(term.Part(), jobstore.ProgressPart)
+	})
+}
+
+// A commit that was given up and lands after all is not taken for one of the move.
+func TestMoveBackOverACommitThatLanded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := rows.New()
+		c, term := takeWatched(t, s, "a")
+		s.SetFault(func(platform.Tx) rows.Fault { return rows.LostLate })
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.True(c.commit(ctx, term.seat, []platform.PartRow{progressRow("given up")}, nil) != nil)
+		s.SetFault(nil)
+		is.True(s.Land() > 0)
+		is.Equal(valueIn(t, s, jobstore.ProgressPart), "given up")
+		is.NoErr(c.rebase(t.Context(), 0, term.seat, []platform.PartRow{progressRow("whole")}))
+		is.Equal(valueIn(t, s, jobstore.ProgressPart), "whole")
+		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("next")}, nil))
+	})
+}
+
+// A holder whose seat is being taken cannot move out of its successor's way.
+func TestHolderCannotMoveFromItsSuccessor(t *testing.T) {
+	for name, taken := range map[string]bool{"has claimed": false, "has taken": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := rows.New()
+			old, oldTerm := takeWatched(t, s, "a")
+			last, err := readSeat(t.Context(), s)
+			is.NoErr(err)
+			next := &chain{store: s, last: last}
+			seat := Seat{Holder: "b", Epoch: last.Epoch + 1}
+			if taken {
+				is.NoErr(next.take(t.Context(), seat))
+			} else {
+				_, err := next.write(t.Context(), write{part: 1, from: last.other, next: seat})
+				is.NoErr(err)
+			}
+			err = old.rebase(t.Context(), 1, oldTerm.seat, []platform.PartRow{progressRow("moved")})
+			is.True(errors.Is(err, errDeposed))
+			is.Equal(valueIn(t, s, jobstore.SparePart), "")
+		})
+	}
+}
+
+// Of a holder that moves and a host that takes the seat, one wins, whoever is first.
+func TestTakeoverWhileTheHolderMoves(t *testing.T) {
+	is := is.New(t)
+	s := rows.New()
+	old, oldTerm := takeWatched(t, s, "a")
+	last, err := readSeat(t.Context(), s)
+	is.NoErr(err)
+	is.NoErr(old.rebase(t.Context(), 1, oldTerm.seat, []platform.PartRow{progressRow("moved")}))
+	next := &chain{store: s, last: last} // has read the seat before
+	is.True(errors.Is(next.take(t.Context(), Seat{Holder: "b", Epoch: 2}), errDeposed))
+	is.NoErr(old.commit(t.Context(), oldTerm.seat, nil, nil))
+}
+
+// A cell goes on while the partition with the seat is down, and a successor knows all
+// that has happened.
+func TestCoordinatorGoesOnInAnotherPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := rows.New()
+		c, end := lead(t, store, time.Minute)
+		n := 0
+		insert := func(count int) {
+			for range count {
+				n++
+				is.NoErr(c.Jobs.Insert(t.Context(), &workload.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Team: "team",
+					AcceptedAt: time.Now().UnixMilli(), Steps: []workload.Step{{Tasks: 2, Resources: model.Resources{MilliCores: 10}}}}))
+			}
+		}
+		completed := func(c *Coordinator) int {
+			done := 0
+			for i := range n {
+				state, _, err := c.StateOf(t.Context(), fmt.Sprintf("%016x", i+1))
+				is.NoErr(err)
+				if state == workload.Completed {
+					done++
+				}
+			}
+			return done
+		}
+		insert(100)
+		time.Sleep(time.Second)
+		is.Equal(completed(c), 100)
+		for _, down := range []string{jobstore.ProgressPart, jobstore.SparePart} {
+			insert(100)
+			store.SetPartDown(down, true)
+			time.Sleep(50 * time.Millisecond)
+			insert(50)
+			time.Sleep(time.Second)
+			is.Equal(completed(c), n)
+			time.Sleep(4 * time.Second)
+			store.SetPartDown(down, false)
+		}
+		insert(10)
+		time.Sleep(time.Second)
+		end()
+		next, end := lead(t, store, time.Minute)
+		defer end()
+		time.Sleep(time.Second)
+		is.Equal(completed(next), n)
+	})
+}
--- a/internal/coordinator/seat.go
+++ b/internal/coordinator/seat.go
@@ -1,9 +1,11 @@
 // Package coordinator runs the one process of a cell that dispatches its jobs,
-// and elects it. The coordinator's seat is a row of the platform's store.
-// Every commit of the coordinator rewrites that row under the condition that it
-// is as the last commit left it. So commits form a chain: one that lands late,
+// and elects it. The coordinator's seat is a row in each of two partitions of the
+// platform's store, of which one is active: it holds the progress of jobs, too.
+// Every commit of the coordinator rewrites the active row under the condition that
+// it is as the last commit left it. So commits form a chain: one that lands late,
 // or comes from a coordinator that was replaced, finds the row changed and does
-// nothing.
+// nothing. Who takes the seat rewrites both rows, so that its predecessor can neither
+// commit nor move to the other partition.
 package coordinator
 
 import (
@@ -13,6 +15,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"cuminloft/internal/jobstore"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/wait"
@@ -31,6 +35,9 @@
 	Epoch int64 `json:"epoch"`
 	// Seq grows with each commit.
 	Seq int64 `json:"seq"`
+	// Moves counts the moves between the partitions up to the one that made this row
+	// the active one; the row with more of them is.
+	Moves int64 `json:"moves,omitempty"`
 }
 
 // seatRow is a seat with the version of its row.
@@ -39,8 +46,19 @@
 	version int64
 }
 
-// errDeposed: another host took the seat.
-var errDeposed = errors.New("another host took the coordinator's seat")
+// seats are the rows of the seat. The active one is embedded.
+type seats struct {
+	seatRow
+	part  int // the active row's place in jobstore.ProgressParts
+	other seatRow
+}
+
+var (
+	// errDeposed: another host took the coordinator's seat.
+	errDeposed = errors.New("another host took the coordinator's seat")
+	// errPartRefuses: the partition takes no commits, though the store serves this host.
+	errPartRefuses = errors.New("the partition refuses commits")
+)
 
 // decodeSeat reads the seat's row.
 func decodeSeat(r platform.PartRow) (seatRow, error) {
@@ -51,13 +69,26 @@
 	return s, nil
 }
 
-// readSeat returns the seat; its version is 0 if nobody ever held it.
-func readSeat(ctx context.Context, store platform.Store) (seatRow, error) {
-	page, err := store.Scan(ctx, seatTable, jobstore.ProgressPart, seatKey, seatKey+"\x00")
-	if err != nil || len(page.Rows) == 0 {
-		return seatRow{}, err
+// readSeat returns the rows of the seat; their versions are 0 if nobody ever held it.
+func readSeat(ctx context.Context, store platform.Store) (seats, error) {
+	var all [len(jobstore.ProgressParts)]seatRow
+	group, ctx := errgroup.WithContext(ctx)
+	for i, part := range jobstore.ProgressParts {
+		group.Go(func() error {
+			page, err := store.Scan(ctx, seatTable, part, seatKey, seatKey+"\x00")
+			if err == nil && len(page.Rows) > 0 {
+				all[i], err = decodeSeat(page.Rows[0])
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return seats{}, err
 	}
-	return decodeSeat(page.Rows[0])
+	if all[1].Moves > all[0].Moves {
+		return seats{all[1], 1, all[0]}, nil
+	}
+	return seats{all[0], 0, all[1]}, nil
 }
 
 // Commits and their repeats.
@@ -70,65 +101,190 @@
 	commitFactor = 4
 	commitLeast  = 300 * time.Millisecond
 	commitRetry  = 60 * time.Millisecond
+	// refusedPatience is how long the active partition may refuse commits until the
+	// coordinator moves to the other one. A refusal under load is over sooner.
+	refusedPatience = 250 * time.Millisecond
+	// Limits of one transaction of a move; the store takes 100 entries and 1 MB.
+	moveRows  = 80
+	moveBytes = 600 << 10
 )
 
 // chain commits changes under the seat, one after the other.
 type chain struct {
 	store platform.Store
-	last  seatRow
+	last  seats
+	seq   int64 // of the latest write, which may not have landed
+}
+
+// nextSeq returns a number that no earlier write carries. So a write that was given up
+// and landed is not taken for another one.
+func (c *chain) nextSeq() int64 {
+	c.seq = max(c.seq, c.last.Seq, c.last.other.Seq) + 1
+	return c.seq
+}
+
+// take claims the other row of the seat, then takes the active one.
+func (c *chain) take(ctx context.Context, next Seat) error {
+	claim := next
+	claim.Seq, claim.Moves = c.nextSeq(), c.last.other.Moves
+	other, err := c.write(ctx, write{part: 1 - c.last.part, from: c.last.other, next: claim})
+	if err != nil {
+		return err
+	}
+	c.last.other = other
+	return c.commit(ctx, next, nil, nil)
 }
 
 // commit applies changes of the progress partition with the next state of the
 // seat. It tries until it knows the outcome: nil, errDeposed, or the context's
-// error. A repeat carries the same sequence number and content, so it does not
-// matter which of them lands.
+// error.
 func (c *chain) commit(ctx context.Context, next Seat, puts, removes []platform.PartRow) error {
-	next.Seq = c.last.Seq + 1
-	value, err := json.Marshal(next)
+	return c.commitPatiently(ctx, next, puts, removes, 0)
+}
+
+// commitPatiently is commit, but returns errPartRefuses when the partition has refused
+// for so long. What was tried may land all the same.
+func (c *chain) commitPatiently(ctx context.Context, next Seat, puts, removes []platform.PartRow, patience time.Duration) error {
+	next.Seq, next.Moves = c.nextSeq(), c.last.Moves
+	row, err := c.write(ctx, write{part: c.last.part, from: c.last.seatRow, next: next, puts: puts, removes: removes, patience: patience})
+	if err == nil {
+		c.last.seatRow = row
+	}
+	return err
+}
+
+// rebase stores the progress of all jobs, in either partition, which is the active one
+// then. It returns nil, errPartRefuses, errDeposed or the context's error. Load pattern:
+// a store of which some partitions are down for seconds, this one among them.
+func (c *chain) rebase(ctx context.Context, part int, next Seat, rows []platform.PartRow) error {
+	from := c.last.seatRow
+	if part != c.last.part {
+		from = c.last.other
+	}
+	for first := true; first || len(rows) > 0; first = false {
+		n := firstRows(rows)
+		w := write{part: part, from: from, next: next, puts: rows[:n], patience: refusedPatience, whole: true}
+		rows = rows[n:]
+		w.next.Seq, w.next.Moves = c.nextSeq(), from.Moves
+		if len(rows) == 0 {
+			w.next.Moves = c.last.Moves + 1
+		}
+		row, err := c.write(ctx, w)
+		if err != nil {
+			return err
+		}
+		from = row
+		if part == c.last.part {
+			c.last.seatRow = row
+		} else {
+			c.last.other = row
+		}
+	}
+	if part != c.last.part {
+		c.last = seats{c.last.other, part, c.last.seatRow}
+	}
+	return nil
+}
+
+// firstRows returns how many of the rows one transaction of a move takes.
+func firstRows(rows []platform.PartRow) int {
+	size := 0
+	for i, r := range rows {
+		size += len(r.Value)
+		if i == moveRows || i > 0 && size > moveBytes {
+			return i
+		}
+	}
+	return len(rows)
+}
+
+// write is one transaction under a row of the seat.
+type write struct {
+	part          int
+	from          seatRow // as the row is
+	next          Seat
+	puts, removes []platform.PartRow
+	patience      time.Duration // with a partition that refuses; 0: without end
+	// whole is set if the rows and those of the same move replace all earlier ones, so
+	// that it does not matter which earlier commit of this holder landed last.
+	whole bool
+}
+
+// tx returns the transaction.
+func (w *write) tx() (platform.Tx, error) {
+	value, err := json.Marshal(w.next)
 	if err != nil {
-		return fmt.Errorf("coordinator's seat cannot be encoded: %w", err)
+		return platform.Tx{}, fmt.Errorf("coordinator's seat cannot be encoded: %w", err)
 	}
-	seat := platform.PartRow{Table: seatTable, Part: jobstore.ProgressPart, Key: seatKey, Value: value}
-	tx := platform.Tx{
-		Conditions: []platform.Condition{{
-			Table: seatTable, Part: jobstore.ProgressPart, Key: seatKey, Version: c.last.version,
-		}},
-		Puts:    append([]platform.PartRow{seat}, puts...),
-		Removes: removes,
+	part := jobstore.ProgressParts[w.part]
+	in := func(rows []platform.PartRow) []platform.PartRow {
+		out := append(make([]platform.PartRow, 0, len(rows)+1), rows...)
+		for i := range out {
+			out[i].Part = part
+		}
+		return out
 	}
+	seat := platform.PartRow{Table: seatTable, Part: part, Key: seatKey, Value: value}
+	return platform.Tx{
+		Conditions: []platform.Condition{{Table: seatTable, Part: part, Key: seatKey, Version: w.from.version}},
+		Puts:       append(in(w.puts), seat),
+		Removes:    in(w.removes),
+	}, nil
+}
+
+// write applies a transaction and returns the row that the seat has then. A repeat
+// carries the same sequence number and content, so it does not matter which of them
+// lands.
+func (c *chain) write(ctx context.Context, w write) (seatRow, error) {
+	var refused time.Time // since when the partition has refused
 	for {
+		tx, err := w.tx()
+		if err != nil {
+			return seatRow{}, err
+		}
 		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
 		version, err := platform.CommitRepeated(attempt, c.store, tx, max(commitLeast, commitFactor*platform.UsualTime(c.store)))
 		cancel()
 		if err == nil {
-			c.last = seatRow{next, version}
-			return nil
+			return seatRow{w.next, version}, nil
 		}
 		var conflict *platform.RowsError
 		if errors.As(err, &conflict) {
-			return c.settle(conflict, next)
+			now, err := w.settle(conflict)
+			if err != nil || now.Seat == w.next {
+				return now, err
+			}
+			w.from = now
+			continue
+		}
+		switch {
+		case !errors.Is(err, platform.ErrRefused) || w.patience == 0 || !platform.Serves(c.store, time.Now()):
+			refused = time.Time{}
+		case refused.IsZero():
+			refused = time.Now()
+		case time.Since(refused) >= w.patience:
+			return seatRow{}, fmt.Errorf("%w: %w", errPartRefuses, err)
 		}
 		if err := wait.For(ctx, commitRetry); err != nil {
-			return err
+			return seatRow{}, err
 		}
 	}
 }
 
-// settle tells whether the row that failed the condition is this commit itself,
-// whose answer was lost.
-func (c *chain) settle(conflict *platform.RowsError, next Seat) error {
+// settle returns the row that failed the condition if it is this write itself, whose
+// answer was lost, or, for a whole write, an earlier one of the same holder.
+func (w *write) settle(conflict *platform.RowsError) (seatRow, error) {
 	for _, r := range conflict.Rows {
 		if r.Key != seatKey {
 			continue
 		}
 		now, err := decodeSeat(r)
 		if err != nil {
-			return err
+			return seatRow{}, err
 		}
-		if now.Seat == next {
-			c.last = now
-			return nil
+		if now.Seat == w.next || w.whole && now.Holder == w.next.Holder && now.Epoch == w.next.Epoch {
+			return now, nil
 		}
 	}
-	return errDeposed
+	return seatRow{}, errDeposed
 }
--- a/internal/coordinator/seat_test.go
+++ b/internal/coordinator/seat_test.go
@@ -34,7 +34,7 @@
 	}
 	c := &chain{store: s, last: last}
 	seat := Seat{Holder: host, Epoch: last.Epoch + 1}
-	if err := c.commit(t.Context(), seat, nil, nil); err != nil {
+	if err := c.take(t.Context(), seat); err != nil {
 		t.Fatal(err)
 	}
 	return c, seat
@@ -85,7 +85,7 @@
 	won := 0
 	for _, host := range []string{"a", "b"} {
 		c := &chain{store: s, last: last}
-		if c.commit(t.Context(), Seat{Holder: host, Epoch: 1}, nil, nil) == nil {
+		if c.take(t.Context(), Seat{Holder: host, Epoch: 1}) == nil {
 			won++
 		}
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -76,9 +76,12 @@
 }
 
 type commitRequest struct {
-	batch   *dispatch.Batch // nil for a heartbeat
+	batches []*dispatch.Batch // none for a heartbeat
 	puts    []platform.PartRow
 	removes []platform.PartRow
+	// book is set if the rows are the progress of all jobs, which may be stored in
+	// another partition. It becomes the term's book.
+	book *jobstore.ProgressBook
 }
 
 func newTermLoop(c *Coordinator, term *Term, events chan any) *termLoop {
@@ -184,9 +187,14 @@
 		t.committing = false
 		t.commitTime += time.Duration(commitWeight * float64(e.took-t.commitTime))
 		t.core.SetStartDelay(t.commitTime)
-		if e.batch != nil {
-			t.links.start(ctx, t.core.Stored(e.batch))
+		if e.book != nil {
+			t.book = e.book
 		}
+		for _, batch := range e.batches {
+			t.links.start(ctx, t.core.Stored(batch))
+		}
+	case partRefuses:
+		t.rebase(e.request)
 	default:
 		return fmt.Errorf("event %T is unknown to the coordinator", event)
 	}
@@ -352,7 +360,21 @@
 		return
 	}
 	t.committing, t.commitBegan = true, now
-	t.commits <- commitRequest{batch: batch, puts: puts, removes: removes}
+	request := commitRequest{puts: puts, removes: removes}
+	if batch != nil {
+		request.batches = []*dispatch.Batch{batch}
+	}
+	t.commits <- request
+}
+
+// rebase has the progress of all jobs stored, instead of a commit that the partition
+// refuses.
+func (t *termLoop) rebase(refused commitRequest) {
+	all := t.core.TakeAll()
+	book := jobstore.NewProgressBook()
+	rows := book.Put(all.Progress)
+	t.Log.Info("progress moves", "from", t.term.Part(), "epoch", t.term.Epoch, "jobs", len(all.Progress), "rows", len(rows))
+	t.commits <- commitRequest{batches: append(refused.batches, all), puts: rows, book: book}
 }
 
 // post hands an event to the loop.
@@ -380,14 +402,15 @@
 			return ctx.Err()
 		case r := <-t.commits:
 			began := time.Now()
-			if err := t.commitRows(ctx, r); err != nil {
+			err := t.commitRows(ctx, r)
+			switch {
+			case errors.Is(err, errPartRefuses):
+				t.Log.Info("partition refuses commits", "part", t.term.Part(), "epoch", t.term.Epoch, "cause", err.Error())
+				t.post(ctx, partRefuses{r})
+			case err != nil:
 				return err
-			}
-			took := time.Since(began)
-			select {
-			case t.events <- committed{r.batch, took}:
-			case <-ctx.Done():
-				return ctx.Err()
+			default:
+				t.post(ctx, committed{r.batches, r.book, time.Since(began)})
 			}
 		}
 	}
@@ -396,9 +419,16 @@
 // commitRows stores rows under the seat, which that confirms.
 func (t *termLoop) commitRows(ctx context.Context, r commitRequest) error {
 	began := time.Now()
-	if err := t.term.Commit(ctx, r.puts, r.removes); err != nil {
+	store := func() error { return t.term.CommitOrMove(ctx, r.puts, r.removes) }
+	if r.book != nil {
+		store = func() error { return t.term.Rebase(ctx, r.puts) }
+	}
+	if err := store(); err != nil {
 		return err
 	}
+	if r.book != nil {
+		t.Log.Info("progress moved", "to", t.term.Part(), "epoch", t.term.Epoch, "rows", len(r.puts), "took", time.Since(began))
+	}
 	// A lease may rest on this confirmation from when it was asked for.
 	t.committedAt.Store(int64(began.Sub(t.term.Since)))
 	took := time.Since(began)
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -158,14 +158,18 @@
 
 // findProgress reads the newest progress of one job, nil if there is none.
 func findProgress(ctx context.Context, store platform.Store, job string) ([]byte, error) {
-	own, err := store.Scan(ctx, ProgressTable, ProgressPart, job, job+"\x00")
-	if err != nil {
-		return nil, err
-	}
-	packs, err := store.Scan(ctx, ProgressTable, ProgressPart, packPrefix, packEnd)
-	if err != nil {
-		return nil, err
+	var rows []platform.PartRow
+	for _, part := range ProgressParts {
+		own, err := store.Scan(ctx, ProgressTable, part, job, job+"\x00")
+		if err != nil {
+			return nil, err
+		}
+		packs, err := store.Scan(ctx, ProgressTable, part, packPrefix, packEnd)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(append(rows, own.Rows...), packs.Rows...)
 	}
-	newest, err := NewProgressBook().Load(append(own.Rows, packs.Rows...))
+	newest, err := NewProgressBook().Load(rows)
 	return newest[job], err
 }
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -81,6 +81,13 @@
 	return 0
 }
 
+// Serves reports whether a store has served a call of this host lately; false for a
+// store that is not watched.
+func Serves(s Store, now time.Time) bool {
+	h, ok := s.(*Health)
+	return ok && h.Serves(now)
+}
+
 // overtaken reports whether a store has answered a call that was made later than
 // began; true for a store that is not watched.
 func overtaken(s Store, began time.Time) bool {
