coordinator: the holder keeps its seat over a silence of the store

The holder's commit waited for the next look at its copies; the others counted the silence from their last failed read.

Change: a copy that was sent while the store was silent is repeated as soon as anything else is answered; a read of the seat after failed ones gives the holder 0.3 s more. Test that fails first: TestHolderKeepsTheSeatOverASilence (12 hosts, six silences).

--- a/internal/coordinator/elect_test.go
+++ b/internal/coordinator/elect_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 	"cuminloft/internal/platform"
 	"cuminloft/internal/standin/rows"
+	"cuminloft/internal/wait"
 )
 
 // election runs electors over one store. Its first holder can be lost: then it
@@ -24,6 +26,8 @@
 	answer func() error  // of the lost holder to a probe
 	wait   sync.WaitGroup
 
+	quiet atomic.Int64 // the store answers nothing until then
+
 	mu        sync.Mutex
 	holder    int
 	epoch     int64
@@ -39,8 +43,10 @@
 
 // add starts the elector of a host of that rank after a delay.
 func (e *election) add(ctx context.Context, rank int, dwarfed bool, delay time.Duration) {
+	health := platform.NewHealth(&quietStore{Slow: e.store, until: &e.quiet})
+	e.wait.Go(func() { follow(ctx, health) })
 	elector := &Elector{
-		Store: platform.NewHealth(e.store), Host: fmt.Sprint("host-", rank), Address: fmt.Sprint("host-", rank, ":1"),
+		Store: health, Host: fmt.Sprint("host-", rank), Address: fmt.Sprint("host-", rank, ":1"),
 		Log: logr.Discard(), Rank: func() int { return rank }, Dwarfed: func() bool { return dwarfed },
 		Probe: func(context.Context, string) (int64, time.Duration, error) { return e.probe() },
 		Lead:  func(ctx context.Context, term *Term) error { return e.lead(ctx, rank, term) },
@@ -91,6 +97,63 @@
 	}
 }
 
+// silence makes the store answer nothing for a time.
+func (e *election) silence(span time.Duration) {
+	e.quiet.Store(time.Now().Add(span).UnixNano())
+}
+
+// quietStore answers no call that begins before until, in nanoseconds since 1970.
+type quietStore struct {
+	*rows.Slow
+	until *atomic.Int64
+}
+
+func (s *quietStore) quiet() bool { return time.Now().UnixNano() < s.until.Load() }
+
+// unreadTimeout is how long a read waits for an answer, as in the platform's adapter.
+const unreadTimeout = 700 * time.Millisecond
+
+func (s *quietStore) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
+	if s.quiet() {
+		<-ctx.Done()
+		return 0, platform.ErrAmbiguous
+	}
+	return s.Slow.Commit(ctx, tx)
+}
+
+func (s *quietStore) Scan(ctx context.Context, table, part, from, to string) (platform.Page, error) {
+	if s.quiet() {
+		_ = wait.For(ctx, unreadTimeout)
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return s.Slow.Scan(ctx, table, part, from, to)
+}
+
+func (s *quietStore) Changes(ctx context.Context, table string, after int64, span time.Duration) ([]platform.PartRow, int64, error) {
+	if s.quiet() {
+		_ = wait.For(ctx, span+unreadTimeout)
+		return nil, after, platform.ErrUnavailable
+	}
+	return s.Slow.Changes(ctx, table, after, span)
+}
+
+// follow reads a feed as each host does; it is how the store's return is heard of.
+func follow(ctx context.Context, s platform.Store) {
+	nothing := func(context.Context, []string) error { return nil }
+	_ = platform.Follow(ctx, changesFeed{s}, 1, platform.Follower[string]{ // ends with ctx
+		Wait: 900 * time.Millisecond, Listed: nothing, Changed: nothing})
+}
+
+// changesFeed is the feed of a table in which nothing changes.
+type changesFeed struct{ store platform.Store }
+
+func (changesFeed) List(context.Context) ([]string, int64, error) { return nil, 1, nil }
+
+func (f changesFeed) Next(ctx context.Context, after int64, span time.Duration) ([]string, int64, error) {
+	_, version, err := f.store.Changes(ctx, "none", after, span)
+	return nil, version, err
+}
+
 // lose loses the first holder.
 func (e *election) lose() {
 	e.mu.Lock()
@@ -183,3 +246,26 @@
 	})
 	return took
 }
+
+// Load pattern: the store is silent for seconds. Its return finds the holder at work,
+// and a takeover would cost more than it gains.
+func TestHolderKeepsTheSeatOverASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		e := newElection(heartbeat)
+		for i := range 12 {
+			e.add(ctx, i, false, time.Duration(i*31)*time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		_, epoch := e.present()
+		for n := range 6 {
+			e.silence(4*time.Second + time.Duration(n*70)*time.Millisecond)
+			time.Sleep(8 * time.Second)
+			_, now := e.present()
+			is.Equal(now, epoch)
+		}
+		cancel()
+		e.wait.Wait()
+	})
+}
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -42,6 +42,9 @@
 	silenceProbed = 250 * time.Millisecond
 	silenceLate   = 200 * time.Millisecond
 	missedProbes  = 2
+	// silenceBack is added to the silence after a time in which the seat could not be
+	// read: the holder could not commit either, and goes on within so long.
+	silenceBack = 300 * time.Millisecond
 	// readSlack times the latest read's duration is added to the silence.
 	readSlack = 3
 	// rankStep and takeSlack times the latest read's duration spread the hosts'
@@ -84,6 +87,7 @@
 	rest    time.Time // until when this host does not take the seat
 	missed  int       // probes in a row without an answer
 	late    bool      // the holder says that its last commit is long ago
+	blind   bool      // the latest read of the seat failed
 }
 
 // ErrNobodyListens is a probe's error when the holder's process is gone: its
@@ -221,7 +225,7 @@
 	if err != nil {
 		// Silence is counted only while the store answers.
 		e.mu.Lock()
-		e.changed = time.Now()
+		e.changed, e.blind = time.Now(), true
 		e.mu.Unlock()
 		return
 	}
@@ -235,6 +239,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	if e.blind {
+		e.blind, e.changed = false, now.Add(silenceBack)
+	}
 	if seat.version != e.seen.version {
 		if seat.Holder != e.seen.Holder {
 			e.Log.Info("coordinator", "holder", seat.Holder, "epoch", seat.Epoch, "version", seat.version)
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -88,6 +88,18 @@
 	return ok && h.Serves(now)
 }
 
+// isSilent reports whether the latest call of a store to end got no answer; false for a
+// store that is not watched.
+func isSilent(s Store) bool {
+	h, ok := s.(*Health)
+	if !ok {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
 // overtaken reports whether a store has answered a call that was made later than
 // began; true for a store that is not watched.
 func overtaken(s Store, began time.Time) bool {
--- a/internal/platform/hedge.go
+++ b/internal/platform/hedge.go
@@ -11,6 +11,9 @@
 	// silentRepeat is the age of a transaction from which it is repeated though the
 	// store has answered nothing else since; its connection may be dead.
 	silentRepeat = time.Second
+	// silentCheck is how often the store is looked at while it has answered nothing
+	// since before the latest copy was sent.
+	silentCheck = 30 * time.Millisecond
 	// copiesMost bounds the copies of a transaction. All but the second are sent only
 	// when the store has answered a call that was made after the one before.
 	copiesMost = 5
@@ -32,8 +35,9 @@
 	answers := make(chan answer, copiesMost)
 	open, sent := 0, 0
 	var latest time.Time // when the latest copy was sent
+	silent := false      // the store was silent then
 	send := func() {
-		open, sent, latest = open+1, sent+1, time.Now()
+		open, sent, latest, silent = open+1, sent+1, time.Now(), isSilent(s)
 		go func() {
 			version, err := s.Commit(ctx, tx)
 			answers <- answer{version, err}
@@ -41,20 +45,23 @@
 	}
 	send()
 	most := max(silentRepeat, after)
-	check := time.NewTimer(after)
+	pause := func() time.Duration {
+		left := most - time.Since(latest)
+		if silent || left <= 0 {
+			return silentCheck
+		}
+		return min(after, left)
+	}
+	check := time.NewTimer(pause())
 	defer check.Stop()
 	var failed error
 	for {
 		select {
 		case <-check.C:
-			left := most - time.Since(latest)
-			if sent < copiesMost && (sent == 1 && left <= 0 || overtaken(s, latest)) {
+			if old := time.Since(latest) >= most; sent < copiesMost && (sent == 1 && old || overtaken(s, latest)) {
 				send()
 			}
-			check.Reset(after)
-			if sent == 1 {
-				check.Reset(min(after, left))
-			}
+			check.Reset(pause())
 		case a := <-answers:
 			open--
 			if a.err == nil || errors.Is(a.err, ErrConflict) {
