coordinator: four partitions to choose from; short calls are made for any step

With four, all are down in one case of a hundred while a third of the partitions is; a takeover needs all four, but it could not read the jobs either while any partition is down. Epochs go on from the highest claim, so that a claim that came to nothing is never taken for a later one; one of several claimants gets past the first row.

--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -118,10 +118,11 @@
 }
 
 // Rebase stores the progress of all jobs in the partition that takes it first, the
-// other one before the present one.
+// present one last.
 func (t *Term) Rebase(ctx context.Context, rows []platform.PartRow) error {
 	for {
-		for _, part := range [...]int{1 - t.chain.last.part, t.chain.last.part} {
+		for i := range jobstore.ProgressParts {
+			part := (t.chain.last.part + 1 + i) % len(jobstore.ProgressParts)
 			err := t.chain.rebase(ctx, part, t.seat, rows)
 			switch {
 			case err == nil:
@@ -146,7 +147,7 @@
 		return err
 	}
 	now, readErr := readSeat(ctx, t.chain.store)
-	if readErr != nil || now.Holder != t.seat.Holder || now.Epoch != t.seat.Epoch {
+	if readErr != nil || now.active().Holder != t.seat.Holder || now.active().Epoch != t.seat.Epoch {
 		return err
 	}
 	t.chain.last = now
@@ -229,13 +230,13 @@
 		e.mu.Unlock()
 		return
 	}
-	if e.due(seat, time.Since(began)) {
+	if e.due(*seat.active(), time.Since(began)) {
 		e.take(ctx, seat)
 	}
 }
 
 // due takes note of the seat and reports whether this host should take it.
-func (e *Elector) due(seat seats, readTook time.Duration) bool {
+func (e *Elector) due(seat seatRow, readTook time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -249,7 +250,7 @@
 		if seat.Epoch != e.seen.Epoch {
 			e.missed, e.late = 0, false
 		}
-		e.seen, e.changed = seat.seatRow, now
+		e.seen, e.changed = seat, now
 	}
 	if e.resign || now.Before(e.rest) {
 		return false
@@ -282,7 +283,7 @@
 func (e *Elector) take(ctx context.Context, from seats) {
 	silent := time.Since(e.changed)
 	c := &chain{store: e.Store, last: from}
-	seat := Seat{Holder: e.Host, Address: e.Address, Epoch: from.Epoch + 1}
+	seat := Seat{Holder: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1}
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	err := c.take(attempt, seat)
 	cancel()
@@ -290,10 +291,10 @@
 		e.Log.Info("coordinator's seat not taken", "epoch", seat.Epoch, "cause", err.Error())
 		return
 	}
-	e.Log.Info("coordinator's seat taken", "epoch", seat.Epoch, "from", from.Holder, "silent for", silent)
-	e.setLeading(true, c.last.seatRow)
+	e.Log.Info("coordinator's seat taken", "epoch", seat.Epoch, "from", from.active().Holder, "silent for", silent)
+	e.setLeading(true, *c.last.active())
 	err = e.Lead(ctx, &Term{Epoch: seat.Epoch, Since: time.Now(), seat: seat, chain: c})
-	e.setLeading(false, c.last.seatRow)
+	e.setLeading(false, *c.last.active())
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errDeposed) && ctx.Err() == nil {
 		e.mu.Lock()
 		e.rest = time.Now().Add(blindRest)
--- a/internal/coordinator/seat.go
+++ b/internal/coordinator/seat.go
@@ -1,11 +1,11 @@
 // Package coordinator runs the one process of a cell that dispatches its jobs,
-// and elects it. The coordinator's seat is a row in each of two partitions of the
+// and elects it. The coordinator's seat is a row in each of a few partitions of the
 // platform's store, of which one is active: it holds the progress of jobs, too.
 // Every commit of the coordinator rewrites the active row under the condition that
 // it is as the last commit left it. So commits form a chain: one that lands late,
 // or comes from a coordinator that was replaced, finds the row changed and does
-// nothing. Who takes the seat rewrites both rows, so that its predecessor can neither
-// commit nor move to the other partition.
+// nothing. Who takes the seat rewrites all rows, so that its predecessor can neither
+// commit nor move to another partition.
 package coordinator
 
 import (
@@ -46,13 +46,15 @@
 	version int64
 }
 
-// seats are the rows of the seat. The active one is embedded.
+// seats are the rows of the seat, one in each of jobstore.ProgressParts.
 type seats struct {
-	seatRow
-	part  int // the active row's place in jobstore.ProgressParts
-	other seatRow
+	rows [len(jobstore.ProgressParts)]seatRow
+	part int // of the active row
 }
 
+// active returns the row that holds.
+func (s *seats) active() *seatRow { return &s.rows[s.part] }
+
 var (
 	// errDeposed: another host took the coordinator's seat.
 	errDeposed = errors.New("another host took the coordinator's seat")
@@ -60,6 +62,15 @@
 	errPartRefuses = errors.New("the partition refuses commits")
 )
 
+// newestEpoch returns the highest epoch under which any row was taken or claimed.
+func (s *seats) newestEpoch() int64 {
+	var newest int64
+	for _, r := range s.rows {
+		newest = max(newest, r.Epoch)
+	}
+	return newest
+}
+
 // decodeSeat reads the seat's row.
 func decodeSeat(r platform.PartRow) (seatRow, error) {
 	s := seatRow{version: r.Version}
@@ -71,13 +82,13 @@
 
 // readSeat returns the rows of the seat; their versions are 0 if nobody ever held it.
 func readSeat(ctx context.Context, store platform.Store) (seats, error) {
-	var all [len(jobstore.ProgressParts)]seatRow
+	var all seats
 	group, ctx := errgroup.WithContext(ctx)
 	for i, part := range jobstore.ProgressParts {
 		group.Go(func() error {
 			page, err := store.Scan(ctx, seatTable, part, seatKey, seatKey+"\x00")
 			if err == nil && len(page.Rows) > 0 {
-				all[i], err = decodeSeat(page.Rows[0])
+				all.rows[i], err = decodeSeat(page.Rows[0])
 			}
 			return err
 		})
@@ -85,10 +96,12 @@
 	if err := group.Wait(); err != nil {
 		return seats{}, err
 	}
-	if all[1].Moves > all[0].Moves {
-		return seats{all[1], 1, all[0]}, nil
+	for i, r := range all.rows {
+		if r.Moves > all.active().Moves {
+			all.part = i
+		}
 	}
-	return seats{all[0], 0, all[1]}, nil
+	return all, nil
 }
 
 // Commits and their repeats.
@@ -119,22 +132,46 @@
 // nextSeq returns a number that no earlier write carries. So a write that was given up
 // and landed is not taken for another one.
 func (c *chain) nextSeq() int64 {
-	c.seq = max(c.seq, c.last.Seq, c.last.other.Seq) + 1
+	for _, r := range c.last.rows {
+		c.seq = max(c.seq, r.Seq)
+	}
+	c.seq++
 	return c.seq
 }
 
-// take claims the other row of the seat, then takes the active one.
+// take claims the other rows of the seat, then takes the active one. Of several hosts
+// one gets past the first row.
 func (c *chain) take(ctx context.Context, next Seat) error {
-	claim := next
-	claim.Seq, claim.Moves = c.nextSeq(), c.last.other.Moves
-	other, err := c.write(ctx, write{part: 1 - c.last.part, from: c.last.other, next: claim})
-	if err != nil {
+	next.Seq = c.nextSeq()
+	var others []int
+	for i := range c.last.rows {
+		if i != c.last.part {
+			others = append(others, i)
+		}
+	}
+	if err := c.claim(ctx, others[0], next); err != nil {
+		return err
+	}
+	group, claims := errgroup.WithContext(ctx)
+	for _, i := range others[1:] {
+		group.Go(func() error { return c.claim(claims, i, next) })
+	}
+	if err := group.Wait(); err != nil {
 		return err
 	}
-	c.last.other = other
 	return c.commit(ctx, next, nil, nil)
 }
 
+// claim rewrites a row of the seat that is not the active one.
+func (c *chain) claim(ctx context.Context, part int, next Seat) error {
+	next.Moves = c.last.rows[part].Moves
+	row, err := c.write(ctx, write{part: part, from: c.last.rows[part], next: next})
+	if err == nil {
+		c.last.rows[part] = row
+	}
+	return err
+}
+
 // commit applies changes of the progress partition with the next state of the
 // seat. It tries until it knows the outcome: nil, errDeposed, or the context's
 // error.
@@ -145,44 +182,34 @@
 // commitPatiently is commit, but returns errPartRefuses when the partition has refused
 // for so long. What was tried may land all the same.
 func (c *chain) commitPatiently(ctx context.Context, next Seat, puts, removes []platform.PartRow, patience time.Duration) error {
-	next.Seq, next.Moves = c.nextSeq(), c.last.Moves
-	row, err := c.write(ctx, write{part: c.last.part, from: c.last.seatRow, next: next, puts: puts, removes: removes, patience: patience})
+	next.Seq, next.Moves = c.nextSeq(), c.last.active().Moves
+	row, err := c.write(ctx, write{part: c.last.part, from: *c.last.active(), next: next, puts: puts, removes: removes, patience: patience})
 	if err == nil {
-		c.last.seatRow = row
+		*c.last.active() = row
 	}
 	return err
 }
 
-// rebase stores the progress of all jobs, in either partition, which is the active one
-// then. It returns nil, errPartRefuses, errDeposed or the context's error. Load pattern:
+// rebase stores the progress of all jobs in one of the partitions, which is the active
+// one then. It returns nil, errPartRefuses, errDeposed or the context's error. Load pattern:
 // a store of which some partitions are down for seconds, this one among them.
 func (c *chain) rebase(ctx context.Context, part int, next Seat, rows []platform.PartRow) error {
-	from := c.last.seatRow
-	if part != c.last.part {
-		from = c.last.other
-	}
+	row := &c.last.rows[part]
 	for first := true; first || len(rows) > 0; first = false {
 		n := firstRows(rows)
-		w := write{part: part, from: from, next: next, puts: rows[:n], patience: refusedPatience, whole: true}
+		w := write{part: part, from: *row, next: next, puts: rows[:n], patience: refusedPatience, whole: true}
 		rows = rows[n:]
-		w.next.Seq, w.next.Moves = c.nextSeq(), from.Moves
+		w.next.Seq, w.next.Moves = c.nextSeq(), row.Moves
 		if len(rows) == 0 {
-			w.next.Moves = c.last.Moves + 1
+			w.next.Moves = c.last.active().Moves + 1
 		}
-		row, err := c.write(ctx, w)
+		stored, err := c.write(ctx, w)
 		if err != nil {
 			return err
 		}
-		from = row
-		if part == c.last.part {
-			c.last.seatRow = row
-		} else {
-			c.last.other = row
-		}
-	}
-	if part != c.last.part {
-		c.last = seats{c.last.other, part, c.last.seatRow}
+		*row = stored
 	}
+	c.last.part = part
 	return nil
 }
 
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -69,9 +69,6 @@
 	looked := 0
 	turn := c.newTurn(now)
 	for _, r := range c.order {
-		if turn.over() {
-			break
-		}
 		s := r.step
 		if !s.startable() {
 			continue
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -19,6 +19,9 @@
 	turnRoom = 1.5
 	// turnKept is how long the room that comes free is reckoned with as it was.
 	turnKept = 100 * time.Millisecond
+	// turnCheap is the longest call that is made for any step, wherever it stands: the
+	// small tasks of such queues fill gaps, and the hosts hardly feel it.
+	turnCheap = 50 * time.Millisecond
 )
 
 // outlook is what is likely to be free within turnHorizon.
@@ -66,16 +69,6 @@
 	return &turn{c.lookAhead(now), c, map[string]float64{}, map[string]model.Resources{}}
 }
 
-// over reports whether no further step is near.
-func (t *turn) over() bool {
-	for name, millicores := range t.pools {
-		if t.wanted[name] <= turnRoom*millicores {
-			return false
-		}
-	}
-	return true
-}
-
 // near counts a step and reports whether its turn is near: it may start within its
 // team's limit, and the steps before it do not want more than comes free.
 func (t *turn) near(s *step, q *workload.Queue) bool {
@@ -87,5 +80,5 @@
 	t.teams[team] = t.teams[team].Add(size.Scale(int64(n)))
 	before := t.wanted[q.Pool]
 	t.wanted[q.Pool] += float64(int64(n) * s.spec.Charged().MilliCores)
-	return before <= turnRoom*t.pools[q.Pool]
+	return before <= turnRoom*t.pools[q.Pool] || q.Advice != nil && q.Advice.Duration(adviceSample) <= turnCheap
 }
--- a/internal/dispatch/turn_test.go
+++ b/internal/dispatch/turn_test.go
@@ -69,3 +69,27 @@
 	is.Equal(len(c.store(nil)), 0)
 	is.Equal(askedFor(c), map[string]bool{"s00": true, "other": true})
 }
+
+// Load pattern: urgent work that has become late behind a backlog. Its calls take 20 ms
+// and it fits into gaps, so it asks wherever it stands.
+func TestStepsWithShortCallsAsk(t *testing.T) {
+	is := is.New(t)
+	c := advisedCell(t)
+	queues := []workload.Queue{
+		{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+			Advice: &workload.AdviceCost{PerCall: 100 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}},
+		{Name: "short", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Hour,
+			Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}},
+	}
+	c.core.SetCell(workload.NewCell(3, queues, []workload.Team{{Name: "team", Weight: 1000}}, nil))
+	c.worker("w", 8)
+	for i := range 20 {
+		c.job(fmt.Sprintf("j%02d", i), workload.Step{Tasks: 4, Resources: cores(2), Estimate: time.Second})
+	}
+	c.core.AddJob(&workload.Job{ID: "late", Queue: "short", Pool: "pool", Team: "team", AcceptedAt: c.now.UnixMilli(),
+		Steps: []workload.Step{{Tasks: 1, Resources: cores(1), Estimate: time.Second}}}, c.now)
+	is.Equal(len(c.store(nil)), 0)
+	asked := askedFor(c)
+	is.True(asked["late"])
+	is.True(!asked["j19"])
+}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -29,9 +29,8 @@
 	JobTable      = "jobs"
 	ProgressTable = "progress"
 	// ProgressPart holds the progress rows and the coordinator's seat, so that one
-	// transaction can change both. SparePart does while that partition is down.
+	// transaction can change both. Another of ProgressParts does while it is down.
 	ProgressPart = "main"
-	SparePart    = "spare"
 	// Buckets is the number of partitions of the job table. A partition applies
 	// one transaction after the other; while the store is a hundred times slower
 	// than usual that is two a second, so 256 carry 500 accepted jobs a second.
@@ -58,8 +57,9 @@
 	Ended     // set for the mark of a job that has ended
 }
 
-// ProgressParts are the partitions that may hold the progress of jobs.
-var ProgressParts = [...]string{ProgressPart, SparePart}
+// ProgressParts are the partitions that may hold the progress of jobs. While a third of
+// the store's partitions is down, all four are in one case of a hundred.
+var ProgressParts = [...]string{ProgressPart, "spare-1", "spare-2", "spare-3"}
 
 // Ended is how and when a job ended.
 type Ended struct {
