dispatch: room for urgent work is kept in pieces that it fits (a try)

Cause: the room kept for urgent work was two cores on each worker, of no use to a slip of seven; while a quarter of the cell idled, slips found room anyway. Change: up to a sixth of the workers keep half of themselves, as many as the remembered peak needs.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -134,7 +136,8 @@
 const (
 	urgentHalfLife = 10 * time.Second // in which the remembered peak halves
 	urgentMargin   = 1.25             // room kept, as a multiple of the peak
-	urgentMost     = 0.06             // largest share of a worker that is kept
+	urgentPart     = 0.5              // of a worker that keeps room
+	urgentWorkers  = 0.16             // largest share of the workers that do
 )
 
 // urgentRoom remembers how much urgent work ran lately. Load pattern: urgent
@@ -154,13 +157,27 @@
 	u.peak = max(u.peak, float64(u.urgentUsed))
 }
 
-// keep returns the thousandths of a core that each of n workers keeps free of
-// other work.
-func (u *urgentRoom) keep(n int) int64 {
-	if n == 0 {
-		return 0
+// keep returns the thousandths of a core that workers keep free of other work: a
+// few of them as much as a typical urgent task needs and more, since pieces of two
+// cores on each are of no use to it. Which ones they are stays the same for long.
+func (u *urgentRoom) keep(workers []*worker) map[*worker]int64 {
+	needed := urgentMargin*u.peak - float64(u.urgentUsed)
+	if needed <= 0 {
+		return nil
 	}
-	return int64(max(0, urgentMargin*u.peak-float64(u.urgentUsed)) / float64(n))
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	out := map[*worker]int64{}
+	most := max(1, int(urgentWorkers*float64(len(workers))))
+	for _, w := range workers[:min(most, len(workers))] {
+		if needed <= 0 {
+			break
+		}
+		out[w] = int64(urgentPart * float64(w.info.Capacity.MilliCores))
+		needed -= float64(out[w])
+	}
+	return out
 }
 
 // urgent reports whether the step's queue goes before all others.
@@ -188,7 +205,7 @@
 		}
 		return int64(expiredKept * capacity)
 	default:
-		return min(r.kept, int64(urgentMost*capacity))
+		return r.urgent[w]
 	}
 }
 
