--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -63,8 +63,8 @@
 type round struct {
 	now   time.Time
 	pools map[string]*pool
-	// urgent is the thousandths of a core that some workers keep for urgent work.
-	urgent map[*worker]int64
+	// kept is the thousandths of a core that each worker keeps for urgent work.
+	kept int64
 }
 
 // pool lists the workers of a pool on which tasks may start now, in no particular
@@ -81,12 +81,12 @@
 // newRound collects the workers on which tasks may start.
 func (c *Core) newRound(now time.Time) *round {
 	r := &round{now: now, pools: map[string]*pool{}}
-	var open []*worker
+	n := 0
 	for _, w := range c.workers {
 		if !c.open(w, now) {
 			continue
 		}
-		open = append(open, w)
+		n++
 		p := r.pools[w.info.Pool]
 		if p == nil {
 			p = &pool{}
@@ -98,7 +98,7 @@
 		p.capacity += w.info.Capacity.MilliCores
 	}
 	c.updatePeak(now)
-	r.urgent = c.keep(open)
+	r.kept = c.keep(n)
 	return r
 }
 
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"sort"
 	"time"
 
@@ -136,8 +134,7 @@
 const (
 	urgentHalfLife = 10 * time.Second // in which the remembered peak halves
 	urgentMargin   = 1.25             // room kept, as a multiple of the peak
-	urgentPart     = 0.5              // of a worker that keeps room
-	urgentWorkers  = 0.16             // largest share of the workers that do
+	urgentMost     = 0.06             // largest share of a worker that is kept
 )
 
 // urgentRoom remembers how much urgent work ran lately. Load pattern: urgent
@@ -157,27 +154,13 @@
 	u.peak = max(u.peak, float64(u.urgentUsed))
 }
 
-// keep returns the thousandths of a core that workers keep free of other work: a
-// few of them as much as a typical urgent task needs and more, since pieces of two
-// cores on each are of no use to it. Which ones they are stays the same for long.
-func (u *urgentRoom) keep(workers []*worker) map[*worker]int64 {
-	needed := urgentMargin*u.peak - float64(u.urgentUsed)
-	if needed <= 0 {
-		return nil
-	}
-	slices.SortFunc(workers, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	out := map[*worker]int64{}
-	most := max(1, int(urgentWorkers*float64(len(workers))))
-	for _, w := range workers[:min(most, len(workers))] {
-		if needed <= 0 {
-			break
-		}
-		out[w] = int64(urgentPart * float64(w.info.Capacity.MilliCores))
-		needed -= float64(out[w])
+// keep returns the thousandths of a core that each of n workers keeps free of
+// other work.
+func (u *urgentRoom) keep(n int) int64 {
+	if n == 0 {
+		return 0
 	}
-	return out
+	return int64(max(0, urgentMargin*u.peak-float64(u.urgentUsed)) / float64(n))
 }
 
 // urgent reports whether the step's queue goes before all others.
@@ -205,7 +188,7 @@
 		}
 		return int64(expiredKept * capacity)
 	default:
-		return r.urgent[w]
+		return min(r.kept, int64(urgentMost*capacity))
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cuminloft/internal/model"
 	"cuminloft/internal/workload"
 )
@@ -27,7 +25,6 @@
 	backoff   time.Time // nothing starts there before
 	silent    time.Time // when an order was last left unanswered
 	health
-	order uint64 // by which workers are chosen that keep room; as good as random
 	// stretch is the smoothed ratio of the time that tasks take here to their
 	// estimates; 0 before the first report.
 	stretch float64
@@ -72,7 +69,7 @@
 func (c *Core) ensureWorker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{info: workload.Worker{ID: id}, tasks: map[workload.TaskID]struct{}{}, order: xxhash.Sum64String(id)}
+		w = &worker{info: workload.Worker{ID: id}, tasks: map[workload.TaskID]struct{}{}}
 		c.workers[id] = w
 	}
 	return w
