--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -73,8 +73,8 @@
 // askSoon returns the workers that a call could name which have room now or soon, and
 // whether the valid tickets are enough for what waits. Load pattern: a full cell, where
 // room comes free here and there; asking for the few workers that have room at each
-// moment takes a call for every task or two. Urgent steps do not wait for room to come
-// free.
+// moment takes a call for every task or two. Urgent steps and those with
+// short calls do not wait for room to come free on the workers of their tickets.
 func (c *Core) askSoon(r rankedStep, q *workload.Queue, now time.Time) (out []candidate, enough bool) {
 	s, p := r.step, c.round.pools[q.Pool]
 	if p == nil {
@@ -91,7 +91,7 @@
 			n = c.room(w, s, r.rank)
 		}
 		soon := n
-		if r.rank.group != groupUrgent {
+		if r.rank.group != groupUrgent && !shortCalls(q) {
 			soon = max(n, copies(ahead.free[w], s.spec.Charged()))
 		}
 		if soon == 0 {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -80,5 +80,11 @@
 	t.teams[team] = t.teams[team].Add(size.Scale(int64(n)))
 	before := t.wanted[q.Pool]
 	t.wanted[q.Pool] += float64(int64(n) * s.spec.Charged().MilliCores)
-	return before <= turnRoom*t.pools[q.Pool] || q.Advice != nil && q.Advice.Duration(adviceSample) <= turnCheap
+	return before <= turnRoom*t.pools[q.Pool] || shortCalls(q)
+}
+
+// shortCalls reports whether calls for the queue's steps are so short that they need
+// not be saved.
+func shortCalls(q *workload.Queue) bool {
+	return q.Advice != nil && q.Advice.Duration(adviceSample) <= turnCheap
 }
--- a/internal/dispatch/turn_test.go
+++ b/internal/dispatch/turn_test.go
@@ -93,3 +93,33 @@
 	is.True(asked["late"])
 	is.True(!asked["j19"])
 }
+
+// Load pattern: a burst of urgent work, part of which is late already. A step whose
+// tickets are for workers that are full now asks for those that have room, although
+// room will come free.
+func TestLateStepsWithShortCallsAskForRoomThatIsThere(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}})
+	c.worker("full", 8)
+	c.job("first", workload.Step{Tasks: 1, Resources: cores(8), Estimate: time.Second})
+	is.Equal(len(c.store(nil)), 0)
+	for asked := true; asked; {
+		var ask Ask
+		if ask, asked = c.core.NextAsk(c.now, Askers{Longest: time.Minute}); asked {
+			c.core.Advised(ask, []workload.Ticket{{Worker: "full", Text: "t"}}, nil, c.now)
+		}
+	}
+	is.Equal(len(c.store(nil)), 1)
+	c.job("late", workload.Step{Tasks: 1, Resources: cores(4), Estimate: time.Second})
+	is.Equal(len(c.store(nil)), 0)
+	s := c.core.findStep(workload.StepID{Job: "late"})
+	s.advice.tickets = map[string]ticket{"full": {text: "t", born: testBorn, expires: c.now.Add(time.Hour)}}
+	s.advice.denied = map[string]bool{}
+	c.now = c.now.Add(5 * time.Second) // late
+	c.worker("empty", 8)
+	is.Equal(len(c.store(nil)), 0)
+	ask, ok := c.core.NextAsk(c.now, Askers{Longest: time.Minute})
+	is.True(ok)
+	is.Equal(ask.Workers, []string{"empty"})
+}
