coordinator: a move that was given up and lands late is not the latest

Cause (read-through): moves were counted from the last that had succeeded. A move whose answer was lost, and whose repeats were refused, left its number to the next one; landing late it made two rows equal, and a successor could load the older. Now each attempt has a number of its own. Test that fails first: TestMoveThatLandsLateIsNotTheActiveOne.

--- a/internal/coordinator/move_test.go
+++ b/internal/coordinator/move_test.go
@@ -193,3 +193,36 @@
 		is.Equal(completed(next), n)
 	})
 }
+
+// A move that was given up and lands after all does not make its partition the active
+// one again: another one holds newer progress by then.
+func TestMoveThatLandsLateIsNotTheActiveOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := rows.New()
+		c, term := takeWatched(t, s, "a")
+		lost := false
+		s.SetFault(func(tx platform.Tx) rows.Fault {
+			switch {
+			case tx.Conditions[0].Part != spare:
+				return rows.None
+			case !lost:
+				lost = true
+				return rows.LostLate
+			default:
+				return rows.Refused
+			}
+		})
+		err := c.rebase(t.Context(), 1, term.seat, []platform.PartRow{progressRow("given up")})
+		is.True(errors.Is(err, errPartRefuses))
+		is.NoErr(c.rebase(t.Context(), 2, term.seat, []platform.PartRow{progressRow("moved")}))
+		s.SetFault(nil)
+		is.Equal(s.Land(), 1)
+		is.Equal(valueIn(t, s, spare), "given up")
+		now, err := readSeat(t.Context(), s)
+		is.NoErr(err)
+		is.Equal(now.part, 2)
+		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("after")}, nil))
+		is.Equal(valueIn(t, s, jobstore.ProgressParts[2]), "after")
+	})
+}
--- a/internal/coordinator/seat.go
+++ b/internal/coordinator/seat.go
@@ -114,8 +114,8 @@
 	commitFactor = 4
 	commitLeast  = 300 * time.Millisecond
 	commitRetry  = 60 * time.Millisecond
-	// refusedPatience is how long the active partition may refuse commits until the
-	// coordinator moves to the other one. A refusal under load is over sooner.
+	// refusedPatience is how long a partition may refuse commits until the coordinator
+	// moves to another one. A refusal under load is over sooner.
 	refusedPatience = 250 * time.Millisecond
 	// Limits of one transaction of a move; the store takes 100 entries and 1 MB.
 	moveRows  = 80
@@ -126,7 +126,8 @@
 type chain struct {
 	store platform.Store
 	last  seats
-	seq   int64 // of the latest write, which may not have landed
+	// Of the latest write and the latest move, which may not have landed.
+	seq, moves int64
 }
 
 // nextSeq returns a number that no earlier write carries. So a write that was given up
@@ -139,6 +140,16 @@
 	return c.seq
 }
 
+// nextMove returns a number of moves that no earlier move carries. So one that was
+// given up and lands is not taken for the latest one.
+func (c *chain) nextMove() int64 {
+	for _, r := range c.last.rows {
+		c.moves = max(c.moves, r.Moves)
+	}
+	c.moves++
+	return c.moves
+}
+
 // take claims the other rows of the seat, then takes the active one. Of several hosts
 // one gets past the first row.
 func (c *chain) take(ctx context.Context, next Seat) error {
@@ -201,7 +212,7 @@
 		rows = rows[n:]
 		w.next.Seq, w.next.Moves = c.nextSeq(), row.Moves
 		if len(rows) == 0 {
-			w.next.Moves = c.last.active().Moves + 1
+			w.next.Moves = c.nextMove()
 		}
 		stored, err := c.write(ctx, w)
 		if err != nil {
