--- a/internal/coordinator/move_test.go
+++ b/internal/coordinator/move_test.go
@@ -21,9 +21,9 @@
 var spare = jobstore.ProgressParts[1]
 
 // takeWatched returns the chain of a new holder whose store is watched.
-func takeWatched(t *testing.T, s *rows.Store, host string) (*chain, *Term) {
+func takeWatched(t *testing.T, s *rows.Store) (*chain, *Term) {
 	t.Helper()
-	c, seat := takeSeat(t, s, host)
+	c, seat := takeSeat(t, s, "a")
 	h := platform.NewHealth(s)
 	c.store = h
 	if _, err := h.Scan(t.Context(), "any", "any", "", ""); err != nil {
@@ -48,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := rows.New()
-		_, term := takeWatched(t, s, "a")
+		_, term := takeWatched(t, s)
 		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("one")}, nil))
 		for n, test := range []struct{ part, alsoDown string }{
 			{spare, ""}, {jobstore.ProgressParts[3], jobstore.ProgressParts[2]}, {jobstore.ProgressPart, ""}, {spare, ""},
@@ -80,7 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := rows.New()
-		_, term := takeWatched(t, s, "a")
+		_, term := takeWatched(t, s)
 		s.SetDown(true)
 		time.AfterFunc(10*time.Second, func() { s.SetDown(false) })
 		time.Sleep(2 * time.Second) // nothing was served lately
@@ -94,7 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := rows.New()
-		c, term := takeWatched(t, s, "a")
+		c, term := takeWatched(t, s)
 		s.SetFault(func(platform.Tx) rows.Fault { return rows.LostLate })
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
@@ -114,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := rows.New()
-			old, oldTerm := takeWatched(t, s, "a")
+			old, oldTerm := takeWatched(t, s)
 			last, err := readSeat(t.Context(), s)
 			is.NoErr(err)
 			next := &chain{store: s, last: last}
@@ -136,7 +136,7 @@
 func TestTakeoverWhileTheHolderMoves(t *testing.T) {
 	is := is.New(t)
 	s := rows.New()
-	old, oldTerm := takeWatched(t, s, "a")
+	old, oldTerm := takeWatched(t, s)
 	last, err := readSeat(t.Context(), s)
 	is.NoErr(err)
 	is.NoErr(old.rebase(t.Context(), 1, oldTerm.seat, []platform.PartRow{progressRow("moved")}))
@@ -200,7 +200,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := rows.New()
-		c, term := takeWatched(t, s, "a")
+		c, term := takeWatched(t, s)
 		lost := false
 		s.SetFault(func(tx platform.Tx) rows.Fault {
 			switch {
--- a/internal/platform/follow_test.go
+++ b/internal/platform/follow_test.go
@@ -190,7 +190,7 @@
 				}()
 				time.Sleep(2*time.Second + silence + 2*time.Second)
 				cancel()
-				<-ended
+				is.True(errors.Is(<-ended, context.Canceled))
 				is.True(!again.IsZero())
 				is.True(again.Sub(f.back) <= soon)
 			})
--- a/internal/platform/hedge_test.go
+++ b/internal/platform/hedge_test.go
@@ -131,7 +131,7 @@
 		defer giveUp()
 		_, err := platform.CommitRepeated(call, h, putRow, repeatAfter)
 		is.NoErr(err)
-		is.True(time.Now().Sub(store.back) <= 200*time.Millisecond) // before others take the seat
+		is.True(time.Since(store.back) <= 200*time.Millisecond) // before others take the seat
 		is.True(!h.Lost(time.Now()))
 		cancel()
 		time.Sleep(time.Second) // until the reader has ended
