--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -226,6 +226,9 @@
 // play runs the pattern to its end and until what was accepted is done, or late.
 func (r *replay) play() {
 	for r.now.Sub(r.begin) < r.length+40*time.Second {
+		if r.now.Sub(r.begin) >= r.length && r.core.Stats().ActiveJobs == 0 {
+			return // nothing changes any more
+		}
 		for at, event := range r.at {
 			if d := r.now.Sub(r.begin); d >= at && d < at+replayStep {
 				event(r)
@@ -593,7 +596,10 @@
 				g := r.gain()
 				mean.total += g.total / n
 				mean.windows += g.windows / n
-				most := newOracle(r).play()
+				most := gain{}
+				if p().silent || testing.Verbose() {
+					most = newOracle(r).play()
+				}
 				best.total, best.windows = best.total+most.total/n, best.windows+most.windows/n
 				a := r.core.TakeAccount()
 				used, needed = used+a.Total().Seconds()/n, needed+a.Needed.Seconds()/n
@@ -607,8 +613,10 @@
 					mean.byKind[k] += v / n
 				}
 			}
-			t.Logf("gain %.3f, two worst windows %.3f, by kind %.3v; with hindsight %.3f, %.3f",
-				mean.total, mean.windows, mean.byKind, best.total, best.windows)
+			t.Logf("gain %.3f, two worst windows %.3f, by kind %.3v", mean.total, mean.windows, mean.byKind)
+			if best.total > 0 {
+				t.Logf("with hindsight %.3f, %.3f", best.total, best.windows)
+			}
 			t.Logf("advice: %.0f host-seconds of %.0f needed, %.0f of %.0f tickets used; idle beside waiting work: %.0f core-seconds, at worst %.2f of the cell",
 				used, needed, usedTickets, tickets, idle, worst)
 			windows := wantWindows
