read-through: a move passes over partitions that refuse; simpler pieces

Found in reading the diff as a newcomer would. - A move waited at the first partition that refused when nothing else was served to this host within the last second, though others took commits. Its patience holds always now. Test that fails first (it never ended): TestMovePassesOverPartitionsThatRefuse. - Explain left its own round behind, so that a question changed what the next call for advice saw. - One builder of candidates for calls, one reckoning of the likely places; a feed is read again without an adapter function; Term.Commit and CommitOrMove were two names for what one is enough; the progress from which a pace counts stood twice; a type and a method shared the name write.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -99,14 +99,14 @@
 // commitRows stores rows under the seat, which that confirms.
 func (t *termLoop) commitRows(ctx context.Context, r commitRequest) error {
 	began := time.Now()
-	store := func() error { return t.term.CommitOrMove(ctx, r.puts, r.removes) }
-	if r.book != nil {
-		store = func() error { return t.term.Rebase(ctx, r.puts) }
-	}
-	if err := store(); err != nil {
-		return err
-	}
-	if r.book != nil {
+	if r.book == nil {
+		if err := t.term.Commit(ctx, r.puts, r.removes); err != nil {
+			return err
+		}
+	} else {
+		if err := t.term.Rebase(ctx, r.puts); err != nil {
+			return err
+		}
 		t.Log.Info("progress moved", "to", t.term.Part(), "epoch", t.term.Epoch, "rows", len(r.puts), "took", time.Since(began))
 	}
 	// A lease may rest on this confirmation from when it was asked for.
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -106,14 +106,9 @@
 // Part returns the partition that holds the progress of jobs.
 func (t *Term) Part() string { return jobstore.ProgressParts[t.chain.last.part] }
 
-// Commit stores changes of the progress partition.
+// Commit stores changes of the progress partition. It returns errPartRefuses when the
+// partition takes no commits; then the progress of all jobs is to be stored by Rebase.
 func (t *Term) Commit(ctx context.Context, puts, removes []platform.PartRow) error {
-	return t.chain.commit(ctx, t.seat, puts, removes)
-}
-
-// CommitOrMove is Commit, but returns errPartRefuses when the partition takes no
-// commits. Then the progress of all jobs is to be stored by Rebase.
-func (t *Term) CommitOrMove(ctx context.Context, puts, removes []platform.PartRow) error {
 	return t.chain.commitPatiently(ctx, t.seat, puts, removes, refusedPatience)
 }
 
@@ -142,7 +137,7 @@
 func (t *Term) resignTerm(ctx context.Context) error {
 	seat := t.seat
 	seat.Holder, seat.Address = "", ""
-	err := t.chain.commit(ctx, seat, nil, nil)
+	err := t.chain.commit(ctx, seat, nil)
 	if !errors.Is(err, errDeposed) {
 		return err
 	}
@@ -151,7 +146,7 @@
 		return err
 	}
 	t.chain.last = now
-	return t.chain.commit(ctx, seat, nil, nil)
+	return t.chain.commit(ctx, seat, nil)
 }
 
 // Coordinator returns the address of the coordinator and whether it is this
--- a/internal/coordinator/move_test.go
+++ b/internal/coordinator/move_test.go
@@ -49,7 +49,7 @@
 		is := is.New(t)
 		s := rows.New()
 		_, term := takeWatched(t, s)
-		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("one")}, nil))
+		is.NoErr(term.Commit(t.Context(), []platform.PartRow{progressRow("one")}, nil))
 		for n, test := range []struct{ part, alsoDown string }{
 			{spare, ""}, {jobstore.ProgressParts[3], jobstore.ProgressParts[2]}, {jobstore.ProgressPart, ""}, {spare, ""},
 		} {
@@ -57,13 +57,13 @@
 			s.SetPartDown(down, true)
 			s.SetPartDown(test.alsoDown, true)
 			began := time.Now()
-			err := term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("refused")}, nil)
+			err := term.Commit(t.Context(), []platform.PartRow{progressRow("refused")}, nil)
 			is.True(errors.Is(err, errPartRefuses))
 			is.NoErr(term.Rebase(t.Context(), []platform.PartRow{progressRow(fmt.Sprint("moved ", n))}))
 			is.True(time.Since(began) <= time.Second)
 			is.Equal(term.Part(), part)
 			is.Equal(valueIn(t, s, part), fmt.Sprint("moved ", n))
-			is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("after")}, nil))
+			is.NoErr(term.Commit(t.Context(), []platform.PartRow{progressRow("after")}, nil))
 			is.Equal(valueIn(t, s, part), "after")
 			s.SetPartDown(down, false)
 			s.SetPartDown(test.alsoDown, false)
@@ -75,6 +75,24 @@
 	})
 }
 
+// A move does not stay with a partition that refuses, though nothing else was served
+// lately.
+func TestMovePassesOverPartitionsThatRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := rows.New()
+		_, term := takeWatched(t, s)
+		for _, part := range jobstore.ProgressParts[:3] {
+			s.SetPartDown(part, true)
+		}
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		is.NoErr(term.Rebase(t.Context(), []platform.PartRow{progressRow("moved")}))
+		is.Equal(term.Part(), jobstore.ProgressParts[3])
+		is.True(time.Since(began) <= time.Second)
+	})
+}
+
 // A store that turns the host away makes it neither move nor give up.
 func TestNobodyMovesWhenAllRefuse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -84,7 +102,7 @@
 		s.SetDown(true)
 		time.AfterFunc(10*time.Second, func() { s.SetDown(false) })
 		time.Sleep(2 * time.Second) // nothing was served lately
-		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("one")}, nil))
+		is.NoErr(term.Commit(t.Context(), []platform.PartRow{progressRow("one")}, nil))
 		is.Equal(term.Part(), jobstore.ProgressPart)
 	})
 }
@@ -98,13 +116,13 @@
 		s.SetFault(func(platform.Tx) rows.Fault { return rows.LostLate })
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		is.True(c.commit(ctx, term.seat, []platform.PartRow{progressRow("given up")}, nil) != nil)
+		is.True(c.commit(ctx, term.seat, []platform.PartRow{progressRow("given up")}) != nil)
 		s.SetFault(nil)
 		is.True(s.Land() > 0)
 		is.Equal(valueIn(t, s, jobstore.ProgressPart), "given up")
 		is.NoErr(c.rebase(t.Context(), 0, term.seat, []platform.PartRow{progressRow("whole")}))
 		is.Equal(valueIn(t, s, jobstore.ProgressPart), "whole")
-		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("next")}, nil))
+		is.NoErr(term.Commit(t.Context(), []platform.PartRow{progressRow("next")}, nil))
 	})
 }
 
@@ -122,7 +140,7 @@
 			if taken {
 				is.NoErr(next.take(t.Context(), seat))
 			} else {
-				_, err := next.write(t.Context(), write{part: 1, from: last.rows[1], next: seat})
+				_, err := next.write(t.Context(), seatWrite{part: 1, from: last.rows[1], next: seat})
 				is.NoErr(err)
 			}
 			err = old.rebase(t.Context(), 1, oldTerm.seat, []platform.PartRow{progressRow("moved")})
@@ -142,7 +160,7 @@
 	is.NoErr(old.rebase(t.Context(), 1, oldTerm.seat, []platform.PartRow{progressRow("moved")}))
 	next := &chain{store: s, last: last} // has read the seat before
 	is.True(errors.Is(next.take(t.Context(), Seat{Holder: "b", Epoch: 2}), errDeposed))
-	is.NoErr(old.commit(t.Context(), oldTerm.seat, nil, nil))
+	is.NoErr(old.commit(t.Context(), oldTerm.seat, nil))
 }
 
 // A cell goes on while the partition with the seat is down, and a successor knows all
@@ -222,7 +240,7 @@
 		now, err := readSeat(t.Context(), s)
 		is.NoErr(err)
 		is.Equal(now.part, 2)
-		is.NoErr(term.CommitOrMove(t.Context(), []platform.PartRow{progressRow("after")}, nil))
+		is.NoErr(term.Commit(t.Context(), []platform.PartRow{progressRow("after")}, nil))
 		is.Equal(valueIn(t, s, jobstore.ProgressParts[2]), "after")
 	})
 }
--- a/internal/coordinator/seat.go
+++ b/internal/coordinator/seat.go
@@ -170,13 +170,13 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
-	return c.commit(ctx, next, nil, nil)
+	return c.commit(ctx, next, nil)
 }
 
 // claim rewrites a row of the seat that is not the active one.
 func (c *chain) claim(ctx context.Context, part int, next Seat) error {
 	next.Moves = c.last.rows[part].Moves
-	row, err := c.write(ctx, write{part: part, from: c.last.rows[part], next: next})
+	row, err := c.write(ctx, seatWrite{part: part, from: c.last.rows[part], next: next})
 	if err == nil {
 		c.last.rows[part] = row
 	}
@@ -186,15 +186,15 @@
 // commit applies changes of the progress partition with the next state of the
 // seat. It tries until it knows the outcome: nil, errDeposed, or the context's
 // error.
-func (c *chain) commit(ctx context.Context, next Seat, puts, removes []platform.PartRow) error {
-	return c.commitPatiently(ctx, next, puts, removes, 0)
+func (c *chain) commit(ctx context.Context, next Seat, puts []platform.PartRow) error {
+	return c.commitPatiently(ctx, next, puts, nil, 0)
 }
 
 // commitPatiently is commit, but returns errPartRefuses when the partition has refused
 // for so long. What was tried may land all the same.
 func (c *chain) commitPatiently(ctx context.Context, next Seat, puts, removes []platform.PartRow, patience time.Duration) error {
 	next.Seq, next.Moves = c.nextSeq(), c.last.active().Moves
-	row, err := c.write(ctx, write{part: c.last.part, from: *c.last.active(), next: next, puts: puts, removes: removes, patience: patience})
+	row, err := c.write(ctx, seatWrite{part: c.last.part, from: *c.last.active(), next: next, puts: puts, removes: removes, patience: patience})
 	if err == nil {
 		*c.last.active() = row
 	}
@@ -208,7 +208,7 @@
 	row := &c.last.rows[part]
 	for first := true; first || len(rows) > 0; first = false {
 		n := firstRows(rows)
-		w := write{part: part, from: *row, next: next, puts: rows[:n], patience: refusedPatience, whole: true}
+		w := seatWrite{part: part, from: *row, next: next, puts: rows[:n], patience: refusedPatience, whole: true}
 		rows = rows[n:]
 		w.next.Seq, w.next.Moves = c.nextSeq(), row.Moves
 		if len(rows) == 0 {
@@ -236,8 +236,8 @@
 	return len(rows)
 }
 
-// write is one transaction under a row of the seat.
-type write struct {
+// seatWrite is one transaction under a row of the seat.
+type seatWrite struct {
 	part          int
 	from          seatRow // as the row is
 	next          Seat
@@ -249,7 +249,7 @@
 }
 
 // tx returns the transaction.
-func (w *write) tx() (platform.Tx, error) {
+func (w *seatWrite) tx() (platform.Tx, error) {
 	value, err := json.Marshal(w.next)
 	if err != nil {
 		return platform.Tx{}, fmt.Errorf("coordinator's seat cannot be encoded: %w", err)
@@ -273,7 +273,7 @@
 // write applies a transaction and returns the row that the seat has then. A repeat
 // carries the same sequence number and content, so it does not matter which of them
 // lands.
-func (c *chain) write(ctx context.Context, w write) (seatRow, error) {
+func (c *chain) write(ctx context.Context, w seatWrite) (seatRow, error) {
 	var refused time.Time // since when the partition has refused
 	for {
 		tx, err := w.tx()
@@ -296,7 +296,7 @@
 			continue
 		}
 		switch {
-		case !errors.Is(err, platform.ErrRefused) || w.patience == 0 || !platform.Serves(c.store, time.Now()):
+		case !errors.Is(err, platform.ErrRefused) || w.patience == 0 || !w.whole && !platform.Serves(c.store, time.Now()):
 			refused = time.Time{}
 		case refused.IsZero():
 			refused = time.Now()
@@ -311,7 +311,7 @@
 
 // settle returns the row that failed the condition if it is this write itself, whose
 // answer was lost, or, for a whole write, an earlier one of the same holder.
-func (w *write) settle(conflict *platform.RowsError) (seatRow, error) {
+func (w *seatWrite) settle(conflict *platform.RowsError) (seatRow, error) {
 	for _, r := range conflict.Rows {
 		if r.Key != seatKey {
 			continue
--- a/internal/coordinator/seat_test.go
+++ b/internal/coordinator/seat_test.go
@@ -56,8 +56,8 @@
 				}
 				return rows.None
 			})
-			is.NoErr(c.commit(t.Context(), seat, []platform.PartRow{progressRow("one")}, nil))
-			is.NoErr(c.commit(t.Context(), seat, []platform.PartRow{progressRow("two")}, nil))
+			is.NoErr(c.commit(t.Context(), seat, []platform.PartRow{progressRow("one")}))
+			is.NoErr(c.commit(t.Context(), seat, []platform.PartRow{progressRow("two")}))
 			is.Equal(s.Land(), 0) // the late copy finds the seat changed
 			is.Equal(progressValue(t, s, "job"), "two")
 		})
@@ -71,7 +71,7 @@
 	old, oldSeat := takeSeat(t, s, "a")
 	_, seat := takeSeat(t, s, "b")
 	is.Equal(seat.Epoch, oldSeat.Epoch+1)
-	err := old.commit(t.Context(), oldSeat, []platform.PartRow{progressRow("stale")}, nil)
+	err := old.commit(t.Context(), oldSeat, []platform.PartRow{progressRow("stale")})
 	is.True(errors.Is(err, errDeposed))
 	is.Equal(progressValue(t, s, "job"), "")
 }
@@ -100,9 +100,9 @@
 	s.SetDown(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*commitRetry)
 	defer cancel()
-	is.True(errors.Is(c.commit(ctx, seat, nil, nil), context.DeadlineExceeded))
+	is.True(errors.Is(c.commit(ctx, seat, nil), context.DeadlineExceeded))
 	s.SetDown(false)
-	is.NoErr(c.commit(t.Context(), seat, nil, nil))
+	is.NoErr(c.commit(t.Context(), seat, nil))
 }
 
 // A holder that stops while a commit is under way gives the seat up all the same,
@@ -116,7 +116,7 @@
 			s.SetFault(func(platform.Tx) rows.Fault { return fault })
 			ctx, cancel := context.WithTimeout(t.Context(), commitRetry/2)
 			defer cancel()
-			is.True(c.commit(ctx, seat, []platform.PartRow{progressRow("one")}, nil) != nil)
+			is.True(c.commit(ctx, seat, []platform.PartRow{progressRow("one")}) != nil)
 			s.SetFault(nil)
 			is.NoErr((&Term{Epoch: seat.Epoch, seat: seat, chain: c}).resignTerm(t.Context()))
 			now, err := readSeat(t.Context(), s)
--- a/internal/coordinator/slow_test.go
+++ b/internal/coordinator/slow_test.go
@@ -38,14 +38,14 @@
 		c := &chain{store: store, last: last}
 		seat := Seat{Holder: "a", Epoch: 1}
 		for range 20 {
-			is.NoErr(c.commit(t.Context(), seat, nil, nil))
+			is.NoErr(c.commit(t.Context(), seat, nil))
 		}
 		slow.SetTook(slowCall)
 		before, _ := slow.Counts()
 		began, commits := time.Now(), 0
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		for c.commit(ctx, seat, nil, nil) == nil {
+		for c.commit(ctx, seat, nil) == nil {
 			commits++
 		}
 		after, refused := slow.Counts()
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -25,7 +25,8 @@
 type candidate struct {
 	id    string
 	az    string
-	known bool // it was allowed before; its ticket has expired
+	known bool // it was allowed before
+	valid bool // its ticket still holds
 	room  int  // for tasks now
 	soon  int  // the same within turnHorizon
 }
@@ -81,32 +82,50 @@
 		return nil, false
 	}
 	ahead := c.lookAhead(now)
+	waits := r.rank.group != groupUrgent && !shortCalls(q)
 	ready := 0
 	for _, w := range p.workers {
-		if !s.takes(w) || s.advice.denied[w.info.ID] {
-			continue
-		}
-		n := 0
-		if !c.held(s, w, r.rank, now) {
-			n = c.room(w, s, r.rank)
-		}
-		soon := n
-		if r.rank.group != groupUrgent && !shortCalls(q) {
-			soon = max(n, copies(ahead.free[w], s.spec.Charged()))
+		x, ok := c.candidate(r, w, now)
+		if waits {
+			x.soon = max(x.soon, copies(ahead.free[w], s.spec.Charged()))
 		}
-		if soon == 0 {
+		if !ok || x.soon == 0 {
 			continue
 		}
-		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
-			ready += soon
+		if x.valid {
+			ready += x.soon
 			continue
 		}
-		_, known := s.advice.tickets[w.info.ID]
-		out = append(out, candidate{id: w.info.ID, az: w.info.AZ, known: known, room: n, soon: soon})
+		out = append(out, x)
 	}
 	return out, ready >= s.pending
 }
 
+// candidate returns what a call for the step should know of a worker, false if the
+// step cannot run there.
+func (c *Core) candidate(r rankedStep, w *worker, now time.Time) (candidate, bool) {
+	s := r.step
+	if !s.takes(w) || s.advice.denied[w.info.ID] {
+		return candidate{}, false
+	}
+	x := candidate{id: w.info.ID, az: w.info.AZ}
+	if !c.held(s, w, r.rank, now) {
+		x.room = c.room(w, s, r.rank)
+	}
+	x.soon = x.room
+	_, x.known = s.advice.tickets[w.info.ID]
+	_, x.valid = s.advice.valid(w, c.arrival(now))
+	return x, true
+}
+
+// likely is how many tasks the worker will probably take within turnHorizon.
+func (x candidate) likely() float64 {
+	if x.known {
+		return float64(x.soon)
+	}
+	return askAllowedShare * float64(x.soon)
+}
+
 // roomiestAZ returns the AZ whose candidates have room for the most tasks.
 func roomiestAZ(candidates []candidate) string {
 	room := map[string]int{}
@@ -125,30 +144,17 @@
 // askCandidates returns those of the workers that a call could name, and how many
 // places the step is likely to be allowed on these and on those with a valid ticket.
 func (c *Core) askCandidates(r rankedStep, workers []*worker, now time.Time, withRoom bool) ([]candidate, float64) {
-	s := r.step
 	var out []candidate
 	likely := 0.0
 	for _, w := range workers {
-		if !s.takes(w) || s.advice.denied[w.info.ID] {
+		x, ok := c.candidate(r, w, now)
+		if !ok || withRoom && x.room == 0 {
 			continue
 		}
-		n := 0
-		if !c.held(s, w, r.rank, now) {
-			n = c.room(w, s, r.rank)
-		}
-		if withRoom && n == 0 {
-			continue
+		likely += x.likely()
+		if !x.valid {
+			out = append(out, x)
 		}
-		_, known := s.advice.tickets[w.info.ID]
-		if known {
-			likely += float64(n)
-		} else {
-			likely += askAllowedShare * float64(n)
-		}
-		if _, ok := s.advice.valid(w, c.arrival(now)); ok {
-			continue
-		}
-		out = append(out, candidate{id: w.info.ID, az: w.info.AZ, known: known, room: n, soon: n})
 	}
 	return out, likely
 }
@@ -166,11 +172,7 @@
 		if i >= askMost || i >= least && enough {
 			return names(candidates[:i]), enough
 		}
-		if x.known {
-			expected += float64(x.soon)
-		} else {
-			expected += askAllowedShare * float64(x.soon)
-		}
+		expected += x.likely()
 	}
 	return names(candidates), expected >= askSurplus*float64(s.pending)
 }
--- a/internal/dispatch/askgang.go
+++ b/internal/dispatch/askgang.go
@@ -70,7 +70,7 @@
 	sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
 	places := 0.0
 	for i, x := range all {
-		if i >= askMost || hosts.Scarce && places >= float64(hosts.choice()*len(s.tasks)) {
+		if i >= askMost || hosts.Scarce && places >= float64(scarceChoice*len(s.tasks)) {
 			return names(all[:i])
 		}
 		places += askAllowedShare * float64(copies(c.workers[x.id].info.Capacity, s.spec.Charged()))
@@ -98,7 +98,7 @@
 
 // How many times a gang's tasks should fit on its allowed workers if these were empty.
 // With less to choose from, they would hardly ever have room for all of them at once
-// (docs/design/0007).
+// (docs/design/0007, 0013).
 const (
 	gangChoice = 30
 	// scarceChoice holds while few of the hosts that ask are idle.
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -45,6 +45,7 @@
 	if len(c.order) == 0 {
 		return out
 	}
+	defer func(latest *round) { c.round = latest }(c.round)
 	c.round = c.newRound(now)
 	for _, r := range c.order {
 		s := r.step
--- a/internal/dispatch/stretch.go
+++ b/internal/dispatch/stretch.go
@@ -12,8 +12,6 @@
 const (
 	stretchWeight     = 0.1  // of one report in a worker's stretch
 	cellStretchWeight = 0.01 // of one report in the cell's
-	// stretchPercent is the progress from which a task's pace says something.
-	stretchPercent = 8
 	// slowFactor times the cell's stretch is slow; slowPenalty is what a slow
 	// worker's score is worse by, in shares of a worker's capacity.
 	slowFactor  = 2.2
@@ -26,7 +24,7 @@
 	if s.spec.Service || s.spec.Fills || s.spec.Estimate <= 0 || t.saved != "" && t.run > 1 || r.Percent >= 100 {
 		return
 	}
-	if r.Percent < stretchPercent && elapsed < s.spec.Estimate {
+	if r.Percent < progressLeast && elapsed < s.spec.Estimate {
 		return
 	}
 	ratio := float64(elapsed) / float64(s.spec.Estimate) * 100 / float64(max(1, r.Percent))
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -57,8 +57,8 @@
 	Ended     // set for the mark of a job that has ended
 }
 
-// ProgressParts are the partitions that may hold the progress of jobs. While a third of
-// the store's partitions is down, all four are in one case of a hundred.
+// ProgressParts are the partitions that may hold the progress of jobs: enough that one
+// of them serves while a third of the store's partitions is down.
 var ProgressParts = [...]string{ProgressPart, "spare-1", "spare-2", "spare-3"}
 
 // Ended is how and when a job ended.
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -70,11 +70,11 @@
 			}
 			after, listed, quiet = version, time.Now(), quietVersion{}
 		}
-		read := next[T]
+		read := func() ([]T, int64, error) { return feed.Next(ctx, after, f.Wait) }
 		if failing {
-			read = reread[T]
+			read = func() ([]T, int64, error) { return reread(ctx, feed, after) }
 		}
-		changes, version, err := read(ctx, feed, after, f.Wait)
+		changes, version, err := read()
 		note(err)
 		failing = err != nil && !errors.Is(err, ErrHistoryLost)
 		switch {
@@ -100,17 +100,12 @@
 	return ctx.Err()
 }
 
-// next reads the changes of a feed once.
-func next[T any](ctx context.Context, feed Feed[T], after int64, wait time.Duration) ([]T, int64, error) {
-	return feed.Next(ctx, after, wait)
-}
-
 // reread reads the changes of a feed whose last read failed. It waits for no change
 // and reads anew every followRetry while earlier reads are open, since those that were
 // sent to a source that is silent may never be answered. It returns the first success,
 // else the failure of the last read when none is left. Load pattern: a store that was
 // silent is back, and callers come again and again.
-func reread[T any](ctx context.Context, feed Feed[T], after int64, _ time.Duration) ([]T, int64, error) {
+func reread[T any](ctx context.Context, feed Feed[T], after int64) ([]T, int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
