--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -105,9 +105,7 @@
 	switch e.Outcome {
 	case workload.Done:
 		w.note(false, now)
-		if !s.spec.Gang && t.run == 1 && !t.paceFrom.IsZero() && t.pacePercent == 0 {
-			c.learn(s, t, now.Sub(t.paceFrom))
-		}
+		c.learnEnd(s, t, now)
 	case workload.Faulted:
 		// Services may fail at any time, which says little of the worker.
 		if !s.spec.Service && w.note(true, now) {
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -105,6 +105,14 @@
 	l.add(s.spec.Estimate, length)
 }
 
+// learnEnd takes in the length of a run that ended with success, if it was seen from
+// its begin. A member of a gang may have waited for slower ones.
+func (c *Core) learnEnd(s *step, t *task, now time.Time) {
+	if !s.spec.Gang && t.run == 1 && !t.paceFrom.IsZero() && t.pacePercent == 0 {
+		c.learn(s, t, now.Sub(t.paceFrom))
+	}
+}
+
 // notePace takes in a report of a run's progress.
 func (c *Core) notePace(s *step, t *task, percent int, now time.Time) {
 	if t.paceFrom.IsZero() {
