entry: log lines are whole or counted as dropped

Cause: log lines went through a bufio.Writer that flushes its 32 KiB in the middle of a line, so a killed process left half a line that the next process's first line ran into; and bufio.Writer keeps its first error, so one failed write ended the log without a count. Ruled out: interleaved writers (one goroutine writes). Change: whole lines in writes of at most PIPE_BUF bytes, which a pipe takes whole; the rest of a line that was taken in part goes first in the next write; what the output does not take is counted; the writer goes on after an error.

--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,21 +11,30 @@
 	"github.com/go-logr/logr"
 )
 
-// logBacklog is the number of buffered lines above which further lines are dropped and
-// counted.
-const logBacklog = 4096
+const (
+	// logBacklog is the number of buffered lines above which further lines are dropped
+	// and counted.
+	logBacklog = 4096
+	// maxLogWrite is the size in bytes of one write of several lines. A pipe takes writes
+	// up to this size (PIPE_BUF) whole, so that a killed process leaves no partial line.
+	maxLogWrite = 4096
+)
 
 // logWriter writes log lines in the background, so that a slow log output never delays
-// a decision.
+// a decision. A line is either written whole or dropped and counted. The writer goes on
+// after a failed write, since the output may work again.
 type logWriter struct {
+	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+	// partial is the rest of a line of which the output took only the beginning.
+	partial []byte
 }
 
 func newLogWriter(out io.Writer) *logWriter {
-	w := &logWriter{lines: make(chan []byte, logBacklog), done: make(chan struct{})}
-	go w.run(out)
+	w := &logWriter{out: out, lines: make(chan []byte, logBacklog), done: make(chan struct{})}
+	go w.run()
 	return w
 }
 
@@ -39,19 +48,58 @@
 	return len(line), nil
 }
 
-func (w *logWriter) run(out io.Writer) {
+func (w *logWriter) run() {
 	defer close(w.done)
-	buffered := bufio.NewWriterSize(out, 32<<10)
+	var batch []byte
 	for line := range w.lines {
-		_, _ = buffered.Write(line) // a failure to write the log cannot be logged
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(buffered, `{"msg":"log lines dropped","count":%d}`+"\n", n)
+		if len(batch)+len(line) > maxLogWrite {
+			w.write(batch)
+			batch = batch[:0]
 		}
+		batch = append(batch, line...)
 		if len(w.lines) == 0 {
-			_ = buffered.Flush()
+			w.write(batch)
+			batch = batch[:0]
+			w.reportDropped()
 		}
 	}
-	_ = buffered.Flush()
+	w.reportDropped()
+}
+
+// reportDropped writes how many lines were dropped, if any.
+func (w *logWriter) reportDropped() {
+	n := w.dropped.Swap(0)
+	if n == 0 {
+		return
+	}
+	if w.write(fmt.Appendf(nil, `{"msg":"log lines dropped","count":%d}`+"\n", n)) > 0 {
+		w.dropped.Add(n - 1) // write has counted the line itself
+	}
+}
+
+// write writes whole lines and returns how many of them the output did not take. These
+// are counted as dropped. The rest of a line that the output took in part is written
+// before the next lines.
+func (w *logWriter) write(lines []byte) (lost int) {
+	rest := append(w.partial, lines...)
+	if len(rest) == 0 {
+		return 0
+	}
+	n, err := w.out.Write(rest)
+	w.partial = nil
+	if err == nil && n >= len(rest) {
+		return 0
+	}
+	cut := n > 0 && rest[n-1] != '\n' || n == 0 && len(rest) > len(lines)
+	rest = rest[n:]
+	if cut {
+		end := bytes.IndexByte(rest, '\n') + 1
+		w.partial = bytes.Clone(rest[:end])
+		rest = rest[end:]
+	}
+	lost = bytes.Count(rest, []byte{'\n'})
+	w.dropped.Add(int64(lost))
+	return lost
 }
 
 // close writes the queued lines and stops the writer.
