coordinator: a slow leader is not taken for absent; loads go on where they broke off

Each interrupted load began from nothing, and the list of jobs every 20 s did the same, 256 scans at once. Change: the leader record announces when a slow leader commits next, from its slowest recent commit (half-life 5 s); the time for a load doubles with each term that did not finish loading; a refused connection still counts as an ended process at once. A listing keeps the partitions that were read, and scans as many at a time as the link answers in 250 ms. Over a thin link commits are 120 ms apart and heartbeats wait 1.5 s. Old builds ignore the two new fields of the record. Tests: TestSlowLeaderStays and TestLoadingLeaderStays fail without the announced time; TestListingContinues; TestTakeoverTime holds its bounds as before.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -21,8 +21,11 @@
 	// started only between commits. The store usually takes some milliseconds.
 	slowCommit = 250 * time.Millisecond
 	// commitInterval is the minimum time between the beginnings of two commits. It
-	// batches changes, since every call to the store is billed.
-	commitInterval = 20 * time.Millisecond
+	// batches changes, since every call to the store is billed. Over a thin link,
+	// thinCommitInterval applies: each commit stores the whole progress of the jobs that
+	// have changed.
+	commitInterval     = 20 * time.Millisecond
+	thinCommitInterval = 120 * time.Millisecond
 )
 
 // commitRequest is the content of one commit.
@@ -40,7 +43,11 @@
 	if t.committing {
 		return
 	}
-	if left := commitInterval - now.Sub(t.commitBeganAt); left > 0 {
+	interval := commitInterval
+	if t.ThinLink {
+		interval = thinCommitInterval
+	}
+	if left := interval - now.Sub(t.commitBeganAt); left > 0 {
 		t.wakeAfter(ctx, left)
 		return
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,6 +38,9 @@
 	// Undersized reports whether another live host has a much larger share of a core
 	// and should coordinate instead.
 	Undersized func() bool
+	// ThinLink is set if this host's link would be filled by the calls of a coordinator
+	// at its usual pace.
+	ThinLink bool
 
 	queries     chan query
 	currentTerm *atomic.Pointer[termLoop]
@@ -181,13 +184,14 @@
 		}
 		return fmt.Errorf("%w: %w", errNotLoaded, err)
 	}
+	term.Loaded()
 	t.loaded.Store(true)
 	post := func(ctx context.Context, event any) error {
 		t.post(ctx, event)
 		return ctx.Err()
 	}
 	group.Go(func() error {
-		return platform.Follow(ctx, platform.Feed[jobstore.Entry](c.Jobs), jobsVersion, platform.Follower[jobstore.Entry]{
+		return platform.Follow(ctx, platform.Feed[jobstore.Entry](c.Jobs.NewFeed()), jobsVersion, platform.Follower[jobstore.Entry]{
 			Wait: feedWaitTime, MinInterval: jobsPollPause, RelistInterval: jobsRelistInterval,
 			OnRead:   platform.NewReadStatus(c.Log, "jobs").Record,
 			OnList:   func(ctx context.Context, all []jobstore.Entry) error { return post(ctx, jobEntries(all)) },
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -89,6 +89,7 @@
 	resigned     bool      // this host no longer takes the leadership
 	pausedUntil  time.Time // this host does not take the leadership before
 	missedProbes int       // consecutive probes without an answer
+	leaderEnded  bool      // the leader's address refuses connections
 	leaderLate   bool      // the leader reported an old last commit
 	readFailed   bool      // the latest read of the leader record failed
 }
@@ -101,9 +102,10 @@
 type Term struct {
 	Epoch int64
 	// Since is when the leadership was taken.
-	Since  time.Time
-	record LeaderRecord
-	chain  *commitChain
+	Since   time.Time
+	record  LeaderRecord
+	renewal renewal
+	chain   *commitChain
 }
 
 // Partition returns the partition that holds the progress of jobs.
@@ -113,9 +115,17 @@
 // partition accepts no commits; the caller then stores the progress of all jobs with
 // MovePartition.
 func (t *Term) Commit(ctx context.Context, puts, removes []platform.PartitionRow) error {
-	return t.chain.commitOrRefuse(ctx, t.record, puts, removes, refusalTimeout)
+	t.renewal.announce(&t.record)
+	began := time.Now()
+	err := t.chain.commitOrRefuse(ctx, t.record, puts, removes, refusalTimeout)
+	now := time.Now()
+	t.renewal.record(now.Sub(began), now)
+	return err
 }
 
+// Loaded records that the leader has loaded the stored jobs.
+func (t *Term) Loaded() { t.renewal.loading = false }
+
 // MovePartition stores the progress of all jobs in the first partition that accepts it,
 // trying the active one last.
 func (t *Term) MovePartition(ctx context.Context, rows []platform.PartitionRow) error {
@@ -141,7 +151,7 @@
 // the record still belongs to this term, with a higher sequence number.
 func (t *Term) resign(ctx context.Context) error {
 	record := t.record
-	record.Leader, record.Address = "", ""
+	record.Leader, record.Address, record.RenewMS, record.Loading = "", "", 0, false
 	err := t.chain.commit(ctx, record, nil)
 	if !errors.Is(err, errLeadershipLost) {
 		return err
@@ -205,7 +215,7 @@
 	defer e.mu.Unlock()
 	switch {
 	case errors.Is(err, ErrConnectionRefused):
-		e.missedProbes = max(e.missedProbes, maxMissedProbes)
+		e.missedProbes, e.leaderEnded = max(e.missedProbes, maxMissedProbes), true
 		return false
 	case err != nil || epoch != observed.Epoch:
 		e.missedProbes++
@@ -214,7 +224,7 @@
 	if e.missedProbes >= maxMissedProbes {
 		e.Log.Info("coordinator answers again", "holder", observed.Leader, "epoch", epoch)
 	}
-	e.missedProbes = 0
+	e.missedProbes, e.leaderEnded = 0, false
 	e.leaderLate = age >= lateCommitAge+lateCommitFactor*platform.TypicalLatency(e.Store)
 	return !e.leaderLate
 }
@@ -249,7 +259,7 @@
 			e.Log.Info("coordinator changed", "holder", record.Leader, "epoch", record.Epoch, "version", record.version)
 		}
 		if record.Epoch != e.observed.Epoch {
-			e.missedProbes, e.leaderLate = 0, false
+			e.missedProbes, e.leaderLate, e.leaderEnded = 0, false, false
 		}
 		e.observed, e.changedAt = record, now
 	}
@@ -277,6 +287,9 @@
 	case e.leaderLate:
 		timeout = silenceTimeoutLate
 	}
+	if !e.leaderEnded {
+		timeout = max(timeout, record.renewWithin())
+	}
 	return now.Sub(e.changedAt) > timeout+readTimeFactor*readTook+rank
 }
 
@@ -285,6 +298,8 @@
 	silent := time.Since(e.changedAt)
 	c := &commitChain{store: e.Store, last: from}
 	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1}
+	renewal := newRenewal(&from.active().LeaderRecord)
+	renewal.announce(&record)
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	err := c.take(attempt, record)
 	cancel()
@@ -294,7 +309,7 @@
 	}
 	e.Log.Info("coordinator's seat taken", "epoch", record.Epoch, "from", from.active().Leader, "silent for", silent)
 	e.setLeading(true, *c.last.active())
-	err = e.Lead(ctx, &Term{Epoch: record.Epoch, Since: time.Now(), record: record, chain: c})
+	err = e.Lead(ctx, &Term{Epoch: record.Epoch, Since: time.Now(), record: record, renewal: renewal, chain: c})
 	e.setLeading(false, *c.last.active())
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errLeadershipLost) && ctx.Err() == nil {
 		e.mu.Lock()
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -38,6 +38,16 @@
 	// Moves counts the moves between partitions, up to the move that made this row the
 	// active one; the row with the most moves is active.
 	Moves int64 `json:"moves,omitempty"`
+	// RenewMS is the time in milliseconds within which a slow leader expects to commit
+	// again; 0 if it commits in the usual time. Builds before this field ignore it.
+	RenewMS int64 `json:"renew_ms,omitempty"`
+	// Loading is set until the leader has loaded the stored jobs.
+	Loading bool `json:"loading,omitempty"`
+}
+
+// renewWithin returns the time within which the leader expects to commit again.
+func (r *LeaderRecord) renewWithin() time.Duration {
+	return time.Duration(r.RenewMS) * time.Millisecond
 }
 
 // leaderRow is a leader record with the version of its row.
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -27,7 +27,10 @@
 	// leaders gave has expired.
 	TakeoverBound = maxUnconfirmed + time.Duration(clockDriftFactor*float64(leaseDuration)) + time.Second
 
-	heartbeatWaitBusy = 700 * time.Millisecond // how long a worker with tasks waits for an end before it answers
+	// heartbeatWaitBusy is how long a worker with tasks waits for an end before it
+	// answers; over a thin link it is thinHeartbeatWait.
+	heartbeatWaitBusy = 700 * time.Millisecond
+	thinHeartbeatWait = 1500 * time.Millisecond
 	// A worker without tasks gets a heartbeat every idleInterval, or
 	// idleIntervalPerWorker times the number of workers if that is longer: a
 	// coordinator can make some 500 such calls a second beside its other work.
@@ -231,6 +234,9 @@
 	order := workload.Heartbeat{Fence: l.set.fence, AckSeq: l.ackSeq()}
 	if l.tasks > 0 {
 		order.Wait = heartbeatWaitBusy
+		if l.set.coordinator.ThinLink {
+			order.Wait = thinHeartbeatWait
+		}
 	}
 	l.mu.Unlock()
 	if first {
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -56,40 +56,48 @@
 // which to follow the job table.
 func (t *termLoop) load(ctx context.Context) (int64, error) {
 	began := time.Now()
+	stored := storedJobs{listing: t.Jobs.NewListing()}
 	for ctx.Err() == nil {
 		if t.syncConfiguration(); t.Watch.Cell() == nil {
 			_ = wait.For(ctx, loadRetryPause) // the loop ends with ctx
 			continue
 		}
-		entries, progress, version, err := t.readAll(ctx)
-		if err == nil {
-			if err := t.restore(entries, progress); err != nil {
-				return 0, err
-			}
-			t.Log.Info("jobs loaded", "epoch", t.term.Epoch, "rows", len(entries), "progress", len(progress),
-				"version", version, "took", time.Since(began))
-			return version, nil
+		if err := stored.read(ctx, t.Store, t.term.Partition()); err != nil {
+			t.Log.Info("stored jobs cannot be read yet", "cause", err.Error())
+			_ = wait.For(ctx, loadRetryPause) // the loop ends with ctx
+			continue
 		}
-		t.Log.Info("stored jobs cannot be read yet", "cause", err.Error())
-		_ = wait.For(ctx, loadRetryPause) // the loop ends with ctx
+		entries, version := stored.listing.Result()
+		if err := t.restore(entries, stored.progress); err != nil {
+			return 0, err
+		}
+		t.Log.Info("jobs loaded", "epoch", t.term.Epoch, "rows", len(entries), "progress", len(stored.progress),
+			"version", version, "took", time.Since(began))
+		return version, nil
 	}
 	return 0, ctx.Err()
 }
 
-// readAll reads jobs and progress concurrently. No other host can write progress any
-// more.
-func (t *termLoop) readAll(ctx context.Context) (entries []jobstore.Entry, progress []platform.PartitionRow, version int64, err error) {
+// storedJobs are the stored jobs and their progress, as far as they have been read.
+type storedJobs struct {
+	listing      *jobstore.Listing
+	progress     []platform.PartitionRow
+	progressRead bool
+}
+
+// read reads concurrently what has not been read yet. No other host can write progress
+// any more.
+func (s *storedJobs) read(ctx context.Context, store platform.Store, partition string) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) {
-		progress, _, err = platform.ScanAll(ctx, t.Store, jobstore.ProgressTable, t.term.Partition())
-		return err
-	})
-	group.Go(func() (err error) {
-		entries, version, err = t.Jobs.List(ctx)
-		return err
-	})
-	err = group.Wait()
-	return entries, progress, version, err
+	if !s.progressRead {
+		group.Go(func() (err error) {
+			s.progress, _, err = platform.ScanAll(ctx, store, jobstore.ProgressTable, partition)
+			s.progressRead = err == nil
+			return err
+		})
+	}
+	group.Go(func() error { return s.listing.Read(ctx) })
+	return group.Wait()
 }
 
 // restore fills the core from the stored rows.
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -14,11 +14,9 @@
 	"hash/fnv"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/errgroup"
 
 	"cuminloft/internal/platform"
 	"cuminloft/internal/workload"
@@ -36,10 +34,7 @@
 	// one transaction after the other; while the store is a hundred times slower than
 	// usual that is two a second, so 256 partitions accept 500 jobs a second.
 	JobPartitions = 256
-	// maxConcurrentScans bounds the partitions that are read concurrently.
-	maxConcurrentScans = 128
-
-	cancelSuffix = "/cancel"
+	cancelSuffix  = "/cancel"
 )
 
 // PartitionOf returns the partition of a job's rows.
@@ -110,6 +105,8 @@
 type Jobs struct {
 	Store *platform.Health
 	Log   logr.Logger
+	// LinkBytesPerSecond is the capacity of this host's link; 0: unknown.
+	LinkBytesPerSecond float64
 }
 
 // Insert stores a job. It succeeds if the job is stored already. Errors wrap
@@ -230,31 +227,12 @@
 // List reads all job rows. The returned version is one from which Next returns all
 // later changes.
 func (j Jobs) List(ctx context.Context) ([]Entry, int64, error) {
-	var mu sync.Mutex
-	var all []Entry
-	var oldest int64
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxConcurrentScans)
-	for partition := range JobPartitions {
-		group.Go(func() error {
-			rows, version, err := platform.ScanAll(ctx, j.Store, JobTable, strconv.Itoa(partition))
-			if err != nil {
-				return err
-			}
-			entries := j.decodeRows(rows)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, entries...)
-			if oldest == 0 || version < oldest {
-				oldest = version
-			}
-			return nil
-		})
-	}
-	if err := group.Wait(); err != nil {
+	l := j.NewListing()
+	if err := l.Read(ctx); err != nil {
 		return nil, 0, err
 	}
-	return all, oldest, nil
+	entries, version := l.Result()
+	return entries, version, nil
 }
 
 // Next returns changes of the job table after a version.
