entry: start orders through other hosts, and admission of jobs by what links carry

Change: counters of bytes and calls by purpose (cuminloft_link_bytes_total, log line 'traffic'). Start orders beyond 5% of the link are relayed through other hosts, those of a job through one, which keeps the spec: sent once. A job that is not admitted is refused at once and not relayed; one that is stored already is accepted. Over a thin link notifications leave out the job, which the feed brings anyway. Mixed builds: a host of an older build answers StartRuns with bad route and gets none for 30 s; its notifications carry the job as before.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,18 +9,20 @@
 
 	"cuminloft/internal/dispatch"
 	"cuminloft/internal/intake"
+	"cuminloft/internal/linkmeter"
 )
 
 // metrics are the counters and histograms of the process.
 type metrics struct {
-	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	events   *prometheus.CounterVec
-	commits  prometheus.Histogram
-	rows     prometheus.Counter
-	gauges   *prometheus.GaugeVec
-	waiting  *prometheus.GaugeVec
+	admission *admission // is told of the waiting jobs
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	events    *prometheus.CounterVec
+	commits   prometheus.Histogram
+	rows      prometheus.Counter
+	gauges    *prometheus.GaugeVec
+	waiting   *prometheus.GaugeVec
 	// Calls to the advice service: their number, their duration, the duration of one
 	// call for each step, and the use of the tickets.
 	adviceCalls   *prometheus.CounterVec
@@ -34,9 +36,10 @@
 // to a caller's timeout.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2, 3}
 
-func newMetrics() *metrics {
+func newMetrics(a *admission, meter *linkmeter.Meter) *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		admission: a,
+		registry:  prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminloft_requests_total", Help: "Callers' requests by operation and outcome."}, []string{"operation", "outcome"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -63,7 +66,7 @@
 			Name: "cuminloft_coordinator_loop_seconds_total", Help: "Time that the coordinator's loop has spent, by phase."}, []string{"phase"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting,
-		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds)
+		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, trafficCollector{meter})
 	return m
 }
 
@@ -84,6 +87,7 @@
 
 // SetGauges implements coordinator.Observer.
 func (m *metrics) SetGauges(s dispatch.Stats, w dispatch.Waiting) {
+	m.admission.setOldest(w.OldestAge)
 	m.gauges.WithLabelValues("jobs").Set(float64(s.ActiveJobs))
 	m.gauges.WithLabelValues("workers").Set(float64(s.Workers))
 	m.gauges.WithLabelValues("workers_in_reach").Set(float64(s.Reachable))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"path"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	"cuminloft/internal/httpjson"
 	"cuminloft/internal/intake"
 	"cuminloft/internal/jobstore"
+	"cuminloft/internal/linkmeter"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/workload"
 )
@@ -55,26 +57,31 @@
 
 // peers calls the other entry hosts.
 type peers struct {
-	members *membership
-	http    *http.Client
-	elector *coordinator.Elector
-	local   *coordinator.Coordinator
-	log     logr.Logger
+	members   *membership
+	http      *http.Client
+	elector   *coordinator.Elector
+	local     *coordinator.Coordinator
+	log       logr.Logger
+	admission *admission
 
 	mu           sync.Mutex
 	clients      map[string]rpc.Cell
+	omitJobs     map[string]bool      // by address: notifications to the host leave out the job
 	backoffUntil map[string]time.Time // by address
 	lastPick     int
 }
 
-func newPeers(m *membership, log logr.Logger) *peers {
+func newPeers(m *membership, a *admission, meter *linkmeter.Meter, log logr.Logger) *peers {
 	return &peers{
-		members: m, log: log,
-		http:    httpjson.NewClientWithOptions(httpjson.Options{DialTimeout: peerDialTimeout}),
-		clients: map[string]rpc.Cell{}, backoffUntil: map[string]time.Time{},
+		members: m, log: log, admission: a,
+		http:    meter.Client(httpjson.NewClientWithOptions(httpjson.Options{DialTimeout: peerDialTimeout}), peerPurpose),
+		clients: map[string]rpc.Cell{}, omitJobs: map[string]bool{}, backoffUntil: map[string]time.Time{},
 	}
 }
 
+// peerPurpose returns the purpose of a call to another host, derived from the RPC's name.
+func peerPurpose(urlPath string) string { return "host calls: " + path.Base(urlPath) }
+
 func (p *peers) client(address string) rpc.Cell {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,6 +149,7 @@
 		return 0, 0, errNoCoordinator
 	}
 	p.resetBackoff(address)
+	p.admission.setLeader(reply.RefusePermille)
 	return reply.Epoch, time.Duration(reply.CommitAgeMs) * time.Millisecond, nil
 }
 
@@ -159,7 +167,7 @@
 	if entry.Cancelled {
 		request.Cancelled = entry.ID
 	}
-	if entry.Job != nil {
+	if entry.Job != nil && !p.omitsJob(address) {
 		if request.Job, err = json.Marshal(entry.Job); err != nil {
 			p.log.Error(err, "job cannot be encoded", "job", entry.ID)
 			return
@@ -168,12 +176,25 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
-		if _, err := client.Notify(ctx, request); err != nil {
+		reply, err := client.Notify(ctx, request)
+		if err != nil {
 			p.callFailed(address, err)
+			return
 		}
+		p.admission.setLeader(reply.RefusePermille)
+		p.mu.Lock()
+		p.omitJobs[address] = reply.OmitJob
+		p.mu.Unlock()
 	}()
 }
 
+// omitsJob reports whether notifications to a host leave out the job.
+func (p *peers) omitsJob(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.omitJobs[address]
+}
+
 // reachesOtherAZ reports whether a host of another AZ answers. It is true if no host of
 // another AZ is known.
 func (p *peers) reachesOtherAZ(ctx context.Context) bool {
@@ -292,14 +313,23 @@
 	return out
 }
 
+// available returns the other hosts that are not in backoff.
+func (p *peers) available() []peer {
+	var out []peer
+	for _, other := range p.members.others() {
+		if !p.inBackoff(other.Address) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
 // advisers returns a connection to the advice service from this host, and one through
 // each other host that is not in backoff.
 func (p *peers) advisers(own workload.Adviser) []coordinator.Adviser {
 	out := []coordinator.Adviser{{Name: p.members.host, Adviser: own}}
-	for _, other := range p.members.others() {
-		if !p.inBackoff(other.Address) {
-			out = append(out, coordinator.Adviser{Name: other.Host, Adviser: remoteAdviser{p, other.Address}})
-		}
+	for _, other := range p.available() {
+		out = append(out, coordinator.Adviser{Name: other.Host, Adviser: remoteAdviser{p, other.Address}})
 	}
 	return out
 }
@@ -331,20 +361,32 @@
 
 // peerService serves calls of the other entry hosts.
 type peerService struct {
-	elector *coordinator.Elector
-	local   *coordinator.Coordinator
-	advice  workload.Adviser
-	intake  *intake.Server
+	elector   *coordinator.Elector
+	local     *coordinator.Coordinator
+	advice    workload.Adviser
+	intake    *intake.Server
+	starts    *startServer
+	admission *admission
+	omitJobs  bool // notifications to this host leave out the job
+}
+
+// StartRuns sends start orders to workers on behalf of the coordinator.
+func (s *peerService) StartRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
+	return s.starts.startRuns(ctx, r), nil
 }
 
 // Probe reports whether this host is the coordinator.
 func (s *peerService) Probe(context.Context, *rpc.ProbeRequest) (*rpc.ProbeReply, error) {
 	status, leads := s.local.Status()
-	return &rpc.ProbeReply{Coordinator: leads, Epoch: status.Epoch, CommitAgeMs: status.CommitAge.Milliseconds()}, nil
+	return &rpc.ProbeReply{Coordinator: leads, Epoch: status.Epoch, CommitAgeMs: status.CommitAge.Milliseconds(), RefusePermille: s.admission.refusedPermille()}, nil
 }
 
 // Notify receives the report that a job was stored or cancelled.
 func (s *peerService) Notify(_ context.Context, r *rpc.NotifyRequest) (*rpc.NotifyReply, error) {
+	reply := &rpc.NotifyReply{RefusePermille: s.admission.refusedPermille(), OmitJob: s.omitJobs}
+	if len(r.Job) == 0 && r.Cancelled == "" {
+		return reply, nil // the coordinator reads the job from the store
+	}
 	entry := jobstore.Entry{ID: r.Cancelled, Cancelled: true}
 	if len(r.Job) > 0 {
 		job := new(workload.Job)
@@ -354,7 +396,7 @@
 		entry = jobstore.Entry{ID: job.ID, Job: job}
 	}
 	s.local.Notify(entry)
-	return &rpc.NotifyReply{}, nil
+	return reply, nil
 }
 
 // StateOf returns a job's state if this host is the coordinator.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -22,6 +22,7 @@
 	"cuminloft/internal/coordinator"
 	"cuminloft/internal/intake"
 	"cuminloft/internal/jobstore"
+	"cuminloft/internal/linkmeter"
 	"cuminloft/internal/platform"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/wait"
@@ -36,6 +37,8 @@
 	Commander workload.Commander
 	Advice    workload.Adviser
 	Hosts     workload.HostOperator // nil if there is none
+	// Meter counts the traffic of these connections.
+	Meter *linkmeter.Meter
 	// Callers serves the callers' API, Readiness the load balancer's readiness check.
 	Callers   func(handle func(context.Context, intake.Request) intake.Reply) http.Handler
 	Readiness func(ready func() bool) http.Handler
@@ -66,18 +69,19 @@
 
 // process is one run of an entry host.
 type process struct {
-	settings *Settings
-	adapter  Adapter
-	log      logr.Logger
-	metrics  *metrics
-	watch    *cellwatch.Watch
-	members  *membership
-	peers    *peers
-	elector  *coordinator.Elector
-	local    *coordinator.Coordinator
-	intake   *intake.Server
-	stopping atomic.Bool
-	isolated atomic.Pointer[time.Time] // begin of the isolation; nil if the host is not isolated
+	settings  *Settings
+	adapter   Adapter
+	log       logr.Logger
+	metrics   *metrics
+	watch     *cellwatch.Watch
+	members   *membership
+	admission *admission
+	peers     *peers
+	elector   *coordinator.Elector
+	local     *coordinator.Coordinator
+	intake    *intake.Server
+	stopping  atomic.Bool
+	isolated  atomic.Pointer[time.Time] // begin of the isolation; nil if the host is not isolated
 }
 
 // Run serves until ctx ends or a signal stops the process, then shuts down in order.
@@ -114,23 +118,26 @@
 }
 
 func newProcess(s *Settings, a Adapter, log logr.Logger) *process {
-	p := &process{settings: s, adapter: a, log: log, metrics: newMetrics()}
+	p := &process{settings: s, adapter: a, log: log}
 	store := a.Store
-	jobs := jobstore.Jobs{Store: store, Log: log}
+	jobs := jobstore.Jobs{Store: store, Log: log, LinkBytesPerSecond: s.LinkBytesPerSecond()}
 	p.watch = cellwatch.New(a.Operators, a.Store.RecentlyServed, log)
 	p.members = newMembership(store, s.Host, hostRow{Address: s.RPCListen, AZ: s.AZ, CoreShare: s.CoreShare, Started: time.Now().UnixMilli()}, log)
-	p.peers = newPeers(p.members, log)
+	p.admission = newAdmission(a.Meter, s.LinkBytesPerSecond(), log)
+	p.metrics = newMetrics(p.admission, a.Meter)
+	p.peers = newPeers(p.members, p.admission, a.Meter, log)
 	p.local = coordinator.New(coordinator.Coordinator{
-		Store: store, Jobs: jobs, Watch: p.watch, Workers: a.Workers, Commander: a.Commander,
-		Advisers: func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
-		Log:      log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
-		Undersized: p.members.undersized, Hosts: a.Hosts, OrderLease: s.OrderLease(),
+		Store: store, Jobs: jobs, Watch: p.watch, Workers: a.Workers,
+		Commander: newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond()),
+		Advisers:  func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
+		Log:       log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
+		Undersized: p.members.undersized, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
 	})
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Undersized: p.members.undersized, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
 	p.intake = intake.New(intake.Config{
 		Jobs: jobs, Watch: p.watch, Dispatcher: p.peers, Relay: p.peers, StoreSuspect: store.Suspect, StoreUnreachable: store.Unreachable,
-		RerouteDelay: p.rerouteDelay, Log: log, Observer: p.metrics,
+		RerouteDelay: p.rerouteDelay, Admit: p.admission.admit, Log: log, Observer: p.metrics,
 	})
 	return p
 }
@@ -197,6 +204,8 @@
 	group.Go(func() error { return p.watch.Run(ctx) })
 	group.Go(func() error { return p.members.run(ctx) })
 	group.Go(func() error { return p.watchIsolation(ctx) })
+	group.Go(func() error { return p.reportTraffic(ctx) })
+	group.Go(func() error { return p.admission.run(ctx) })
 	// The elector does not run in the group, since resigning the leadership may take
 	// longer than the grace period.
 	go func() {
@@ -289,14 +298,15 @@
 
 // listen opens the listeners.
 func (p *process) listen() ([]*server, error) {
-	service := &peerService{elector: p.elector, local: p.local, advice: p.adapter.Advice, intake: p.intake}
+	service := &peerService{elector: p.elector, local: p.local, advice: p.adapter.Advice, intake: p.intake, starts: newStartServer(p.adapter.Commander),
+		admission: p.admission, omitJobs: p.settings.thinLink()}
 	handlers := []struct {
 		address string
 		handler http.Handler
 	}{
-		{p.settings.CallersListen, p.closeConnections(p.adapter.Callers(p.intake.Handle))},
+		{p.settings.CallersListen, p.adapter.Meter.Handler(p.closeConnections(p.adapter.Callers(p.intake.Handle)), "callers")},
 		{p.settings.ReadinessListen, p.adapter.Readiness(p.ready)},
-		{p.settings.RPCListen, rpc.NewCellServer(service)},
+		{p.settings.RPCListen, p.adapter.Meter.Handler(rpc.NewCellServer(service), "host calls served")},
 		{p.settings.MetricsListen, p.metrics.handler()},
 	}
 	var out []*server
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -42,8 +42,10 @@
 	MemoryMB float64 `json:"memory_mb,omitempty"`
 	Cores    float64 `json:"cores,omitempty"`
 	// MaxDescriptors limits the open file descriptors of the process; 0: unknown.
-	MaxDescriptors int    `json:"max_descriptors,omitempty"`
-	LogLevel       string `json:"log_level,omitempty"` // debug, info or error; default info
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
+	// LinkMbps is the capacity of the host's network link, in Mbit/s; 0: unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
+	LogLevel string  `json:"log_level,omitempty"` // debug, info or error; default info
 }
 
 // defaultShowEndedS is the time promised to callers, with a margin.
@@ -98,8 +100,8 @@
 	address("metrics_listen", s.MetricsListen)
 	address("advice", s.Advice)
 	address("host_api", s.HostAPI)
-	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 || s.MaxDescriptors < 0 {
-		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores, order_lease_ms and max_descriptors must not be negative", ""))
+	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 || s.MaxDescriptors < 0 || s.LinkMbps < 0 {
+		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores, order_lease_ms, max_descriptors and link_mbps must not be negative", ""))
 	}
 	if s.OrderLeaseMS == 0 {
 		s.OrderLeaseMS = defaultOrderLeaseMS
@@ -126,3 +128,13 @@
 
 // Grace returns the time between SIGTERM and SIGKILL.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
+
+// LinkBytesPerSecond returns the capacity of the host's network link; 0 if it is unknown.
+func (s *Settings) LinkBytesPerSecond() float64 { return s.LinkMbps * 1e6 / 8 }
+
+// thinLinkMbps is the capacity of a link, in Mbit/s, below which each job is to cross it
+// only once.
+const thinLinkMbps = 5
+
+// thinLink reports whether the host's link is known to be thin.
+func (s *Settings) thinLink() bool { return s.LinkMbps > 0 && s.LinkMbps < thinLinkMbps }
--- /dev/null
+++ b/internal/entry/startrelay.go
@@ -0,0 +1,318 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/time/rate"
+
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/workload"
+)
+
+// Limits of relayed start orders.
+const (
+	// directStartShare is the share of this host's link that start orders to workers may
+	// use. Further orders are relayed; the rest of the link is for heartbeats, commits
+	// and feeds.
+	directStartShare = 0.05
+	// startOrderOverhead is about the size in bytes of a start order without the job's
+	// spec.
+	startOrderOverhead = 400
+	// relayBatchDelay is how long orders for one host are collected.
+	relayBatchDelay = 5 * time.Millisecond
+	// relayedStartTimeout bounds a worker's answer to a relayed order.
+	relayedStartTimeout = 700 * time.Millisecond
+	// relayBatchTimeout bounds the call that relays a batch.
+	relayBatchTimeout = time.Second
+	// noRelayPeriod is how long no orders are relayed to a host that cannot relay them.
+	noRelayPeriod = 30 * time.Second
+	// maxKnownSpecs bounds the specs that a host keeps, and those that it assumes
+	// another host to keep. A spec has up to 4,000 bytes.
+	maxKnownSpecs = 1024
+	// senderSpecs is the number of its latest specs that a host is assumed to keep. It is
+	// below maxKnownSpecs, since the host may relay for several coordinators in turn.
+	senderSpecs = maxKnownSpecs / 2
+)
+
+// startRelay is a Commander that relays start orders through other hosts while these
+// orders would take more than directStartShare of this host's link. Load pattern:
+// hundreds of starts a second, each with its job's spec of 1 kB, at a coordinator with a
+// link of 2 Mbit/s. All orders of a job are relayed through the same host, which keeps
+// the job's spec, so that the spec is sent once.
+type startRelay struct {
+	workload.Commander
+	hosts  func() []peer // other hosts that may relay
+	client func(address string) rpc.Cell
+	failed func(address string, err error) // called when a relay did not answer
+	log    logr.Logger
+	direct *rate.Limiter // bytes of start orders to workers; nil: no limit
+
+	mu         sync.Mutex
+	relays     map[string]*relayHost // by address
+	noRelayFor map[string]time.Time  // by address: end of noRelayPeriod
+}
+
+func newStartRelay(direct workload.Commander, p *peers, linkBytesPerSecond float64) *startRelay {
+	r := &startRelay{
+		Commander: direct, client: p.client, failed: p.callFailed, log: p.log,
+		relays: map[string]*relayHost{}, noRelayFor: map[string]time.Time{},
+		hosts: func() []peer { return p.available() },
+	}
+	if linkBytesPerSecond > 0 {
+		perSecond := directStartShare * linkBytesPerSecond
+		r.direct = rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
+	}
+	return r
+}
+
+// Start implements workload.Commander.
+func (r *startRelay) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
+	if r.direct == nil || r.direct.AllowN(time.Now(), startOrderOverhead+len(o.Spec)) {
+		return r.Commander.Start(ctx, w, o)
+	}
+	host := r.relayFor(o.Run.Task.Job)
+	if host == nil {
+		return r.Commander.Start(ctx, w, o)
+	}
+	result := make(chan startAnswer, 1)
+	host.add(pendingStart{w, o, result})
+	select {
+	case a := <-result:
+		if errors.Is(a.err, errNotRelayed) {
+			return r.Commander.Start(ctx, w, o)
+		}
+		return a.clockMS, a.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, host.address, ctx.Err())
+	}
+}
+
+// relayFor returns the host that relays the orders of a job, or nil if there is none. It
+// is the host with the highest hash, so that most jobs keep their host when others come
+// or go.
+func (r *startRelay) relayFor(job string) *relayHost {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best, bestHash := "", uint64(0)
+	for _, h := range r.hosts() {
+		if now.Before(r.noRelayFor[h.Address]) {
+			continue
+		}
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(job + "/" + h.Address)) // never fails
+		if sum := hash.Sum64(); best == "" || sum > bestHash {
+			best, bestHash = h.Address, sum
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	host := r.relays[best]
+	if host == nil {
+		host = &relayHost{relay: r, address: best, specs: newSpecCache(senderSpecs)}
+		r.relays[best] = host
+	}
+	return host
+}
+
+// errNotRelayed: the order was certainly not carried out by the relay.
+var errNotRelayed = errors.New("start order was not relayed")
+
+// startAnswer is the answer to a start order.
+type startAnswer struct {
+	clockMS int64
+	err     error
+}
+
+// pendingStart is an order that waits for its answer.
+type pendingStart struct {
+	worker *workload.Worker
+	order  workload.StartOrder
+	result chan<- startAnswer
+}
+
+// relayHost collects and sends the orders that one host relays.
+type relayHost struct {
+	relay   *startRelay
+	address string
+	mu      sync.Mutex
+	pending []pendingStart
+	specs   *lru.Cache[string, string] // by job: specs that the host has been sent
+}
+
+// add queues an order and, if it is the first one, schedules the batch.
+func (h *relayHost) add(p pendingStart) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending = append(h.pending, p)
+	if len(h.pending) == 1 {
+		time.AfterFunc(relayBatchDelay, h.send)
+	}
+}
+
+// send relays the collected orders and passes on the answers.
+func (h *relayHost) send() {
+	h.mu.Lock()
+	batch := h.pending
+	h.pending = nil
+	request, added := h.request(batch)
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
+	defer cancel()
+	reply, err := h.relay.client(h.address).StartRuns(ctx, request)
+	if err == nil && len(reply.Results) != len(batch) {
+		err = fmt.Errorf("%d results for %d start orders", len(reply.Results), len(batch))
+	}
+	if err != nil {
+		h.sendFailed(batch, added, err)
+		return
+	}
+	for i, result := range reply.Results {
+		err := decodeStartError(result.Error)
+		if errors.Is(err, errNotRelayed) {
+			h.mu.Lock()
+			h.specs.Remove(batch[i].order.Run.Task.Job)
+			h.mu.Unlock()
+		}
+		batch[i].result <- startAnswer{result.ClockMs, err}
+	}
+}
+
+// sendFailed answers the orders of a batch for which the call failed.
+func (h *relayHost) sendFailed(batch []pendingStart, added []string, err error) {
+	h.relay.failed(h.address, err)
+	h.mu.Lock()
+	for _, job := range added {
+		h.specs.Remove(job)
+	}
+	h.mu.Unlock()
+	answer := fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, h.address, err)
+	if notSent(err) || wasAnswered(err) {
+		answer = errNotRelayed
+	}
+	var refusal twirp.Error
+	if errors.As(err, &refusal) && refusal.Code() == twirp.BadRoute { // an older build
+		h.relay.mu.Lock()
+		h.relay.noRelayFor[h.address] = time.Now().Add(noRelayPeriod)
+		h.relay.mu.Unlock()
+	}
+	h.relay.log.Info("start orders not relayed", "through", h.address, "orders", len(batch), "cause", err.Error())
+	for _, p := range batch {
+		p.result <- startAnswer{err: answer}
+	}
+}
+
+// request encodes a batch, with the specs that the host has not been sent yet. It also
+// returns the jobs of these specs. The caller holds mu.
+func (h *relayHost) request(batch []pendingStart) (request *rpc.StartRunsRequest, added []string) {
+	request = &rpc.StartRunsRequest{Specs: map[string]string{}}
+	for _, p := range batch {
+		o := &p.order
+		task := o.Run.Task
+		if _, known := h.specs.Get(task.Job); !known {
+			h.specs.Add(task.Job, "") // the text itself is not needed again
+			added = append(added, task.Job)
+			request.Specs[task.Job] = o.Spec
+		}
+		request.Fence = o.Fence
+		request.Starts = append(request.Starts, &rpc.RunStart{
+			Worker: p.worker.ID, Address: p.worker.Address, Job: task.Job, Occurrence: int32(task.Occurrence),
+			Step: int32(task.Step), Index: int32(task.Index), Run: int64(o.Run.Number),
+			LeaseUntil: o.LeaseUntil, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+		})
+	}
+	return request, added
+}
+
+// newSpecCache returns a cache of at most n specs by job.
+func newSpecCache(n int) *lru.Cache[string, string] {
+	c, err := lru.New[string, string](n)
+	if err != nil {
+		panic(err) // lru.New fails only for a size that is not positive
+	}
+	return c
+}
+
+// startServer carries out start orders that the coordinator relays through this host.
+type startServer struct {
+	commander workload.Commander
+	specs     *lru.Cache[string, string] // by job
+}
+
+func newStartServer(c workload.Commander) *startServer {
+	return &startServer{c, newSpecCache(maxKnownSpecs)}
+}
+
+// startRuns sends all orders at once and returns the workers' answers.
+func (s *startServer) startRuns(ctx context.Context, r *rpc.StartRunsRequest) *rpc.StartRunsReply {
+	for job, spec := range r.Specs {
+		s.specs.Add(job, spec)
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayedStartTimeout)
+	defer cancel()
+	reply := &rpc.StartRunsReply{Results: make([]*rpc.RunStartResult, len(r.Starts))}
+	var wg sync.WaitGroup
+	for i, start := range r.Starts {
+		spec, known := s.specs.Get(start.Job)
+		if !known {
+			reply.Results[i] = &rpc.RunStartResult{Error: startNotRelayed}
+			continue
+		}
+		wg.Go(func() { reply.Results[i] = s.start(ctx, start, spec, r.Fence) })
+	}
+	wg.Wait()
+	return reply
+}
+
+func (s *startServer) start(ctx context.Context, r *rpc.RunStart, spec string, fence int64) *rpc.RunStartResult {
+	step := workload.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}
+	clock, err := s.commander.Start(ctx, &workload.Worker{ID: r.Worker, Address: r.Address}, workload.StartOrder{
+		Run:  workload.Run{Task: workload.TaskID{StepID: step, Index: int(r.Index)}, Number: int(r.Run)},
+		Spec: spec, LeaseUntil: r.LeaseUntil, Fence: fence, Checkpoint: r.Checkpoint, Ticket: r.Ticket,
+	})
+	return &rpc.RunStartResult{Error: encodeStartError(err), ClockMs: clock}
+}
+
+// Names of the errors of a relayed order. An unknown name counts as no answer.
+const (
+	startNotRelayed = "not_relayed"
+	startUnanswered = "no_answer"
+)
+
+// startErrors are the errors of a worker that prove that an order was not carried out.
+var startErrors = map[string]error{
+	"replaced": workload.ErrReplaced, "fenced": workload.ErrFenced, "old": workload.ErrRunTooOld,
+	"late": workload.ErrLeaseInPast, "capacity": workload.ErrInsufficientCapacity, "ticket": workload.ErrBadTicket,
+	"unhealthy": workload.ErrUnhealthy, "malformed": workload.ErrMalformedOrder, startNotRelayed: errNotRelayed,
+}
+
+func encodeStartError(err error) string {
+	if err == nil {
+		return ""
+	}
+	for name, known := range startErrors {
+		if errors.Is(err, known) {
+			return name
+		}
+	}
+	return startUnanswered
+}
+
+func decodeStartError(name string) error {
+	if name == "" {
+		return nil
+	}
+	if err, known := startErrors[name]; known {
+		return err
+	}
+	return fmt.Errorf("%w: relay reports %q", workload.ErrNoAnswer, name)
+}
--- /dev/null
+++ b/internal/entry/startrelay_test.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"cuminloft/internal/httpjson"
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/workload"
+)
+
+// startRecorder is a Commander that records start orders.
+type startRecorder struct {
+	workload.Commander
+	mu     sync.Mutex
+	orders []workload.StartOrder
+	err    error
+}
+
+func (c *startRecorder) Start(_ context.Context, _ *workload.Worker, o workload.StartOrder) (int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = append(c.orders, o)
+	return 42, c.err
+}
+
+func (c *startRecorder) take() []workload.StartOrder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.orders
+	c.orders = nil
+	return out
+}
+
+// relayService is a host that relays start orders.
+type relayService struct {
+	rpc.Cell
+	starts    *startServer
+	mu        sync.Mutex
+	specBytes int
+	calls     int
+}
+
+func (s *relayService) StartRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
+	s.mu.Lock()
+	s.calls++
+	for _, spec := range r.Specs {
+		s.specBytes += len(spec)
+	}
+	s.mu.Unlock()
+	return s.starts.startRuns(ctx, r), nil
+}
+
+// relayCell is a coordinator's relay with other hosts.
+type relayCell struct {
+	*startRelay
+	direct  *startRecorder
+	workers *startRecorder // reached through the other hosts
+	hosts   []*relayService
+	failed  int
+}
+
+func newRelayCell(t *testing.T, hosts int) *relayCell {
+	c := &relayCell{direct: &startRecorder{}, workers: &startRecorder{}}
+	client := httpjson.NewClient()
+	c.startRelay = &startRelay{
+		Commander: c.direct, log: logr.Discard(), direct: rate.NewLimiter(0, 0),
+		relays: map[string]*relayHost{}, noRelayFor: map[string]time.Time{},
+		client: func(address string) rpc.Cell { return rpc.NewCellProtobufClient("http://"+address, peerDoer{client}) },
+		failed: func(string, error) { c.failed++ },
+	}
+	var all []peer
+	for range hosts {
+		service := &relayService{starts: newStartServer(c.workers)}
+		server := httptest.NewServer(rpc.NewCellServer(service))
+		t.Cleanup(server.Close)
+		c.hosts = append(c.hosts, service)
+		all = append(all, peer{hostRow: hostRow{Address: strings.TrimPrefix(server.URL, "http://")}})
+	}
+	c.startRelay.hosts = func() []peer { return all }
+	return c
+}
+
+// order returns the start order of a task of a job with a spec of 1 kB.
+func order(job string, index int) workload.StartOrder {
+	return workload.StartOrder{
+		Run:  workload.Run{Task: workload.TaskID{StepID: workload.StepID{Job: job, Occurrence: 1, Step: 2}, Index: index}, Number: 3},
+		Spec: job + strings.Repeat("x", 1000), LeaseUntil: 5, Fence: 6, Checkpoint: "c", Ticket: "t",
+	}
+}
+
+// startAll sends the orders at once and returns the errors.
+func (c *relayCell) startAll(ctx context.Context, orders []workload.StartOrder) []error {
+	errs := make([]error, len(orders))
+	var wg sync.WaitGroup
+	for i, o := range orders {
+		wg.Go(func() { _, errs[i] = c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, o) })
+	}
+	wg.Wait()
+	return errs
+}
+
+// TestSpecsAreRelayedOnce replays the starts of a burst of jobs at a coordinator with a
+// thin link. Its link must carry each job's spec once, not with each task.
+func TestSpecsAreRelayedOnce(t *testing.T) {
+	is := is.New(t)
+	c := newRelayCell(t, 5)
+	var orders []workload.StartOrder
+	const jobs, tasks = 30, 10
+	for j := range jobs {
+		for i := range tasks {
+			orders = append(orders, order(fmt.Sprintf("job-%02d", j), i))
+		}
+	}
+	for _, err := range c.startAll(t.Context(), orders) {
+		is.NoErr(err)
+	}
+	got := c.workers.take()
+	is.Equal(len(got), len(orders))
+	want := map[workload.Run]workload.StartOrder{}
+	for _, o := range orders {
+		want[o.Run] = o
+	}
+	for _, o := range got {
+		is.Equal(o, want[o.Run]) // the workers get complete orders
+	}
+	specBytes, calls, used := 0, 0, 0
+	for _, h := range c.hosts {
+		specBytes, calls = specBytes+h.specBytes, calls+h.calls
+		if h.calls > 0 {
+			used++
+		}
+	}
+	is.Equal(specBytes, jobs*len(orders[0].Spec))
+	is.True(calls < len(orders)/2) // orders for one host go together
+	is.True(used > 1)
+	is.Equal(len(c.direct.take()), 0)
+}
+
+// TestStartsWithinTheShareAreDirect checks that a link with capacity left relays nothing.
+func TestStartsWithinTheShareAreDirect(t *testing.T) {
+	is := is.New(t)
+	c := newRelayCell(t, 2)
+	c.startRelay.direct = rate.NewLimiter(1e6, 1e6)
+	for _, err := range c.startAll(t.Context(), []workload.StartOrder{order("a", 0), order("a", 1)}) {
+		is.NoErr(err)
+	}
+	is.Equal(len(c.direct.take()), 2)
+	is.Equal(len(c.workers.take()), 0)
+}
+
+// TestRelayedErrors checks that a worker's refusals keep their meaning.
+func TestRelayedErrors(t *testing.T) {
+	c := newRelayCell(t, 1)
+	for _, cause := range []error{
+		workload.ErrNoAnswer, workload.ErrReplaced, workload.ErrFenced, workload.ErrRunTooOld, workload.ErrLeaseInPast,
+		workload.ErrInsufficientCapacity, workload.ErrBadTicket, workload.ErrUnhealthy, workload.ErrMalformedOrder,
+	} {
+		c.workers.err = fmt.Errorf("wrapped: %w", cause)
+		_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+		if !errors.Is(err, cause) {
+			t.Errorf("%v relayed as %v", cause, err)
+		}
+	}
+}
+
+// A host that has lost a spec, and one of an older build, carry out nothing; the
+// coordinator sends these orders itself.
+func TestOrdersThatAreNotRelayedGoDirect(t *testing.T) {
+	is := is.New(t)
+	c := newRelayCell(t, 1)
+	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 0)})[0])
+	c.hosts[0].starts.specs.Purge()
+	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 1)})[0])
+	is.Equal(len(c.direct.take()), 1)
+	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 2)})[0]) // the spec is sent again
+	is.Equal(len(c.direct.take()), 0)
+
+	old := httptest.NewServer(nil) // answers 404
+	defer old.Close()
+	c.startRelay.hosts = func() []peer {
+		return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(old.URL, "http://")}}}
+	}
+	for i := range 3 {
+		is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("b", i)})[0])
+	}
+	is.Equal(len(c.direct.take()), 3)
+	is.Equal(c.failed, 1) // it is not asked again
+}
+
+// An order whose relay does not answer may have been carried out.
+func TestUnansweredRelay(t *testing.T) {
+	is := is.New(t)
+	c := newRelayCell(t, 1)
+	release := make(chan struct{})
+	c.hosts[0].starts.commander = blockingStart{release}
+	defer close(release)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+	is.True(errors.Is(err, workload.ErrNoAnswer))
+	is.Equal(len(c.direct.take()), 0)
+}
+
+// blockingStart answers a start order when released.
+type blockingStart struct{ release chan struct{} }
+
+func (b blockingStart) Start(ctx context.Context, _ *workload.Worker, _ workload.StartOrder) (int64, error) {
+	<-b.release
+	return 0, nil
+}
+func (blockingStart) Stop(context.Context, *workload.Worker, workload.Run, int64) error { return nil }
+func (blockingStart) Throttle(context.Context, *workload.Worker, workload.Run, int, int64) error {
+	return nil
+}
+func (blockingStart) Heartbeat(context.Context, *workload.Worker, workload.Heartbeat) (workload.Inventory, error) {
+	return workload.Inventory{}, nil
+}
+func (blockingStart) Disconnect(*workload.Worker) {}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -73,6 +73,9 @@
 	Reason     string
 	// Configuration is the version that was applied to the request.
 	Configuration int64
+	// NotAdmitted is set if the whole cell takes fewer new jobs than callers submit, so
+	// that no other host should accept the job either.
+	NotAdmitted bool
 }
 
 // Dispatcher is the connection to the coordinator. JobState and Pending return an
@@ -107,8 +110,11 @@
 	// RerouteDelay returns the time until the load balancer sends this host's callers
 	// to other hosts; 0 if it does not.
 	RerouteDelay func(now time.Time) time.Duration
-	Log          logr.Logger
-	Observer     Observer
+	// Admit decides whether to accept a new job now. If not, it returns when the caller
+	// may retry.
+	Admit    func() (retryAfter time.Duration, ok bool)
+	Log      logr.Logger
+	Observer Observer
 }
 
 // Server handles callers' requests.
@@ -186,7 +192,7 @@
 	r.Configuration = s.latestVersion.Load()
 	reply := s.HandleLocally(ctx, r)
 	s.noteVersion(reply)
-	if reply.Outcome != NotRun && (reply.Outcome != Unknown || !s.StoreSuspect(time.Now())) {
+	if reply.NotAdmitted || reply.Outcome != NotRun && (reply.Outcome != Unknown || !s.StoreSuspect(time.Now())) {
 		return reply // a store that is merely slow must not get duplicate requests
 	}
 	// A retry by another host is harmless, since a job is stored once. But a job that
@@ -300,6 +306,9 @@
 	if err := stored.Check(); err != nil {
 		return Reply{Outcome: Malformed, Reason: err.Error()}
 	}
+	if retryAfter, ok := s.Admit(); !ok && !s.mayBeStored(ctx, id) {
+		return Reply{Outcome: NotRun, NotAdmitted: true, RetryAfter: retryAfter, Reason: "more jobs than the links between hosts and workers carry"}
+	}
 	err := s.Jobs.Insert(ctx, &stored)
 	switch {
 	case err == nil:
@@ -313,6 +322,16 @@
 	}
 }
 
+// mayBeStored reports whether a job may be stored already, so that a refusal would not be
+// true.
+func (s *Server) mayBeStored(ctx context.Context, id string) bool {
+	if _, known, _ := s.states.get(id, time.Now()); known {
+		return true
+	}
+	stored, err := s.rows.find(ctx, id)
+	return err != nil || stored.Exists
+}
+
 func (s *Server) cancel(ctx context.Context, id string) Reply {
 	reply := s.queryJob(ctx, id, 0) // a cancellation must not wait for the job's end
 	if reply.Outcome != Shown {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -100,6 +100,7 @@
 	dispatcher   *fakeDispatcher
 	relay        *fakeRelay
 	suspect      bool
+	refuses      bool // admits no new jobs
 	rerouteDelay time.Duration
 }
 
@@ -115,7 +116,8 @@
 	}()
 	t.Cleanup(func() { cancel(); <-ended })
 	h.Server = New(Config{
-		Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Dispatcher: h.dispatcher, Relay: h.relay,
+		Admit: func() (time.Duration, bool) { return time.Second, !h.refuses },
+		Jobs:  jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Dispatcher: h.dispatcher, Relay: h.relay,
 		StoreSuspect:     func(now time.Time) bool { return h.suspect || health.Suspect(now) },
 		StoreUnreachable: func(now time.Time) bool { return h.suspect || health.Unreachable(now) },
 		RerouteDelay:     func(time.Time) time.Duration { return h.rerouteDelay }, Log: logr.Discard(), Observer: noopObserver{},
@@ -276,3 +278,20 @@
 	r.Path = "/q/"
 	is.Equal(other.Handle(t.Context(), r).Outcome, NoQueue)
 }
+
+// A job that is not admitted is refused by the host that was asked: relaying it would
+// only move the load. A job that is stored already is never refused.
+func TestJobsNotAdmitted(t *testing.T) {
+	is := is.New(t)
+	store := rows.New()
+	a, b := newHost(t, store), newHost(t, store)
+	a.relay.target = b.Server
+	submit := Request{Operation: Submit, Host: "cell.example", Path: testPath, Key: "key",
+		Job: &workload.Job{Spec: "s", Steps: []workload.Step{{Tasks: 1, Resources: model.Resources{MilliCores: 1}}}}}
+	a.refuses = true
+	reply := a.Handle(t.Context(), submit)
+	is.Equal(reply.Outcome, NotRun)
+	is.Equal(reply.RetryAfter, time.Second)
+	is.Equal(b.Handle(t.Context(), submit).Outcome, Accepted)
+	is.Equal(a.Handle(t.Context(), submit).Outcome, Accepted)
+}
