coordinator: a store that did not answer does not count as a slow leader

Ruled out: lost probes (they failed at once). Change: a commit counts as 0.7 s at most and is forgotten with a half-life of 2.5 s. TestRenewalAnnounced has the case; TestSlowLeaderStays and TestLoadingLeaderStays hold.

--- a/internal/coordinator/renewal.go
+++ b/internal/coordinator/renewal.go
@@ -14,7 +14,10 @@
 	// renewFactor times the duration of the slowest recent commit is the announced time.
 	renewFactor = 3
 	// slowestHalfLife is the half-life of the duration of the slowest recent commit.
-	slowestHalfLife = 5 * time.Second
+	slowestHalfLife = 2500 * time.Millisecond
+	// maxSlowest bounds that duration. A commit that takes longer met a store that did not
+	// answer, which says little about the leader's link.
+	maxSlowest = 700 * time.Millisecond
 	// minLoadTime is the time that a leader is given to load the jobs if its predecessor
 	// did not finish loading them. It doubles with each further term that does not
 	// finish, up to maxLoadTime.
@@ -42,7 +45,7 @@
 // record adds the duration of a commit that ended now.
 func (r *renewal) record(took time.Duration, now time.Time) {
 	decay := math.Exp2(-float64(now.Sub(r.recorded)) / float64(slowestHalfLife))
-	r.slowest = max(took, time.Duration(decay*float64(r.slowest)))
+	r.slowest = max(min(took, maxSlowest), time.Duration(decay*float64(r.slowest)))
 	r.recorded = now
 }
 
--- a/internal/coordinator/renewal_test.go
+++ b/internal/coordinator/renewal_test.go
@@ -156,6 +156,12 @@
 	slow.record(500*time.Millisecond, now)
 	slow.record(10*time.Millisecond, now.Add(time.Second))
 	is.True(announced(&slow) > time.Second)
+	silent := renewal{}
+	silent.record(4*time.Second, now) // the store did not answer
+	silent.record(10*time.Millisecond, now.Add(5*time.Second))
+	is.True(announced(&silent) <= silenceTimeout)
+	silent.record(10*time.Millisecond, now.Add(10*time.Second))
+	is.Equal(announced(&silent), time.Duration(0))
 	slow.record(10*time.Millisecond, now.Add(time.Minute))
 	is.Equal(announced(&slow), time.Duration(0)) // forgotten
 	after := func(previous LeaderRecord) time.Duration {
