coordinator: short calls for advice are queued; failures through all hosts pause briefly

Seen in its logs: urgent steps have two hosts for themselves, each of which makes some 25 calls of 19 ms a second, since it idles until the event loop sees the answer; at 12.2 s all seven hosts failed within 0.4 s because the coordinator's own host was slow, and none was asked until 14.1 s. Ruled out: a full event loop (0.27 s a second), refusals by the service (none). Change: a host with calls of at most 50 ms in progress gets a further short one, which waits at the service; failures through half of the hosts within 0.5 s pause them for 0.1 s.

--- a/internal/coordinator/advicepool.go
+++ b/internal/coordinator/advicepool.go
@@ -18,6 +18,16 @@
 	// further failure, up to maxAdviserPause.
 	adviserPause    = 2 * time.Second
 	maxAdviserPause = 8 * time.Second
+	// If the calls through at least commonFailureShare of the hosts fail within
+	// commonFailureSpan, the cause is this host, and the hosts pause for
+	// commonFailurePause. Load pattern: the coordinator's host is slow for some seconds.
+	commonFailureShare = 0.5
+	commonFailureSpan  = 500 * time.Millisecond
+	commonFailurePause = 100 * time.Millisecond
+	// maxQueuedCalls is the expected time of the calls that a host may have in progress
+	// when it gets a further short call. The service handles a host's calls in turn, so
+	// that a queued call spares the time until the event loop sees the first one's answer.
+	maxQueuedCalls = 50 * time.Millisecond
 	// maxPauseDoublings bounds the shift that doubles adviserPause.
 	maxPauseDoublings = 3
 	busyAdviserPause  = 200 * time.Millisecond // pause after the service reported too many calls
@@ -41,33 +51,37 @@
 type advicePool struct {
 	advisers       func() []Adviser
 	events         chan<- any
-	busy           map[string]bool
+	inProgress     map[string]time.Duration // by host: expected time of its calls in progress
 	pausedUntil    map[string]time.Time
-	failures       map[string]int // consecutive failures by host
+	failures       map[string]int       // consecutive failures by host
+	failedAt       map[string]time.Time // by host: the latest failure
 	cachedAdvisers []Adviser
 	listedAt       time.Time
 }
 
 func newAdvicePool(advisers func() []Adviser, events chan<- any) *advicePool {
-	return &advicePool{advisers: advisers, events: events, busy: map[string]bool{}, pausedUntil: map[string]time.Time{}, failures: map[string]int{}}
+	return &advicePool{advisers: advisers, events: events, inProgress: map[string]time.Duration{},
+		pausedUntil: map[string]time.Time{}, failures: map[string]int{}, failedAt: map[string]time.Time{}}
 }
 
-// startCalls starts the calls that the core requests, one on each idle host.
+// startCalls starts the calls that the core requests: one on each idle host, and short
+// calls also on hosts with few short calls in progress.
 func (p *advicePool) startCalls(ctx context.Context, core *dispatch.Core, now time.Time) {
 	if now.Sub(p.listedAt) >= advisersTTL {
 		p.cachedAdvisers, p.listedAt = p.advisers(), now
 	}
-	var idle []Adviser
+	var idle, queueing []Adviser
 	for _, a := range p.cachedAdvisers {
-		if !p.busy[a.Name] && !now.Before(p.pausedUntil[a.Name]) {
+		switch {
+		case now.Before(p.pausedUntil[a.Name]):
+		case p.inProgress[a.Name] == 0:
 			idle = append(idle, a)
+		case p.inProgress[a.Name] <= maxQueuedCalls:
+			queueing = append(queueing, a)
 		}
 	}
-	if len(idle) == 0 {
-		return
-	}
 	pass := core.NewAdvicePass(now)
-	for len(idle) > 0 {
+	for len(idle)+len(queueing) > 0 {
 		capacity := dispatch.AdviceCapacity{MaxDuration: unreservedCallLimit, FewIdle: float64(len(idle)) < fewIdleShare*float64(len(p.cachedAdvisers))}
 		if len(idle) <= reservedForShort {
 			capacity.MaxDuration = shortCallLimit
@@ -76,15 +90,21 @@
 		if !ok {
 			return
 		}
-		a := idle[0]
-		idle = idle[1:]
-		p.busy[a.Name] = true
-		go p.call(ctx, a, call)
+		hosts := &idle
+		if len(idle) == 0 {
+			hosts = &queueing
+		}
+		a := (*hosts)[0]
+		*hosts = (*hosts)[1:]
+		queued := p.inProgress[a.Name]
+		p.inProgress[a.Name] += call.Duration
+		go p.call(ctx, a, call, queued)
 	}
 }
 
-func (p *advicePool) call(ctx context.Context, a Adviser, request dispatch.AdviceCall) {
-	callCtx, cancel := context.WithTimeout(ctx, request.Duration+adviceTimeoutSlack)
+// call makes a call that waits for other calls of the host for the time queued.
+func (p *advicePool) call(ctx context.Context, a Adviser, request dispatch.AdviceCall, queued time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, queued+request.Duration+adviceTimeoutSlack)
 	tickets, err := a.Advise(callCtx, request.Step, request.Workers)
 	cancel()
 	select {
@@ -93,13 +113,20 @@
 	}
 }
 
-// finishCall marks the calling host as idle and pauses it if the call failed.
+// finishCall records the end of a call, and pauses the calling host if the call failed.
 func (p *advicePool) finishCall(e adviceResult, now time.Time) {
-	delete(p.busy, e.adviser)
+	if p.inProgress[e.adviser] -= e.call.Duration; p.inProgress[e.adviser] <= 0 {
+		delete(p.inProgress, e.adviser)
+	}
 	switch {
 	case errors.Is(e.err, workload.ErrAdviceBusy):
 		p.pausedUntil[e.adviser] = now.Add(busyAdviserPause)
 	case e.err != nil:
+		p.failedAt[e.adviser] = now
+		if p.commonFailure(now) {
+			p.pauseAll(now)
+			return
+		}
 		p.pausedUntil[e.adviser] = now.Add(min(maxAdviserPause, adviserPause<<p.failures[e.adviser]))
 		p.failures[e.adviser] = min(p.failures[e.adviser]+1, maxPauseDoublings)
 	default:
@@ -107,4 +134,26 @@
 	}
 }
 
+// commonFailure reports whether so many hosts have just failed that the cause is this
+// host.
+func (p *advicePool) commonFailure(now time.Time) bool {
+	failed := 0
+	for _, at := range p.failedAt {
+		if now.Sub(at) < commonFailureSpan {
+			failed++
+		}
+	}
+	return failed > 1 && float64(failed) >= commonFailureShare*float64(len(p.cachedAdvisers))
+}
+
+// pauseAll replaces the pauses of the hosts that have just failed by a short one.
+func (p *advicePool) pauseAll(now time.Time) {
+	for name, at := range p.failedAt {
+		if now.Sub(at) < commonFailureSpan {
+			p.pausedUntil[name] = now.Add(commonFailurePause)
+			delete(p.failures, name)
+		}
+	}
+}
+
 var _ workload.Adviser = Adviser{}
