--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -176,16 +176,9 @@
 	for _, t := range tickets {
 		tokens[t.Worker] = t.Token
 	}
-	named, allowed := 0, 0
 	for _, id := range call.Workers {
 		token, ok := tokens[id]
 		w := c.workers[id]
-		if _, known := s.advice.tickets[id]; !known {
-			named++
-			if ok {
-				allowed++
-			}
-		}
 		switch {
 		case !ok:
 			s.advice.denied[id] = true
@@ -195,7 +188,6 @@
 			c.adviceStats.TicketsReceived++
 		}
 	}
-	c.allowedShareOf(s.job).add(named, allowed)
 	c.needsScheduling = true
 	c.emit("advice", "step", call.Step.String(), "asked", len(call.Workers), "allowed", len(tickets))
 }
--- a/internal/dispatch/advicecall.go
+++ b/internal/dispatch/advicecall.go
@@ -12,14 +12,10 @@
 
 // Sizes of a call for advice.
 const (
-	// assumedAllowedShare is the share of workers that the service is assumed to allow
-	// until a queue's answers show it. It is that of a strict policy, and counts as much as
-	// the answers for assumedAllowedWeight workers.
-	assumedAllowedShare  = 0.35
-	assumedAllowedWeight = 40
-	// allowedShareDecay is the factor on the weight of earlier answers with each call.
-	allowedShareDecay = 0.98
-	minCallWorkers    = 8
+	// assumedAllowedShare is the assumed share of workers that the service allows. It is
+	// that of a strict policy.
+	assumedAllowedShare = 0.35
+	minCallWorkers      = 8
 	// extraNamingShare is the share of a call's fixed time that may be spent on naming
 	// more workers than needed, since a second call costs the fixed time again.
 	extraNamingShare = 0.3
@@ -33,33 +29,6 @@
 	callSampleSize = 1000
 )
 
-// allowedShare is what the answers for a queue's steps have shown: how many workers were
-// named for the first time, and how many of them the service allowed. Load pattern: calls
-// are the bottleneck, and a queue's policy is less strict than assumed, so that its calls
-// name twice as many workers as needed.
-type allowedShare struct{ named, allowed float64 }
-
-// add adds an answer.
-func (a *allowedShare) add(named, allowed int) {
-	a.named = allowedShareDecay*a.named + float64(named)
-	a.allowed = allowedShareDecay*a.allowed + float64(allowed)
-}
-
-// estimate returns the share of workers that the service is expected to allow.
-func (a *allowedShare) estimate() float64 {
-	return (a.allowed + assumedAllowedWeight*assumedAllowedShare) / (a.named + assumedAllowedWeight)
-}
-
-// allowedShareOf returns the allowed share of the job's queue.
-func (c *Core) allowedShareOf(j *job) *allowedShare {
-	a := c.allowedShares[j.spec.Queue]
-	if a == nil {
-		a = &allowedShare{}
-		c.allowedShares[j.spec.Queue] = a
-	}
-	return a
-}
-
 // callWorkers returns the workers that a call for the step is chosen from: the workers
 // known to be allowed and, in a large pool, a sample of the others. Load pattern: after a
 // takeover in a cell of thousands of workers, hundreds of steps need a call at once.
@@ -87,11 +56,10 @@
 type adviceCandidate struct {
 	id        string
 	az        string
-	share     float64 // probability that the service allows a worker
-	known     bool    // the service has allowed it before
-	hasTicket bool    // its ticket is still valid
-	fitsNow   int     // tasks that fit now
-	fitsSoon  int     // tasks that fit within lookaheadHorizon
+	known     bool // the service has allowed it before
+	hasTicket bool // its ticket is still valid
+	fitsNow   int  // tasks that fit now
+	fitsSoon  int  // tasks that fit within lookaheadHorizon
 	sortKey   uint64
 }
 
@@ -174,7 +142,7 @@
 	if !s.matchesLabel(w) || s.advice.denied[w.info.ID] {
 		return adviceCandidate{}, false
 	}
-	x := adviceCandidate{id: w.info.ID, az: w.info.AZ, share: c.allowedShareOf(s.job).estimate()}
+	x := adviceCandidate{id: w.info.ID, az: w.info.AZ}
 	if !c.reservedForOther(s, w, r.rank, now) {
 		x.fitsNow = c.fitBesideHeadroom(w, s, r.rank)
 	}
@@ -190,7 +158,7 @@
 	if x.known {
 		return float64(x.fitsSoon)
 	}
-	return x.share * float64(x.fitsSoon)
+	return assumedAllowedShare * float64(x.fitsSoon)
 }
 
 // azWithMostCapacity returns the AZ on whose candidates the most tasks fit now.
--- a/internal/dispatch/advicegang.go
+++ b/internal/dispatch/advicegang.go
@@ -71,12 +71,12 @@
 	}
 	all, _ := c.callCandidates(r, workers, now, false)
 	sort.Slice(all, func(a, b int) bool { return all[a].id < all[b].id })
-	fits, share := 0.0, c.allowedShareOf(s.job).estimate()
+	fits := 0.0
 	for i, x := range all {
 		if i >= maxCallWorkers || capacity.FewIdle && fits >= float64(gangChoiceFewIdle*len(s.tasks)) {
 			return candidateIDs(all[:i])
 		}
-		fits += share * float64(fitCount(c.workers[x.id].info.Capacity, s.spec.RequiredCapacity()))
+		fits += assumedAllowedShare * float64(fitCount(c.workers[x.id].info.Capacity, s.spec.RequiredCapacity()))
 	}
 	return candidateIDs(all)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -46,7 +46,6 @@
 	lookahead       *lookahead      // the latest lookahead, reused for lookaheadMaxAge
 	needsScheduling bool            // an event may have made it possible to start a task
 	adviceStats     AdviceStats
-	allowedShares   map[string]*allowedShare // by queue
 }
 
 // New returns a core without jobs or workers.
@@ -62,7 +61,6 @@
 		usage:           map[string]model.Resources{},
 		rates:           map[string]*rateMeter{},
 		adviceStats:     newAdviceStats(),
-		allowedShares:   map[string]*allowedShare{},
 		durationModels:  map[string]*durationModel{},
 		reservedWorkers: map[string]*worker{},
 	}
