--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -18,8 +19,9 @@
 	minReportedRate = 500
 )
 
-// reportTraffic logs the bytes a second that this host sends and receives, by purpose.
-// Load pattern: a host whose link is full, so that calls of all purposes time out.
+// reportTraffic logs the bytes a second that this host sends and receives, and its calls a
+// second, by purpose. Load pattern: a host whose link is full, so that calls of all
+// purposes time out.
 func (p *process) reportTraffic(ctx context.Context) error {
 	last := p.adapter.Meter.Totals()
 	for wait.For(ctx, trafficReportInterval) == nil {
@@ -33,14 +35,15 @@
 }
 
 // trafficRates returns log fields with the rates of the purposes that exceed
-// minReportedRate, and of all purposes together, in bytes a second.
+// minReportedRate: bytes sent, bytes received and calls, each a second. The first fields
+// are the bytes of all purposes together.
 func trafficRates(last, now map[string]linkmeter.Counts, span time.Duration) []any {
 	var purposes []string
 	for purpose := range now {
 		purposes = append(purposes, purpose)
 	}
 	slices.Sort(purposes)
-	rate := func(n int64) int64 { return int64(float64(n) / span.Seconds()) }
+	rate := func(n int64) int64 { return int64(math.Round(float64(n) / span.Seconds())) }
 	var fields []any
 	var sent, received int64
 	for _, purpose := range purposes {
@@ -48,7 +51,7 @@
 		r := rate(now[purpose].Received - last[purpose].Received)
 		sent, received = sent+s, received+r
 		if s+r >= minReportedRate {
-			fields = append(fields, purpose, []int64{s, r})
+			fields = append(fields, purpose, []int64{s, r, rate(now[purpose].Calls - last[purpose].Calls)})
 		}
 	}
 	if len(fields) == 0 {
