coordinator: one host instead of two makes only short calls for advice

Hypothesis: since short calls queue at a host, one carries what two did, and the other can make long calls while cut-plan steps wait beside idle cores.

--- a/internal/coordinator/advicepool.go
+++ b/internal/coordinator/advicepool.go
@@ -36,7 +36,7 @@
 	shortCallLimit = 60 * time.Millisecond
 	// reservedForShort hosts make only short calls, so that urgent steps do not wait
 	// behind calls of half a second.
-	reservedForShort    = 2
+	reservedForShort    = 1
 	unreservedCallLimit = time.Minute
 	// fewIdleShare is the share of idle hosts below which AdviceCapacity.FewIdle is set:
 	// calls for gangs then name fewer workers and take less time.
