coordinator: heartbeats without an answer are repeated at once

Logs: all ends of a worker's runs arrive at one moment, 1.2 to 2 s late, e.g. three tasks of one step on i- assigned at 4.59 s end at 6.72 s, a fourth of another job with them: the worker left one heartbeat unanswered (applied_late, answer_lost), and the report waited for its timeout (0.7 + 0.4 s) and a pause of 0.25 s. An urgent job has 0.5 s. Change: the time for an answer is learned as TCP does it, 0.12 to 0.4 s; a heartbeat without an answer is repeated at once and without waiting; only two in a row make a worker out of reach; while a short task runs there a heartbeat waits 0.35 s instead of 0.7 s. Kept for short tasks only: a heartbeat costs the coordinator some 0.1 ms.

--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -31,6 +31,9 @@
 	// answers; over a thin link it is thinHeartbeatWait.
 	heartbeatWaitBusy = 700 * time.Millisecond
 	thinHeartbeatWait = 1500 * time.Millisecond
+	// heartbeatWaitShort applies while a task runs that is expected to take no longer than
+	// dispatch.ShortTask: a heartbeat that is not answered delays the report of its end.
+	heartbeatWaitShort = 350 * time.Millisecond
 	// A worker without tasks gets a heartbeat every idleInterval, or
 	// idleIntervalPerWorker times the number of workers if that is longer: a
 	// coordinator can make some 500 such calls a second beside its other work.
@@ -41,9 +44,10 @@
 	// of them at once takes the process longer than the timeout of one call, so the
 	// calls would be repeated without end.
 	maxShortHeartbeats = 256
-	// heartbeatSlack is added to the wait time of a heartbeat. A heartbeat that is not
-	// answered delays the reports of ended tasks by that much.
-	heartbeatSlack      = 400 * time.Millisecond
+	// A heartbeat that is not answered is repeated at once, without waiting for an end.
+	// From lostContactFailures on the worker counts as out of reach, and heartbeats
+	// pause for heartbeatRetryPause.
+	lostContactFailures = 2
 	heartbeatRetryPause = 250 * time.Millisecond
 	heartbeatPause      = 15 * time.Millisecond // batches ends of tasks that come together
 	ackTimeout          = 400 * time.Millisecond
@@ -103,10 +107,12 @@
 	ackSent        int64 // sent with the latest heartbeat that was answered
 	incarnation    int64 // incarnation that answered the latest heartbeat
 	tasks          int
+	shortTasks     bool      // a short task may be running
 	clock          int64     // latest reading of the worker's clock, milliseconds
 	clockReceived  time.Time // when clock was received; the reading may be older, not newer
 	leasesEndBy    time.Time // all leases given by this link have expired then
-	answered       bool      // the latest heartbeat was answered
+	answered       bool      // the worker counts as in reach
+	failures       int       // consecutive heartbeats without an answer
 }
 
 func newLink(set *linkSet, l dispatch.WorkerView) *link {
@@ -120,7 +126,7 @@
 func (l *link) update(v dispatch.WorkerView) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tasks = v.Tasks
+	l.tasks, l.shortTasks = v.Tasks, v.ShortTasks
 	if v.Acked != l.ack || v.Incarnation != l.ackIncarnation {
 		l.ack, l.ackIncarnation = v.Acked, v.Incarnation
 		signal(l.ackChanged)
@@ -163,7 +169,7 @@
 
 // newLeaseEnd returns the end of a lease given now, on the worker's clock. It returns 0
 // if the clock is not known, if the leadership has not been renewed for maxUnconfirmed,
-// or if the worker did not answer the latest heartbeat: offering further leases to an
+// or if the worker did not answer the latest heartbeats: offering further leases to an
 // unreachable worker would keep extending the time by which its leases have expired.
 func (l *link) newLeaseEnd() int64 {
 	now := time.Now()
@@ -194,7 +200,11 @@
 			return
 		}
 		if err != nil {
-			_ = wait.For(ctx, heartbeatRetryPause) // the loop ends with ctx
+			pause := heartbeatRetryPause
+			if l.inReach() {
+				pause = heartbeatPause
+			}
+			_ = wait.For(ctx, pause) // the loop ends with ctx
 			continue
 		}
 		first = false
@@ -206,6 +216,13 @@
 	}
 }
 
+// inReach reports whether the worker counts as in reach.
+func (l *link) inReach() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered
+}
+
 // waitWhileIdle returns when the worker is no longer idle or the idle interval is over.
 func (l *link) waitWhileIdle(ctx context.Context) {
 	pause := max(idleInterval, time.Duration(l.set.count.Load())*idleIntervalPerWorker)
@@ -232,11 +249,9 @@
 func (l *link) heartbeat(ctx context.Context, first bool) (workload.Inventory, error) {
 	l.mu.Lock()
 	order := workload.Heartbeat{Fence: l.set.fence, AckSeq: l.ackSeq()}
-	if l.tasks > 0 {
-		order.Wait = heartbeatWaitBusy
-		if l.set.coordinator.ThinLink {
-			order.Wait = thinHeartbeatWait
-		}
+	failures := l.failures
+	if l.tasks > 0 && failures == 0 {
+		order.Wait = l.busyWait()
 	}
 	l.mu.Unlock()
 	if first {
@@ -252,20 +267,50 @@
 	}
 	order.LeaseUntil = l.newLeaseEnd()
 	sentAt := time.Now()
-	call, cancel := context.WithTimeout(ctx, order.Wait+heartbeatSlack)
+	call, cancel := context.WithTimeout(ctx, order.Wait+l.set.answerTimes.timeout(failures))
 	inv, err := l.set.coordinator.Commander.Heartbeat(call, &l.worker, order)
 	cancel()
 	if err == nil {
 		l.setClock(inv.ClockMS)
+		if took := time.Since(sentAt); took >= order.Wait { // otherwise the worker has waited for an unknown time
+			l.set.answerTimes.add(took - order.Wait)
+		}
+	}
+	if l.recordHeartbeat(order, inv, err) {
+		l.post(ctx, heartbeatResult{l.worker.ID, inv, sentAt, err})
 	}
+	return inv, err
+}
+
+// busyWait returns how long the worker waits for an end before it answers a heartbeat.
+// The caller holds mu.
+func (l *link) busyWait() time.Duration {
+	switch {
+	case l.set.coordinator.ThinLink:
+		return thinHeartbeatWait
+	case l.shortTasks:
+		return heartbeatWaitShort
+	default:
+		return heartbeatWaitBusy
+	}
+}
+
+// recordHeartbeat records the outcome of a heartbeat and reports whether it is to be
+// passed on: a single one without an answer is not.
+func (l *link) recordHeartbeat(order workload.Heartbeat, inv workload.Inventory, err error) bool {
 	l.mu.Lock()
-	l.answered = err == nil
+	defer l.mu.Unlock()
 	if err == nil {
+		l.answered, l.failures = true, 0
 		l.incarnation, l.ackSent = inv.Incarnation, order.AckSeq
+		return true
 	}
-	l.mu.Unlock()
-	l.post(ctx, heartbeatResult{l.worker.ID, inv, sentAt, err})
-	return inv, err
+	l.failures++
+	if errors.Is(err, workload.ErrNoAnswer) && l.failures < lostContactFailures {
+		return false
+	}
+	l.answered = false
+	return true
 }
 
 // ackSeq returns the last sequence number that may be acknowledged. It is 0 unless the
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -18,6 +18,7 @@
 	links           map[string]*link
 	count           atomic.Int64  // of links
 	shortHeartbeats chan struct{} // a token for each heartbeat that returns without waiting
+	answerTimes     answerTimes
 	running         sync.WaitGroup
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -137,6 +137,21 @@
 	is.Equal(view.Acked, int64(7))
 }
 
+// The connection to a worker polls more often while a short task may be running there.
+func TestViewShowsShortTasks(t *testing.T) {
+	for estimate, short := range map[time.Duration]bool{ShortTask / 2: true, 2 * ShortTask: false} {
+		is := is.New(t)
+		c := newCell(t)
+		c.addWorker("w", 8)
+		view, _ := c.core.ViewWorker("w")
+		is.Equal(view.ShortTasks, false)
+		c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1), Estimate: estimate})
+		c.startTasks(nil)
+		view, _ = c.core.ViewWorker("w")
+		is.Equal(view.ShortTasks, short)
+	}
+}
+
 // Guards against overcommitted workers: capacity must not be reused while the run that
 // occupied it may continue, because it is being stopped, its start was not answered, or
 // its worker is out of reach.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -226,12 +226,24 @@
 type WorkerView struct {
 	Worker      workload.Worker
 	Tasks       int
+	ShortTasks  bool  // a task that is expected to take no longer than ShortTask may be running
 	Acked       int64 // ends of runs up to this sequence number are stored
 	Incarnation int64 // the incarnation of the worker that Acked refers to
 }
 
-func (w *worker) view() WorkerView {
-	return WorkerView{Worker: w.info, Tasks: len(w.tasks), Acked: w.ackedSeq, Incarnation: w.incarnation}
+// ShortTask is the duration up to which a task counts as short.
+const ShortTask = time.Second
+
+// viewOf returns the view of a worker.
+func (c *Core) viewOf(w *worker) WorkerView {
+	v := WorkerView{Worker: w.info, Tasks: len(w.tasks), Acked: w.ackedSeq, Incarnation: w.incarnation}
+	for id := range w.tasks {
+		if s, _ := c.findTask(id); s != nil && !s.spec.Service && c.expectedDuration(s) <= ShortTask {
+			v.ShortTasks = true
+			break
+		}
+	}
+	return v
 }
 
 // RegisteredWorkers returns the IDs of the workers in the registry.
@@ -263,7 +275,7 @@
 	if w == nil || w.info.Address == "" {
 		return WorkerView{}, false
 	}
-	return w.view(), true
+	return c.viewOf(w), true
 }
 
 // free returns the unused capacity.
