--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -81,7 +82,7 @@
 // are counted as dropped. The rest of a line that the output took in part is written
 // before the next lines.
 func (w *logWriter) write(lines []byte) (lost int) {
-	rest := append(w.partial, lines...)
+	rest := slices.Concat(w.partial, lines)
 	if len(rest) == 0 {
 		return 0
 	}
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -215,7 +215,7 @@
 // blockingStart answers a start order when released.
 type blockingStart struct{ release chan struct{} }
 
-func (b blockingStart) Start(ctx context.Context, _ *workload.Worker, _ workload.StartOrder) (int64, error) {
+func (b blockingStart) Start(_ context.Context, _ *workload.Worker, _ workload.StartOrder) (int64, error) {
 	<-b.release
 	return 0, nil
 }
