entry: a relayed order waits for its job's spec

Two calls to one host overtook the call that carried the spec of their job; the host did not know it, and the coordinator sent these orders itself. No order was lost. Ruled out: evicted specs (30 jobs of 1,024 that fit). Change: the host waits up to 0.1 s for the spec.

--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"cuminloft/internal/rpc"
+	"cuminloft/internal/wait"
 	"cuminloft/internal/workload"
 )
 
@@ -32,6 +33,10 @@
 	relayedStartTimeout = 700 * time.Millisecond
 	// relayBatchTimeout bounds the call that relays a batch.
 	relayBatchTimeout = time.Second
+	// overtakenWait is how long an order waits for its job's spec, which an earlier call
+	// carries, and overtakenPoll the interval at which it looks for the spec.
+	overtakenWait = 100 * time.Millisecond
+	overtakenPoll = 5 * time.Millisecond
 	// noRelayPeriod is how long no orders are relayed to a host that cannot relay them.
 	noRelayPeriod = 30 * time.Second
 	// maxKnownSpecs bounds the specs that a host keeps, and those that it assumes
@@ -262,18 +267,29 @@
 	reply := &rpc.StartRunsReply{Results: make([]*rpc.RunStartResult, len(r.Starts))}
 	var wg sync.WaitGroup
 	for i, start := range r.Starts {
-		spec, known := s.specs.Get(start.Job)
-		if !known {
-			reply.Results[i] = &rpc.RunStartResult{Error: startNotRelayed}
-			continue
-		}
-		wg.Go(func() { reply.Results[i] = s.start(ctx, start, spec, r.Fence) })
+		wg.Go(func() { reply.Results[i] = s.start(ctx, start, r.Fence) })
 	}
 	wg.Wait()
 	return reply
 }
 
-func (s *startServer) start(ctx context.Context, r *rpc.RunStart, spec string, fence int64) *rpc.RunStartResult {
+// awaitSpec returns the spec of a job. The call that carries it may be overtaken by a
+// later one, which waits for it.
+func (s *startServer) awaitSpec(ctx context.Context, job string) (spec string, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, overtakenWait)
+	defer cancel()
+	for {
+		if spec, known = s.specs.Get(job); known || wait.For(ctx, overtakenPoll) != nil {
+			return spec, known
+		}
+	}
+}
+
+func (s *startServer) start(ctx context.Context, r *rpc.RunStart, fence int64) *rpc.RunStartResult {
+	spec, known := s.awaitSpec(ctx, r.Job)
+	if !known {
+		return &rpc.RunStartResult{Error: startNotRelayed}
+	}
 	step := workload.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}
 	clock, err := s.commander.Start(ctx, &workload.Worker{ID: r.Worker, Address: r.Address}, workload.StartOrder{
 		Run:  workload.Run{Task: workload.TaskID{StepID: step, Index: int(r.Index)}, Number: int(r.Run)},
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -147,6 +147,25 @@
 	is.Equal(len(c.direct.take()), 0)
 }
 
+// An order may arrive before the call that carries its job's spec.
+func TestOrderOvertakesItsSpec(t *testing.T) {
+	is := is.New(t)
+	workers := &startRecorder{}
+	s := newStartServer(workers)
+	var early sync.WaitGroup
+	early.Go(func() {
+		reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j", Index: 1}}})
+		is.Equal(reply.Results[0].Error, "")
+	})
+	time.Sleep(overtakenWait / 4)
+	reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j"}}, Specs: map[string]string{"j": "spec"}})
+	is.Equal(reply.Results[0].Error, "")
+	early.Wait()
+	for _, o := range workers.take() {
+		is.Equal(o.Spec, "spec")
+	}
+}
+
 // TestStartsWithinTheShareAreDirect checks that a link with capacity left relays nothing.
 func TestStartsWithinTheShareAreDirect(t *testing.T) {
 	is := is.New(t)
