--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -51,7 +51,7 @@
 	CountEvent(name string)
 	ObserveCommit(rows int, took time.Duration)
 	// SetGauges sets the current state; zero when this host is no longer the leader.
-	SetGauges(dispatch.Stats, dispatch.Waiting)
+	SetGauges(dispatch.Stats, dispatch.Waiting, dispatch.OutOfReach)
 	// ObserveLoopTime adds the time that a phase of the event loop took since the
 	// previous call.
 	ObserveLoopTime(phase string, took time.Duration)
@@ -176,7 +176,7 @@
 	t := newTermLoop(c, term, events)
 	c.currentTerm.Store(t)
 	defer c.currentTerm.Store(nil)
-	defer c.Observer.SetGauges(dispatch.Stats{}, dispatch.Waiting{})
+	defer c.Observer.SetGauges(dispatch.Stats{}, dispatch.Waiting{}, dispatch.OutOfReach{})
 	jobsVersion, err := t.loadWhileRenewing(ctx)
 	if err != nil {
 		if !errors.Is(err, errLeadershipLost) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -75,11 +75,11 @@
 
 type nopObserver struct{}
 
-func (nopObserver) CountEvent(string)                          {}
-func (nopObserver) ObserveCommit(int, time.Duration)           {}
-func (nopObserver) SetGauges(dispatch.Stats, dispatch.Waiting) {}
-func (nopObserver) ObserveLoopTime(string, time.Duration)      {}
-func (nopObserver) CountAdvice(dispatch.AdviceStats)           {}
+func (nopObserver) CountEvent(string)                                               {}
+func (nopObserver) ObserveCommit(int, time.Duration)                                {}
+func (nopObserver) SetGauges(dispatch.Stats, dispatch.Waiting, dispatch.OutOfReach) {}
+func (nopObserver) ObserveLoopTime(string, time.Duration)                           {}
+func (nopObserver) CountAdvice(dispatch.AdviceStats)                                {}
 
 // lead runs a coordinator on the store until the returned function is called.
 func lead(t *testing.T, store *rows.Store, retention time.Duration) (*Coordinator, context.CancelFunc) {
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -231,7 +231,7 @@
 	case errors.Is(r.err, workload.ErrReplaced):
 		t.core.HandleReplaced(r.worker, now)
 	default:
-		t.core.HandleLostContact(r.worker)
+		t.core.HandleLostContact(r.worker, now)
 	}
 }
 
@@ -257,9 +257,13 @@
 
 // reportStats sets the gauges and logs the waiting tasks.
 func (t *termLoop) reportStats(now time.Time) {
-	stats, waiting := t.core.Stats(), t.core.Explain(now)
-	t.Observer.SetGauges(stats, waiting)
+	stats, waiting, away := t.core.Stats(), t.core.Explain(now), t.core.OutOfReach(now)
+	t.Observer.SetGauges(stats, waiting, away)
 	t.reportAdvice()
+	if away.Tasks > 0 {
+		t.Log.Info("tasks on workers out of reach", "workers", away.Workers, "tasks", away.Tasks, "service tasks", away.ServiceTasks,
+			"longest", away.Longest, "first leases end in", away.FirstEnd, "last leases end in", away.LastEnd)
+	}
 	if waiting.Steps == 0 {
 		return
 	}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -159,7 +159,7 @@
 	for name, prepare := range map[string]func(c *testCell, st Start){
 		"stopping":     func(c *testCell, _ Start) { c.core.Cancel("j", c.now) },
 		"unanswered":   func(c *testCell, st Start) { c.core.HandleStartResult(st, workload.ErrNoAnswer, c.now) },
-		"out of reach": func(c *testCell, _ Start) { c.core.HandleLostContact("w") },
+		"out of reach": func(c *testCell, _ Start) { c.core.HandleLostContact("w", c.now) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -249,7 +249,7 @@
 		if err := next.core.Restore(spec, row.Data, false, next.now); err != nil {
 			t.Fatal(err)
 		}
-		next.core.SetLeaseBound(next.now.Add(10 * time.Second))
+		next.core.SetLeaseBound(next.now.Add(10*time.Second), next.now)
 		next.addWorker("v", 8)
 		if n := len(next.startTasks(nil)); n != 0 {
 			t.Fatalf("%d tasks started that may be running", n)
@@ -637,7 +637,7 @@
 	is.Equal(len(starts), 3)
 	done := starts[0]
 	for _, st := range starts[1:] {
-		c.core.HandleLostContact(st.Worker.ID)
+		c.core.HandleLostContact(st.Worker.ID, c.now)
 	}
 	c.reportInventory(done.Worker.ID, workload.Inventory{Ended: []workload.RunEnd{{Seq: 1, Run: done.Order.Run, Outcome: workload.RunDone}}})
 	row := c.core.TakeBatch(10, 1<<20).Progress[0]
--- /dev/null
+++ b/internal/dispatch/outofreach.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import "time"
+
+// OutOfReach sums up the tasks on workers that are out of reach. They may still be
+// running there, so they start again only when the workers' leases are over.
+type OutOfReach struct {
+	Workers, Tasks, ServiceTasks int
+	// Longest is the longest time for which one of these workers has been out of reach,
+	// as far as this term knows.
+	Longest time.Duration
+	// FirstEnd and LastEnd are the times until the first and the last of these workers
+	// can hold no lease.
+	FirstEnd, LastEnd time.Duration
+}
+
+// OutOfReach returns the tasks on workers that are out of reach.
+func (c *Core) OutOfReach(now time.Time) OutOfReach {
+	var out OutOfReach
+	for _, w := range c.workers {
+		if w.reachable || len(w.tasks) == 0 {
+			continue
+		}
+		left := max(0, w.leasesEnd.Sub(now))
+		if out.Workers == 0 || left < out.FirstEnd {
+			out.FirstEnd = left
+		}
+		out.LastEnd = max(out.LastEnd, left)
+		out.Longest = max(out.Longest, w.outOfReachFor(now))
+		out.Workers++
+		out.Tasks += len(w.tasks)
+		out.ServiceTasks += c.serviceTasksOn(w)
+	}
+	return out
+}
+
+// outOfReachFor returns how long a worker has been out of reach; 0 if it is in reach, or
+// was not in reach in this term.
+func (w *worker) outOfReachFor(now time.Time) time.Duration {
+	if w.reachable || w.unreachableSince.IsZero() {
+		return 0
+	}
+	return now.Sub(w.unreachableSince)
+}
+
+// serviceTasksOn counts the service tasks that may be running on a worker.
+func (c *Core) serviceTasksOn(w *worker) int {
+	n := 0
+	for id := range w.tasks {
+		if s, _ := c.findTask(id); s != nil && s.spec.Service {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/dispatch/replay_narrow_test.go
+++ b/internal/dispatch/replay_narrow_test.go
@@ -103,7 +103,7 @@
 				r.breakGang(id.StepID)
 			}
 			clear(w.runs)
-			r.core.HandleLostContact(w.info.ID)
+			r.core.HandleLostContact(w.info.ID, r.now)
 			r.core.ExtendLease(w.info.ID, r.now.Add(7*time.Second))
 		})
 	}
--- a/internal/dispatch/replay_wide_test.go
+++ b/internal/dispatch/replay_wide_test.go
@@ -43,7 +43,7 @@
 			if w.info.AZ == az {
 				w.unreachable = on
 				if on {
-					r.core.HandleLostContact(id)
+					r.core.HandleLostContact(id, r.now)
 				}
 			}
 		}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -38,7 +38,8 @@
 			continue
 		}
 		if !w.reachable && !w.leasesEnd.IsZero() && now.After(w.leasesEnd) {
-			c.emit("leases on worker are over", "worker", w.info.ID, "lost tasks", len(w.tasks))
+			c.emit("leases on worker are over", "worker", w.info.ID, "lost tasks", len(w.tasks),
+				"service tasks", c.serviceTasksOn(w), "out of reach for", w.outOfReachFor(now))
 			c.loseTasks(w, now)
 			continue
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -21,9 +21,12 @@
 	appliedSeq           int64                        // ends of runs up to this sequence number are applied
 	ackedSeq             int64                        // ends of runs up to this sequence number are stored
 	// leasesEnd is the time after which the worker can hold no lease.
-	leasesEnd    time.Time
-	backoffUntil time.Time // no tasks start on the worker before this time
-	unansweredAt time.Time // when the worker last left an order unanswered
+	leasesEnd time.Time
+	// unreachableSince is when the worker went out of reach, or the takeover if it has not
+	// been in reach since.
+	unreachableSince time.Time
+	backoffUntil     time.Time // no tasks start on the worker before this time
+	unansweredAt     time.Time // when the worker last left an order unanswered
 	health
 	// slowdown is the smoothed ratio of the time that tasks take on this worker to their
 	// estimates; 0 before the first report.
@@ -95,7 +98,7 @@
 	if ch.Worker == nil {
 		if w := c.workers[ch.ID]; w != nil && w.registered {
 			w.registered = false
-			c.emit("worker left the registry", "worker", ch.ID, "tasks", len(w.tasks))
+			c.emit("worker left the registry", "worker", ch.ID, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w))
 			c.dropIfUnused(w)
 		}
 		return
@@ -104,7 +107,7 @@
 	if !w.registered {
 		c.emit("worker registered", "worker", ch.ID, "az", ch.Worker.AZ, "address", ch.Worker.Address)
 	} else if ch.Worker.Draining && !w.info.Draining {
-		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "remaining", ch.Worker.Remaining)
+		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w), "remaining", ch.Worker.Remaining)
 	}
 	changed := !w.registered || !ch.Worker.SameRegistration(&w.info)
 	w.registered = true
@@ -163,10 +166,11 @@
 }
 
 // HandleLostContact handles a worker that did not answer a heartbeat.
-func (c *Core) HandleLostContact(id string) {
+func (c *Core) HandleLostContact(id string, now time.Time) {
 	if w := c.workers[id]; w != nil && w.reachable {
-		w.reachable = false
-		c.emit("worker out of reach", "worker", id, "tasks", len(w.tasks))
+		w.reachable, w.unreachableSince = false, now
+		c.emit("worker out of reach", "worker", id, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w),
+			"leases end in", w.leasesEnd.Sub(now))
 	}
 }
 
@@ -215,11 +219,12 @@
 }
 
 // SetLeaseBound sets the end of all leases that earlier holders of the fence may have
-// granted.
-func (c *Core) SetLeaseBound(end time.Time) {
+// granted. No worker has been in reach yet.
+func (c *Core) SetLeaseBound(end, now time.Time) {
 	for _, w := range c.workers {
-		w.leasesEnd = end
+		w.leasesEnd, w.unreachableSince = end, now
 	}
+	c.emit("lease bound of earlier terms", "workers", len(c.workers), "ends in", end.Sub(now))
 }
 
 // WorkerView is what the connection to a worker needs to know about it.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -86,7 +86,7 @@
 }
 
 // SetGauges implements coordinator.Observer.
-func (m *metrics) SetGauges(s dispatch.Stats, w dispatch.Waiting) {
+func (m *metrics) SetGauges(s dispatch.Stats, w dispatch.Waiting, away dispatch.OutOfReach) {
 	m.admission.setOldest(w.OldestAge)
 	m.gauges.WithLabelValues("jobs").Set(float64(s.ActiveJobs))
 	m.gauges.WithLabelValues("workers").Set(float64(s.Workers))
@@ -97,6 +97,8 @@
 	m.gauges.WithLabelValues("workers_with_kept_room").Set(float64(s.ReservedWorkers))
 	m.gauges.WithLabelValues("open_millicores").Set(float64(w.OpenMilliCores))
 	m.gauges.WithLabelValues("idle_millicores_beside_waiting_tasks").Set(float64(w.IdleMilliCores))
+	m.gauges.WithLabelValues("tasks_out_of_reach").Set(float64(away.Tasks))
+	m.gauges.WithLabelValues("service_tasks_out_of_reach").Set(float64(away.ServiceTasks))
 	for _, reason := range dispatch.WaitReasons {
 		m.waiting.WithLabelValues(string(reason)).Set(float64(w.Tasks[reason]))
 	}
