--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"cuminloft/internal/dispatch"
@@ -33,6 +34,8 @@
 	batches []*dispatch.Batch // none if the commit only renews the leadership
 	puts    []platform.PartitionRow
 	removes []platform.PartitionRow
+	// leaseBounds are stored with the commit; nil leaves those of the last one.
+	leaseBounds leaseBounds
 	// index is set if the rows are the progress of all jobs, which may be stored in
 	// another partition. It replaces the term's index when the commit has succeeded.
 	index *jobstore.ProgressIndex
@@ -57,15 +60,11 @@
 		puts = t.index.Put(batch.Progress)
 	}
 	removes := t.index.TakeRemovals()
-	if batch == nil && len(removes) == 0 {
-		if now.Sub(t.lastCommit()) >= renewInterval {
-			t.committing, t.commitBeganAt = true, now
-			t.commits <- commitRequest{}
-		}
+	if batch == nil && len(removes) == 0 && !t.leaseBoundsChanged && now.Sub(t.lastCommit()) < renewInterval {
 		return
 	}
-	t.committing, t.commitBeganAt = true, now
-	request := commitRequest{puts: puts, removes: removes}
+	t.committing, t.commitBeganAt, t.leaseBoundsChanged = true, now, false
+	request := commitRequest{puts: puts, removes: removes, leaseBounds: maps.Clone(t.leaseBounds)}
 	if batch != nil {
 		request.batches = []*dispatch.Batch{batch}
 	}
@@ -79,7 +78,7 @@
 	index := jobstore.NewProgressIndex()
 	rows := index.Put(all.Progress)
 	t.Log.Info("progress moves", "from", t.term.Partition(), "epoch", t.term.Epoch, "jobs", len(all.Progress), "rows", len(rows))
-	t.commits <- commitRequest{batches: append(refused.batches, all), puts: rows, index: index}
+	t.commits <- commitRequest{batches: append(refused.batches, all), puts: rows, index: index, leaseBounds: refused.leaseBounds}
 }
 
 // commitLoop executes commit requests one after the other.
@@ -98,7 +97,7 @@
 			case err != nil:
 				return err
 			default:
-				t.post(ctx, commitDone{r.batches, r.index, time.Since(began)})
+				t.post(ctx, commitDone{r.batches, r.index, r.leaseBounds, time.Since(began)})
 			}
 		}
 	}
@@ -107,6 +106,9 @@
 // commitRows stores rows together with the leader record, which renews the leadership.
 func (t *termLoop) commitRows(ctx context.Context, r commitRequest) error {
 	began := time.Now()
+	if r.leaseBounds != nil {
+		t.term.record.LeaseBounds = r.leaseBounds
+	}
 	if r.index == nil {
 		if err := t.term.Commit(ctx, r.puts, r.removes); err != nil {
 			return err
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -244,7 +244,9 @@
 	commitDone struct {
 		batches []*dispatch.Batch
 		index   *jobstore.ProgressIndex // set after a move to another partition
-		took    time.Duration
+		// leaseBounds are the stored ones.
+		leaseBounds leaseBounds
+		took        time.Duration
 	}
 	// commitRefused reports a commit that the active partition refused.
 	commitRefused     struct{ request commitRequest }
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -297,7 +297,7 @@
 func (e *Elector) takeLeadership(ctx context.Context, from leaderRows) {
 	silent := time.Since(e.changedAt)
 	c := &commitChain{store: e.Store, last: from}
-	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1}
+	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1, LeaseBounds: from.active().LeaseBounds}
 	renewal := newRenewal(&from.active().LeaderRecord)
 	renewal.announce(&record)
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -43,6 +43,15 @@
 	RenewMS int64 `json:"renew_ms,omitempty"`
 	// Loading is set until the leader has loaded the stored jobs.
 	Loading bool `json:"loading,omitempty"`
+	// LeaseBounds are the bounds of the leases on workers out of reach. A build before
+	// this field removes it with its first commit.
+	LeaseBounds leaseBounds `json:"lease_bounds,omitempty"`
+}
+
+// sameWrite reports whether two records were written by the same call: a sequence number
+// is not used twice in an epoch.
+func (r *LeaderRecord) sameWrite(o *LeaderRecord) bool {
+	return r.Leader == o.Leader && r.Epoch == o.Epoch && r.Seq == o.Seq && r.Moves == o.Moves
 }
 
 // renewWithin returns the time within which the leader expects to commit again.
@@ -303,7 +312,7 @@
 		var conflict *platform.RowConflictError
 		if errors.As(err, &conflict) {
 			current, err := w.resolveConflict(conflict)
-			if err != nil || current.LeaderRecord == w.next {
+			if err != nil || current.sameWrite(&w.next) {
 				return current, err
 			}
 			w.from = current
@@ -335,7 +344,7 @@
 		if err != nil {
 			return leaderRow{}, err
 		}
-		if current.LeaderRecord == w.next || w.replacesAll && current.Leader == w.next.Leader && current.Epoch == w.next.Epoch {
+		if current.sameWrite(&w.next) || w.replacesAll && current.Leader == w.next.Leader && current.Epoch == w.next.Epoch {
 			return current, nil
 		}
 	}
--- /dev/null
+++ b/internal/coordinator/leasebounds.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"math"
+	"time"
+
+	"cuminloft/internal/platform"
+)
+
+// leaseBounds holds, by worker, when all leases on a worker out of reach have expired, in
+// milliseconds of the store's clock. The leader record carries them, so that a successor
+// need not wait as if these workers had been given leases until the takeover. Load
+// pattern: workers leave, then coordinators follow one another.
+//
+// A worker that is listed in a record which may be stored is given no lease: it would
+// outlive the bound that a successor relies on. Once the worker is in reach again, a
+// commit without it has to succeed first.
+type leaseBounds map[string]int64
+
+// maxLeaseBounds limits the size of the leader record, which each commit writes. On other
+// workers out of reach a successor waits for the leases of its predecessor.
+const maxLeaseBounds = 512
+
+// times returns the bounds by this host's clock; none if the store's clock is not known.
+func (b leaseBounds) times(store platform.Store) map[string]time.Time {
+	reading, ok := platform.StoreClock(store)
+	if !ok {
+		return nil
+	}
+	out := make(map[string]time.Time, len(b))
+	for id, ms := range b {
+		out[id] = reading.Reached(time.Duration(ms) * time.Millisecond)
+	}
+	return out
+}
+
+// takeOverLeaseBounds takes over the bounds of the predecessor's record.
+func (t *termLoop) takeOverLeaseBounds() {
+	t.leaseBounds = leaseBounds{}
+	for id, ms := range t.term.record.LeaseBounds {
+		t.leaseBounds[id] = ms
+		t.links.withhold(id)
+	}
+}
+
+// updateLeaseBounds adds the workers that have gone out of reach and removes those on
+// which no task may be running any more.
+func (t *termLoop) updateLeaseBounds() {
+	ends := t.core.LeasesOutOfReach()
+	for id := range t.leaseBounds {
+		if _, out := ends[id]; !out {
+			t.removeLeaseBound(id)
+		}
+	}
+	reading, ok := platform.StoreClock(t.Store)
+	if !ok {
+		return
+	}
+	for id, end := range ends {
+		if _, listed := t.leaseBounds[id]; listed || len(t.leaseBounds) >= maxLeaseBounds {
+			continue
+		}
+		granted, linkEnd := t.links.withhold(id)
+		// A reading from before the last lease does not show how long this host was
+		// suspended since.
+		if !reading.Sent.After(granted) {
+			continue
+		}
+		if linkEnd.After(end) {
+			end = linkEnd
+		}
+		t.leaseBounds[id] = int64(math.Ceil(float64(reading.Upper(end)) / float64(time.Millisecond)))
+		t.leaseBoundsChanged = true
+	}
+}
+
+// removeLeaseBound removes a worker, which is given leases again once that is stored.
+func (t *termLoop) removeLeaseBound(id string) {
+	if _, listed := t.leaseBounds[id]; listed {
+		delete(t.leaseBounds, id)
+		t.leaseBoundsChanged = true
+	}
+}
+
+// releaseLeases lets the workers be given leases again that the stored record no longer
+// lists.
+func (t *termLoop) releaseLeases(stored leaseBounds) {
+	for id := range t.links.withheld {
+		_, wasStored := stored[id]
+		_, listed := t.leaseBounds[id]
+		if !wasStored && !listed {
+			t.links.release(id)
+		}
+	}
+}
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -111,6 +111,8 @@
 	clock          int64     // latest reading of the worker's clock, milliseconds
 	clockReceived  time.Time // when clock was received; the reading may be older, not newer
 	leasesEndBy    time.Time // all leases given by this link have expired then
+	grantedAt      time.Time // when a lease was last given
+	withheld       bool      // no leases are given: see leaseBounds
 	answered       bool      // the worker counts as in reach
 	failures       int       // consecutive heartbeats without an answer
 }
@@ -157,6 +159,22 @@
 	return l.leasesEndBy
 }
 
+// withhold keeps the link from giving leases. It returns when the last lease was given,
+// and when all leases have expired.
+func (l *link) withhold() (grantedAt, leasesEnd time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.withheld = true
+	return l.grantedAt, l.leasesEndBy
+}
+
+// release lets the link give leases again.
+func (l *link) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.withheld = false
+}
+
 // setClock records a reading of the worker's clock.
 func (l *link) setClock(clockMS int64) {
 	if clockMS <= 0 {
@@ -169,15 +187,17 @@
 
 // newLeaseEnd returns the end of a lease given now, on the worker's clock. It returns 0
 // if the clock is not known, if the leadership has not been renewed for maxUnconfirmed,
-// or if the worker did not answer the latest heartbeats: offering further leases to an
-// unreachable worker would keep extending the time by which its leases have expired.
+// if the bound of the worker's leases is stored, or if the worker did not answer the
+// latest heartbeats: offering further leases to an unreachable worker would keep
+// extending the time by which its leases have expired.
 func (l *link) newLeaseEnd() int64 {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clock == 0 || !l.answered || now.Sub(l.set.lastCommit()) > maxUnconfirmed {
+	if l.clock == 0 || !l.answered || l.withheld || now.Sub(l.set.lastCommit()) > maxUnconfirmed {
 		return 0
 	}
+	l.grantedAt = now
 	until := l.clock + now.Sub(l.clockReceived).Milliseconds() + leaseDuration.Milliseconds()
 	span := time.Duration(clockDriftFactor * float64(time.Duration(until-l.clock)*time.Millisecond))
 	if end := l.clockReceived.Add(span + leaseMargin); end.After(l.leasesEndBy) {
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -16,14 +16,15 @@
 	lastCommit      func() time.Time
 	events          chan<- any
 	links           map[string]*link
-	count           atomic.Int64  // of links
-	shortHeartbeats chan struct{} // a token for each heartbeat that returns without waiting
+	withheld        map[string]bool // workers that are given no leases
+	count           atomic.Int64    // of links
+	shortHeartbeats chan struct{}   // a token for each heartbeat that returns without waiting
 	answerTimes     answerTimes
 	running         sync.WaitGroup
 }
 
 func newLinkSet(c *Coordinator, fence int64, lastCommit func() time.Time, events chan<- any) *linkSet {
-	return &linkSet{coordinator: c, fence: fence, lastCommit: lastCommit, events: events, links: map[string]*link{},
+	return &linkSet{coordinator: c, fence: fence, lastCommit: lastCommit, events: events, links: map[string]*link{}, withheld: map[string]bool{},
 		shortHeartbeats: make(chan struct{}, maxShortHeartbeats)}
 }
 
@@ -34,6 +35,8 @@
 		l := s.links[id]
 		if l != nil && (!wanted || l.worker.Address != v.Worker.Address) {
 			l.cancel()
+			_, leasesEnd := l.withhold()
+			core.ExtendLease(id, leasesEnd)
 			delete(s.links, id)
 			l = nil
 		}
@@ -42,6 +45,7 @@
 		}
 		if l == nil {
 			l = newLink(s, v)
+			l.withheld = s.withheld[id]
 			s.links[id] = l
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
@@ -87,6 +91,24 @@
 	}
 }
 
+// withhold keeps a worker from being given leases. It returns when the last lease was
+// given, and when all leases have expired; zero times if none was given.
+func (s *linkSet) withhold(id string) (grantedAt, leasesEnd time.Time) {
+	s.withheld[id] = true
+	if l := s.links[id]; l != nil {
+		return l.withhold()
+	}
+	return time.Time{}, time.Time{}
+}
+
+// release lets a worker be given leases again.
+func (s *linkSet) release(id string) {
+	delete(s.withheld, id)
+	if l := s.links[id]; l != nil {
+		l.release()
+	}
+}
+
 // leasesEnd returns the time by which all leases given to a worker have expired.
 func (s *linkSet) leasesEnd(id string) time.Time {
 	if l := s.links[id]; l != nil {
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -39,6 +40,7 @@
 	workload.Worker
 	registered  bool
 	unreachable bool
+	fencedOff   int64 // if set, calls under a higher fence get no answer
 	began       time.Time
 	fence       int64
 	lease       time.Time // when the lease ends
@@ -150,7 +152,7 @@
 // The caller holds mu.
 func (f *fleet) call(ctx context.Context, id string, fence, lease int64) (*fleetWorker, error) {
 	w := f.workers[id]
-	if w.unreachable {
+	if w.unreachable || w.fencedOff != 0 && fence > w.fencedOff {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
@@ -264,7 +266,16 @@
 func (f *fleet) setUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].unreachable = unreachable
+	f.workers[id].unreachable, f.workers[id].fencedOff = unreachable, 0
+}
+
+// cutFromSuccessors makes a worker reachable for coordinators that have reached it before,
+// and unreachable for their successors.
+func (f *fleet) cutFromSuccessors(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.unreachable, w.fencedOff = false, w.fence
 }
 
 // placeOf returns the worker that runs a task; empty if none does.
@@ -297,8 +308,18 @@
 // cutStore is a host's path to the store. While it is cut, calls get no answer.
 type cutStore struct {
 	*rows.SlowStore
-	mu  sync.Mutex
-	cut bool
+	clock platform.LatestClock // as read by this host
+	mu    sync.Mutex
+	cut   bool
+}
+
+func (s *cutStore) StoreClock() (platform.ClockReading, bool) { return s.clock.StoreClock() }
+
+// readClock records the reading of the store's clock in the answer to a call.
+func (s *cutStore) readClock(sent time.Time) {
+	reading, _ := s.SlowStore.StoreClock()
+	reading.Sent = sent
+	s.clock.Record(reading)
 }
 
 func (s *cutStore) setCut(cut bool) {
@@ -321,7 +342,12 @@
 	if s.wait(ctx) {
 		return 0, platform.ErrAmbiguous
 	}
-	return s.SlowStore.Commit(ctx, tx)
+	sent := time.Now()
+	version, err := s.SlowStore.Commit(ctx, tx)
+	if err == nil {
+		s.readClock(sent)
+	}
+	return version, err
 }
 
 func (s *cutStore) Scan(ctx context.Context, table, partition, from, to string) (platform.Page, error) {
@@ -330,7 +356,12 @@
 	if s.wait(ctx) {
 		return platform.Page{}, platform.ErrUnavailable
 	}
-	return s.SlowStore.Scan(ctx, table, partition, from, to)
+	sent := time.Now()
+	page, err := s.SlowStore.Scan(ctx, table, partition, from, to)
+	if err == nil {
+		s.readClock(sent)
+	}
+	return page, err
 }
 
 func (s *cutStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.PartitionRow, int64, error) {
@@ -405,7 +436,7 @@
 // host that is to lead from then on.
 func (f *fleet) randomFault(r *rand.Rand, store *rows.SlowStore, l *leader, host string, stopped *[]*leader) *leader {
 	id := fmt.Sprint("w", r.IntN(len(f.workers)))
-	switch r.IntN(6) {
+	switch r.IntN(7) {
 	case 0: // planned takeover
 		l.stop()
 		return f.lead(store, host)
@@ -421,10 +452,40 @@
 		store.SetLatency(time.Duration(r.IntN(60)+1) * usualCall)
 		time.Sleep(time.Second)
 		store.SetLatency(usualCall)
+	case 6:
+		f.cutFromSuccessors(id)
 	}
 	return l
 }
 
+// A worker whose bound is stored is given no lease before a commit without it: here the
+// leader reaches the worker again but not the store, and its successor not the worker.
+func TestWorkerWithStoredBoundGetsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		old := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		is.NoErr(old.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+		worker := f.placeOf(task)
+		f.setUnreachable(worker, true)
+		time.Sleep(3 * time.Second)
+		old.store.setCut(true)
+		f.cutFromSuccessors(worker)
+		l := f.lead(store, "host-1")
+		time.Sleep(20 * time.Second)
+		is.True(f.placeOf(task) != "" && f.placeOf(task) != worker)
+		is.True(f.gap() <= serviceRestart)
+		old.store.setCut(false)
+		time.Sleep(time.Second)
+		old.stop()
+		l.stop()
+	})
+}
+
 // Never two runs of a task at a time, whatever workers and coordinators are cut off and
 // come back: a worker that a later coordinator cannot reach may hold a lease that an
 // earlier one goes on renewing.
@@ -464,3 +525,52 @@
 		})
 	}
 }
+
+// A coordinator of a build without lease bounds gives leases to workers that are listed.
+// Its commits remove the list, so that a successor does not rely on it.
+func TestOlderBuildRemovesLeaseBounds(t *testing.T) {
+	is := is.New(t)
+	stored, err := json.Marshal(LeaderRecord{Leader: "new", Epoch: 4, Seq: 7, LeaseBounds: leaseBounds{"w": 5000}})
+	is.NoErr(err)
+	var old struct {
+		Leader  string `json:"holder"`
+		Address string `json:"address"`
+		Epoch   int64  `json:"epoch"`
+		Seq     int64  `json:"seq"`
+		Moves   int64  `json:"moves,omitempty"`
+		RenewMS int64  `json:"renew_ms,omitempty"`
+		Loading bool   `json:"loading,omitempty"`
+	}
+	is.NoErr(json.Unmarshal(stored, &old))
+	rewritten, err := json.Marshal(old)
+	is.NoErr(err)
+	row, err := decodeLeaderRow(platform.PartitionRow{Value: rewritten})
+	is.NoErr(err)
+	is.Equal(row.Epoch, int64(4))
+	is.Equal(len(row.LeaseBounds), 0)
+}
+
+// The leases of a worker that is back in reach are renewed before they end.
+func TestWorkerBackInReachKeepsItsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(2)
+		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		worker := f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}})
+		for i := range 4 {
+			f.setUnreachable(worker, true)
+			time.Sleep(3 * time.Second)
+			l.stop()
+			l = f.lead(store, fmt.Sprint("host-", i+1))
+			time.Sleep(time.Second)
+			f.setUnreachable(worker, false)
+			time.Sleep(4 * time.Second)
+		}
+		l.stop()
+		is.Equal(len(f.ended), 0)
+	})
+}
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -70,6 +70,10 @@
 	loaded          atomic.Bool // the core holds all jobs
 	endWaiters      endWaiters
 	loopTime        loopTime
+	// leaseBounds are to be stored with the next commit; leaseBoundsChanged is set if the
+	// last one does not have them.
+	leaseBounds        leaseBounds
+	leaseBoundsChanged bool
 }
 
 func newTermLoop(c *Coordinator, term *Term, events chan any) *termLoop {
@@ -80,6 +84,7 @@
 	t.links = newLinkSet(c, term.Epoch, t.lastCommit, events)
 	t.advice = newAdvicePool(c.Advisers, events)
 	t.maintenance = newMaintenanceController()
+	t.takeOverLeaseBounds()
 	return t
 }
 
@@ -183,6 +188,7 @@
 		if e.index != nil {
 			t.index = e.index
 		}
+		t.releaseLeases(e.leaseBounds)
 		for _, batch := range e.batches {
 			t.links.start(ctx, t.core.HandleStored(batch))
 		}
@@ -227,6 +233,7 @@
 	t.core.ExtendLease(r.worker, t.links.leasesEnd(r.worker))
 	switch {
 	case r.err == nil:
+		t.removeLeaseBound(r.worker)
 		t.core.HandleInventory(r.worker, r.inventory, r.sentAt, now)
 	case errors.Is(r.err, workload.ErrReplaced):
 		t.core.HandleReplaced(r.worker, now)
@@ -246,6 +253,7 @@
 			t.core.ExtendLease(id, end)
 		}
 	}
+	t.updateLeaseBounds()
 	t.maintain(ctx, now)
 	t.core.Tick(now)
 	if span := now.Sub(t.statsReportedAt); span >= statsInterval {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -249,7 +249,7 @@
 		if err := next.core.Restore(spec, row.Data, false, next.now); err != nil {
 			t.Fatal(err)
 		}
-		next.core.SetLeaseBound(next.now.Add(10*time.Second), next.now)
+		next.core.SetLeaseBounds(next.now.Add(10*time.Second), nil, next.now)
 		next.addWorker("v", 8)
 		if n := len(next.startTasks(nil)); n != 0 {
 			t.Fatalf("%d tasks started that may be running", n)
--- a/internal/dispatch/outofreach.go
+++ b/internal/dispatch/outofreach.go
@@ -34,6 +34,18 @@
 	return out
 }
 
+// LeasesOutOfReach returns when the leases end on each worker that is out of reach and
+// may be running tasks.
+func (c *Core) LeasesOutOfReach() map[string]time.Time {
+	out := map[string]time.Time{}
+	for id, w := range c.workers {
+		if !w.reachable && len(w.tasks) > 0 && !w.leasesEnd.IsZero() {
+			out[id] = w.leasesEnd
+		}
+	}
+	return out
+}
+
 // outOfReachFor returns how long a worker has been out of reach; 0 if it is in reach, or
 // was not in reach in this term.
 func (w *worker) outOfReachFor(now time.Time) time.Duration {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -218,13 +218,20 @@
 	}
 }
 
-// SetLeaseBound sets the end of all leases that earlier holders of the fence may have
-// granted. No worker has been in reach yet.
-func (c *Core) SetLeaseBound(end, now time.Time) {
-	for _, w := range c.workers {
+// SetLeaseBounds sets the end of all leases that earlier holders of the fence may have
+// granted: on some workers it is known, on the others it is end. No worker has been in
+// reach yet.
+func (c *Core) SetLeaseBounds(end time.Time, known map[string]time.Time, now time.Time) {
+	earlier := 0
+	for id, w := range c.workers {
 		w.leasesEnd, w.unreachableSince = end, now
+		if bound, ok := known[id]; ok && bound.Before(end) {
+			w.leasesEnd = bound
+			earlier++
+			c.emit("lease bound taken over", "worker", id, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w), "ends in", bound.Sub(now))
+		}
 	}
-	c.emit("lease bound of earlier terms", "workers", len(c.workers), "ends in", end.Sub(now))
+	c.emit("lease bound of earlier terms", "workers", len(c.workers)-earlier, "ends in", end.Sub(now))
 }
 
 // WorkerView is what the connection to a worker needs to know about it.
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -36,12 +36,19 @@
 	delayed     []platform.Tx
 	chooseFault func(platform.Tx) Fault
 	down        bool
+	began       time.Time
 	refusing    map[string]bool // partitions that SetPartitionDown set to refuse
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[rowKey]platform.PartitionRow{}, changed: make(chan struct{})}
+	return &Store{rows: map[rowKey]platform.PartitionRow{}, changed: make(chan struct{}), began: time.Now()}
+}
+
+// StoreClock returns a reading of the store's clock.
+func (s *Store) StoreClock() (platform.ClockReading, bool) {
+	now := time.Now()
+	return platform.ClockReading{Clock: now.Sub(s.began), Sent: now, Received: now}, true
 }
 
 // SetFault sets the function that chooses the fault of each transaction; nil means no
