--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -31,19 +31,22 @@
 // stops the next ones. Load pattern: hosts with tasks of one service are emptied one
 // after the other, and its restarted tasks take time to become available.
 func (c *Core) EvictTasks(worker string) {
-	w := c.workers[worker]
-	if w == nil {
-		return
+	if w := c.workers[worker]; w != nil {
+		c.evictTasks(w, func(*step) bool { return true })
 	}
+}
+
+// evictTasks is EvictTasks for the tasks of some steps.
+func (c *Core) evictTasks(w *worker, of func(*step) bool) {
 	for id := range w.tasks {
 		s, t := c.findTask(id)
-		if t == nil || t.state == taskStopping {
+		if t == nil || t.state == taskStopping || !of(s) {
 			continue
 		}
 		if s.spec.Service && s.available(id.Index) && s.unavailable() >= max(1, s.spec.MaxUnavailable) {
 			continue
 		}
-		c.emit("run taken away from its worker", "task", id.String(), "run", t.run, "worker", worker)
+		c.emit("run taken away from its worker", "task", id.String(), "run", t.run, "worker", w.info.ID)
 		c.stop(s, id.Index)
 	}
 }
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -16,10 +16,15 @@
 	leaveSlack = 200 * time.Millisecond
 )
 
-// tickLeaving stops the tasks that would be lost with a leaving worker. It does not stop
-// services, since they are restarted whatever the outcome of their runs.
+// tickLeaving stops the tasks that would be lost with a leaving worker. Services never end
+// by themselves: they move to other workers as soon as these have capacity.
 func (c *Core) tickLeaving(w *worker, now time.Time) {
-	if !w.info.Draining || w.info.Remaining <= 0 {
+	if !w.info.Draining {
+		w.leavesAt = time.Time{}
+		return
+	}
+	c.evictTasks(w, func(s *step) bool { return s.spec.Service && c.fitsAnywhere(s, now) })
+	if w.info.Remaining <= 0 {
 		w.leavesAt = time.Time{}
 		return
 	}
@@ -31,7 +36,7 @@
 	}
 	for id := range w.tasks {
 		s, t := c.findTask(id)
-		if t == nil || t.state != taskRunning || s.spec.Service || c.expectedEnd(s, t, now).Before(w.leavesAt.Add(-leaveSlack)) {
+		if t == nil || t.state != taskRunning || c.expectedEnd(s, t, now).Before(w.leavesAt.Add(-leaveSlack)) {
 			continue
 		}
 		c.emit("run stopped before its worker leaves", "task", id.String(), "run", t.run, "worker", w.info.ID,
@@ -43,3 +48,15 @@
 		}
 	}
 }
+
+// fitsAnywhere reports whether a worker has capacity for one more task of the step,
+// without regard to advice.
+func (c *Core) fitsAnywhere(s *step, now time.Time) bool {
+	q := c.queueOf(s.job)
+	for _, w := range c.workers {
+		if w.info.Pool == q.Pool && c.schedulable(w, now) && s.matchesLabel(w) && fitOnWorker(w, s) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -40,7 +40,7 @@
 			is.True(c.now.Sub(noticeAt) >= notice-leaveMargin) // not too early
 		}
 	}
-	is.Equal(stopped, map[string]int{"gang": 4, "long": 1})
+	is.Equal(stopped, map[string]int{"gang": 4, "long": 1, "lasts": 1})
 
 	// The gang starts again at once on other workers, from its checkpoint.
 	c.addWorker("d", 16)
@@ -76,3 +76,44 @@
 	grown := c.core.jobs["j"].occurrences[0].onTimeWithin - before
 	is.True(grown >= 6*time.Second && grown < 7*time.Second) // twice the duration of the failed run
 }
+
+// Issue 36: services were left on workers that leave at notice, and had no run until the
+// leases there were over. They move one after the other while other workers have
+// capacity, and all that is left is stopped before the worker leaves.
+func TestServicesStayOnALeavingWorker(t *testing.T) {
+	for _, test := range []struct {
+		notice time.Duration // 0: not known
+		room   bool
+		early  bool // moved as soon as the notice arrives
+		stops  int
+	}{
+		{notice: 4 * time.Second, room: true, early: true, stops: 2},
+		{notice: 0, room: true, early: true, stops: 1}, // the next one waits until this one is available again
+		{notice: 4 * time.Second, room: false, early: false, stops: 2},
+		{notice: 0, room: false, early: false, stops: 0},
+	} {
+		is := is.New(t)
+		c := newCell(t)
+		c.addWorker("w", 8)
+		c.addJob("j", workload.Step{Tasks: 2, Resources: cores(2), Service: true, MaxUnavailable: 1})
+		is.Equal(len(c.startTasks(nil)), 2)
+		c.setAvailable()
+		if test.room {
+			c.addWorker("v", 8)
+		}
+		leaving := c.core.workers["w"].info
+		leaving.Draining, leaving.Remaining = true, test.notice
+		c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &leaving})
+		c.core.Tick(c.now)
+		is.Equal(len(c.core.TakeStopOrders()) == 1, test.early)
+		c.now = c.now.Add(test.notice - leaveMargin/2)
+		c.core.Tick(c.now)
+		stopped := 0
+		for i := range 2 {
+			if _, task := c.core.findTask(workload.TaskID{StepID: workload.StepID{Job: "j"}, Index: i}); task.state == taskStopping {
+				stopped++
+			}
+		}
+		is.Equal(stopped, test.stops)
+	}
+}
