--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -102,10 +102,12 @@
 type Term struct {
 	Epoch int64
 	// Since is when the leadership was taken.
-	Since   time.Time
-	record  LeaderRecord
-	renewal renewal
-	chain   *commitChain
+	Since time.Time
+	// earlierLeasesEnd is when all leases of earlier leaders have expired.
+	earlierLeasesEnd time.Time
+	record           LeaderRecord
+	renewal          renewal
+	chain            *commitChain
 }
 
 // Partition returns the partition that holds the progress of jobs.
@@ -117,6 +119,7 @@
 func (t *Term) Commit(ctx context.Context, puts, removes []platform.PartitionRow) error {
 	t.renewal.announce(&t.record)
 	began := time.Now()
+	t.record.announceLeases(t.earlierLeasesEnd, began)
 	err := t.chain.commitOrRefuse(ctx, t.record, puts, removes, refusalTimeout)
 	now := time.Now()
 	t.renewal.record(now.Sub(began), now)
@@ -300,6 +303,8 @@
 	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1, LeaseBounds: from.active().LeaseBounds}
 	renewal := newRenewal(&from.active().LeaderRecord)
 	renewal.announce(&record)
+	expireWithin := from.active().leasesExpireWithin()
+	record.announceLeases(time.Now().Add(expireWithin), time.Now())
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	err := c.take(attempt, record)
 	cancel()
@@ -309,7 +314,8 @@
 	}
 	e.Log.Info("coordinator's seat taken", "epoch", record.Epoch, "from", from.active().Leader, "silent for", silent)
 	e.setLeading(true, *c.last.active())
-	err = e.Lead(ctx, &Term{Epoch: record.Epoch, Since: time.Now(), record: record, renewal: renewal, chain: c})
+	since := time.Now()
+	err = e.Lead(ctx, &Term{Epoch: record.Epoch, Since: since, earlierLeasesEnd: since.Add(expireWithin), record: record, renewal: renewal, chain: c})
 	e.setLeading(false, *c.last.active())
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errLeadershipLost) && ctx.Err() == nil {
 		e.mu.Lock()
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -43,11 +43,32 @@
 	RenewMS int64 `json:"renew_ms,omitempty"`
 	// Loading is set until the leader has loaded the stored jobs.
 	Loading bool `json:"loading,omitempty"`
+	// LeaseMS is the time in milliseconds after the leader's last commit by which all
+	// leases that it and earlier leaders gave have expired; 0 in older builds.
+	LeaseMS int64 `json:"lease_ms,omitempty"`
 	// LeaseBounds are the bounds of the leases on workers out of reach. A build before
 	// this field removes it with its first commit.
 	LeaseBounds leaseBounds `json:"lease_bounds,omitempty"`
 }
 
+// leasesExpireWithin returns the time after the last commit by which all leases have
+// expired that this and earlier leaders gave.
+func (r *LeaderRecord) leasesExpireWithin() time.Duration {
+	switch {
+	case r.Epoch == 0:
+		return 0 // no leader yet
+	case r.LeaseMS == 0:
+		return olderTakeoverBound
+	default:
+		return time.Duration(r.LeaseMS) * time.Millisecond
+	}
+}
+
+// announceLeases sets LeaseMS. All leases of earlier leaders have expired at earlier.
+func (r *LeaderRecord) announceLeases(earlier, now time.Time) {
+	r.LeaseMS = max(takeoverBound, earlier.Sub(now)).Milliseconds()
+}
+
 // sameWrite reports whether two records were written by the same call: a sequence number
 // is not used twice in an epoch.
 func (r *LeaderRecord) sameWrite(o *LeaderRecord) bool {
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -20,12 +20,12 @@
 	// clockDriftFactor covers a worker's clock that runs 2% slow.
 	clockDriftFactor = 1.03
 	leaseMargin      = 150 * time.Millisecond
-	// maxUnconfirmed is how long after its last commit a coordinator still renews
-	// leases. Its successor relies on leases not being renewed later.
-	maxUnconfirmed = 5 * time.Second
-	// TakeoverBound is the time after a takeover by which every lease that earlier
-	// leaders gave has expired.
-	TakeoverBound = maxUnconfirmed + time.Duration(clockDriftFactor*float64(leaseDuration)) + time.Second
+	// takeoverBound is the time after a leader's last commit by which all its leases have
+	// expired, so that its successor knows when a worker out of reach runs nothing. It
+	// outlasts a store outage of 7 s.
+	takeoverBound = 8500 * time.Millisecond
+	// olderTakeoverBound is that time for builds that do not announce theirs.
+	olderTakeoverBound = 13210 * time.Millisecond
 
 	// heartbeatWaitBusy is how long a worker with tasks waits for an end before it
 	// answers; over a thin link it is thinHeartbeatWait.
@@ -186,24 +186,29 @@
 }
 
 // newLeaseEnd returns the end of a lease given now, on the worker's clock. It returns 0
-// if the clock is not known, if the leadership has not been renewed for maxUnconfirmed,
-// if the bound of the worker's leases is stored, or if the worker did not answer the
-// latest heartbeats: offering further leases to an unreachable worker would keep
-// extending the time by which its leases have expired.
+// if the clock is not known, if the leadership was last renewed takeoverBound ago, if the
+// bound of the worker's leases is stored, or if the worker did not answer the latest
+// heartbeats: offering further leases to an unreachable worker would keep extending the
+// time by which its leases have expired.
 func (l *link) newLeaseEnd() int64 {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clock == 0 || !l.answered || l.withheld || now.Sub(l.set.lastCommit()) > maxUnconfirmed {
+	if l.clock == 0 || !l.answered || l.withheld {
+		return 0
+	}
+	elapsed := now.Sub(l.clockReceived)
+	latestEnd := l.set.lastCommit().Add(takeoverBound - leaseMargin)
+	duration := min(elapsed+leaseDuration, time.Duration(float64(latestEnd.Sub(l.clockReceived))/clockDriftFactor))
+	if duration <= elapsed {
 		return 0
 	}
 	l.grantedAt = now
-	until := l.clock + now.Sub(l.clockReceived).Milliseconds() + leaseDuration.Milliseconds()
-	span := time.Duration(clockDriftFactor * float64(time.Duration(until-l.clock)*time.Millisecond))
+	span := time.Duration(clockDriftFactor * float64(duration))
 	if end := l.clockReceived.Add(span + leaseMargin); end.After(l.leasesEndBy) {
 		l.leasesEndBy = end
 	}
-	return until
+	return l.clock + duration.Milliseconds()
 }
 
 // run sends heartbeats to the worker until ctx ends or a worker with another ID answers
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -132,6 +132,6 @@
 		}
 		t.Log.Info("progress without a readable job row is kept", "job", id)
 	}
-	t.core.SetLeaseBounds(t.term.Since.Add(TakeoverBound), t.leaseBounds.times(t.Store), now)
+	t.core.SetLeaseBounds(t.term.earlierLeasesEnd, t.leaseBounds.times(t.Store), now)
 	return nil
 }
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -458,6 +458,73 @@
 	return l
 }
 
+// serviceRestartAfterFault is the time after the end of the last fault within which a
+// service task runs again: hosts count as in touch after 3 s, and 7 calm seconds follow.
+const serviceRestartAfterFault = 10 * time.Second
+
+// Issue 36: a worker crashed at the moment at which the coordinator fell silent. Its tasks
+// had no run for 14 s: the successor had to allow for leases that the coordinator might
+// go on giving for 5 s.
+func TestServiceStaysDownAfterOneTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
+		old := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		is.NoErr(old.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		f.crash(f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}))
+		old.store.setCut(true)
+		l := f.lead(store, "host-1")
+		time.Sleep(20 * time.Second)
+		t.Logf("longest time without a run: %v", f.gap())
+		is.True(f.gap() <= serviceRestartAfterFault)
+		old.store.setCut(false)
+		time.Sleep(time.Second)
+		old.stop()
+		l.stop()
+	})
+}
+
+// Tasks keep running while the store is away for as long as is usual for an outage.
+func TestLeasesOutlastAStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(4)))
+		time.Sleep(3 * time.Second)
+		l.store.setCut(true)
+		time.Sleep(6500 * time.Millisecond)
+		l.store.setCut(false)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.ended), 0)
+		l.stop()
+	})
+}
+
+// Leaders of older builds go on giving leases for longer. Their successor announces that
+// to its own, until these leases have expired.
+func TestLeasesOfOlderBuildsAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		is.Equal((&LeaderRecord{}).leasesExpireWithin(), time.Duration(0))
+		older := &LeaderRecord{Leader: "old", Epoch: 3}
+		is.Equal(older.leasesExpireWithin(), olderTakeoverBound)
+		earlier := time.Now().Add(older.leasesExpireWithin())
+		next := &LeaderRecord{Leader: "new", Epoch: 4}
+		for range 20 {
+			next.announceLeases(earlier, time.Now())
+			is.True(!time.Now().Add(next.leasesExpireWithin()).Before(earlier.Truncate(time.Millisecond)))
+			is.True(next.leasesExpireWithin() >= takeoverBound)
+			time.Sleep(time.Second)
+		}
+		is.Equal(next.leasesExpireWithin(), takeoverBound)
+	})
+}
+
 // A worker whose bound is stored is given no lease before a commit without it: here the
 // leader reaches the worker again but not the store, and its successor not the worker.
 func TestWorkerWithStoredBoundGetsNoLease(t *testing.T) {
