--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -28,8 +28,10 @@
 		w.leavesAt = time.Time{}
 		return
 	}
-	if w.leavesAt.IsZero() {
-		w.leavesAt = now.Add(w.info.Remaining)
+	// The remaining time is as old as the registry entry: after a takeover up to a heartbeat
+	// interval, so a later entry may show that the worker leaves sooner.
+	if leavesAt := now.Add(w.info.Remaining); w.leavesAt.IsZero() || leavesAt.Before(w.leavesAt) {
+		w.leavesAt = leavesAt
 	}
 	if now.Before(w.leavesAt.Add(-leaveMargin)) || now.After(w.leavesAt) {
 		return
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -117,3 +117,36 @@
 		is.Equal(stopped, test.stops)
 	}
 }
+
+// A coordinator that takes over reads a notice that is 1.5 s old, and took the worker to
+// stay that much longer: tasks were still running when it left.
+func TestOldNoticeDelaysEmptyingOfAWorker(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1), Estimate: time.Minute})
+	is.Equal(len(c.startTasks(nil)), 1)
+	const heartbeat, left = 1500 * time.Millisecond, 2 * time.Second // left when the notice is read
+	announce := func(remaining time.Duration) {
+		leaving := c.core.workers["w"].info
+		leaving.Draining, leaving.Remaining = true, remaining
+		c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &leaving})
+	}
+	noticeAt := c.now
+	announce(left + heartbeat)
+	for c.core.findState("j") != taskStopping && c.now.Before(noticeAt.Add(left)) {
+		c.core.Tick(c.now)
+		c.now = c.now.Add(50 * time.Millisecond)
+		if c.now.Equal(noticeAt.Add(500 * time.Millisecond)) {
+			announce(left - 500*time.Millisecond)
+		}
+	}
+	is.Equal(c.core.findState("j"), taskStopping)
+	is.True(c.now.Sub(noticeAt) <= left-leaveMargin+100*time.Millisecond)
+}
+
+// findState returns the state of a job's first task.
+func (c *Core) findState(job string) taskState {
+	_, t := c.findTask(workload.TaskID{StepID: workload.StepID{Job: job}})
+	return t.state
+}
