--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -44,6 +44,7 @@
 // campaign is a campaign that operators have requested.
 type campaign struct {
 	*maintenance.Campaign           // nil until its stored state has been read
+	begunMS               int64     // when it began, by the store's clock; 0 if that is not known
 	calling               bool      // its state is being loaded or reported
 	pausedUntil           time.Time // neither is tried before
 	running, completed    bool      // as reported to the host API
@@ -57,7 +58,7 @@
 type (
 	campaignLoaded struct {
 		campaign workload.Maintenance
-		started  []string
+		row      campaignRow
 		err      error
 	}
 	hostsListed struct {
@@ -166,6 +167,23 @@
 // campaignRow is the stored state of a campaign.
 type campaignRow struct {
 	Started []string `json:"begun"`
+	// BegunMS is when a coordinator first worked on the campaign, in milliseconds of the
+	// store's clock; 0 if an older build stored the row.
+	BegunMS int64 `json:"begun_ms,omitempty"`
+}
+
+// beginCampaign takes over the stored state of a campaign, or begins it.
+func (t *termLoop) beginCampaign(ctx context.Context, c *campaign, e campaignLoaded, now time.Time) {
+	begun := now
+	c.begunMS = e.row.BegunMS
+	if reading, ok := platform.StoreClock(t.Store); ok {
+		if c.begunMS == 0 {
+			c.begunMS = reading.Upper(now).Milliseconds()
+			go t.saveCampaign(ctx, e.campaign.ID, campaignRow{e.row.Started, c.begunMS})
+		}
+		begun = reading.Reached(time.Duration(c.begunMS) * time.Millisecond)
+	}
+	c.Campaign, c.calling = maintenance.New(e.campaign, e.row.Started, begun, now), false
 }
 
 func (t *termLoop) loadCampaign(ctx context.Context, m workload.Maintenance) {
@@ -177,7 +195,7 @@
 			err = fmt.Errorf("state of maintenance campaign %d cannot be decoded: %w", m.ID, err)
 		}
 	}
-	t.post(ctx, campaignLoaded{m, row.Started, err})
+	t.post(ctx, campaignLoaded{m, row, err})
 }
 
 func (t *termLoop) listHosts(ctx context.Context) {
@@ -198,13 +216,13 @@
 	t.post(ctx, campaignReported{campaign, completed, err})
 }
 
-// saveCampaign stores the hosts whose maintenance has started, so that a successor does
-// not evict their workers again. A second order for such a host is harmless, so a
-// failure is only logged.
-func (t *termLoop) saveCampaign(ctx context.Context, id int64, started []string) {
+// saveCampaign stores when the campaign began, and the hosts whose maintenance has started,
+// so that a successor does not evict their workers again. A second order for such a host
+// is harmless, so a failure is only logged.
+func (t *termLoop) saveCampaign(ctx context.Context, id int64, row campaignRow) {
 	ctx, cancel := context.WithTimeout(ctx, campaignCallTimeout)
 	defer cancel()
-	value, err := json.Marshal(campaignRow{started})
+	value, err := json.Marshal(row)
 	if err == nil {
 		_, err = t.Store.Commit(ctx, platform.Tx{Puts: []platform.PartitionRow{{
 			Table: maintenanceTable, Key: strconv.FormatInt(id, 10), Value: value}}})
@@ -226,7 +244,7 @@
 			c.markFailed(now)
 			t.Log.Info("maintenance campaign cannot begin yet", "campaign", e.campaign.ID, "cause", e.err.Error())
 		default:
-			c.Campaign, c.calling = maintenance.New(e.campaign, e.started, now), false
+			t.beginCampaign(ctx, c, e, now)
 		}
 	case hostsListed:
 		mc.listing = false
@@ -247,7 +265,7 @@
 		t.Log.Info("maintenance of host begun", "campaign", e.campaign, "host", e.host, "worker", e.worker)
 		if c := mc.campaigns[e.campaign]; c != nil && c.Campaign != nil {
 			c.MarkStarted(e.host, e.worker, now)
-			go t.saveCampaign(ctx, e.campaign, c.Started())
+			go t.saveCampaign(ctx, e.campaign, campaignRow{c.Started(), c.begunMS})
 		}
 	case campaignReported:
 		c := mc.campaigns[e.campaign]
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -37,14 +37,15 @@
 // Campaign is the state of one campaign. Not safe for concurrent use.
 type Campaign struct {
 	workload.Maintenance
+	begun    time.Time            // when a coordinator first worked on the campaign
 	started  map[string]*start    // hosts whose maintenance has started
 	draining map[string]time.Time // hosts being drained, with the time since when
 }
 
-// New returns a campaign in which the maintenance of the given hosts has started
-// already.
-func New(m workload.Maintenance, started []string, now time.Time) *Campaign {
-	c := &Campaign{Maintenance: m, started: map[string]*start{}, draining: map[string]time.Time{}}
+// New returns a campaign that began at the given time, and in which the maintenance of the
+// given hosts has started already.
+func New(m workload.Maintenance, started []string, begun, now time.Time) *Campaign {
+	c := &Campaign{Maintenance: m, begun: begun, started: map[string]*start{}, draining: map[string]time.Time{}}
 	for _, host := range started {
 		c.started[host] = &start{at: now}
 	}
@@ -86,7 +87,7 @@
 		case !h.Up:
 		case h.Tasks == 0:
 			p.Start = append(p.Start, host)
-		case now.Sub(since) > c.drainTime():
+		case now.After(c.drainDeadline(since)):
 			p.Evict = append(p.Evict, h.Worker)
 		}
 	}
@@ -128,10 +129,20 @@
 	return n
 }
 
-// drainTime is how long a host's tasks may take to end by themselves.
-func (c *Campaign) drainTime() time.Duration {
-	rounds := (len(c.Hosts) + max(1, c.MaxConcurrent) - 1) / max(1, c.MaxConcurrent)
-	return time.Duration(drainShare * float64(c.Window) / float64(max(1, rounds)))
+// drainDeadline returns the time until which the tasks may end by themselves on a host
+// that has been drained since the given time: a share of the time for each host, but no
+// later than the campaign's schedule allows, whichever coordinator began to drain it.
+func (c *Campaign) drainDeadline(since time.Time) time.Time {
+	concurrent := max(1, c.MaxConcurrent)
+	rounds := max(1, (len(c.Hosts)+concurrent-1)/concurrent)
+	perRound := c.Window / time.Duration(rounds)
+	drain := time.Duration(drainShare * float64(perRound))
+	round := len(c.started) / concurrent
+	scheduled := c.begun.Add(time.Duration(round)*perRound + drain)
+	if own := since.Add(drain); own.Before(scheduled) {
+		return own
+	}
+	return scheduled
 }
 
 // MarkStarted records that a host's maintenance has started.
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -24,7 +24,7 @@
 func TestHostsAreDrainedBeforeMaintenance(t *testing.T) {
 	is := is.New(t)
 	now := time.UnixMilli(0)
-	c := New(testCampaign(2, 1, 40*time.Second), nil, now)
+	c := New(testCampaign(2, 1, 40*time.Second), nil, now, now)
 	hosts := map[string]Host{"h0": {Up: true, Worker: "w0", Tasks: 2}, "h1": {Up: true, Worker: "w1"}}
 	p := c.Next(hosts, now)
 	is.Equal(p.Start, []string{"h1"})
@@ -55,7 +55,7 @@
 		atOnce := rapid.IntRange(1, 4).Draw(t, "at once")
 		now := time.UnixMilli(0)
 		m := testCampaign(n, atOnce, 30*time.Second)
-		c := New(m, nil, now)
+		c := New(m, nil, now, now)
 		hosts := map[string]Host{}
 		back := map[string]time.Time{}
 		began := map[string]bool{}
@@ -75,7 +75,7 @@
 				}
 			}
 			if rapid.IntRange(0, 40).Draw(t, "takeover") == 0 {
-				c = New(m, c.Started(), now)
+				c = New(m, c.Started(), time.UnixMilli(0), now)
 			}
 			if h := m.Hosts[rapid.IntRange(0, n-1).Draw(t, "host")]; rapid.IntRange(0, 200).Draw(t, "gone") == 0 && hosts[h].Up {
 				delete(hosts, h)
@@ -113,3 +113,19 @@
 		t.Fatal("campaign not completed")
 	})
 }
+
+// Each takeover began anew to wait for the tasks of a host to end by themselves, so that a
+// campaign stood still while coordinators followed one another.
+func TestTakeoversDelayEvictions(t *testing.T) {
+	is := is.New(t)
+	begun := time.UnixMilli(0)
+	hosts := map[string]Host{"h0": {Up: true, Worker: "w0", Tasks: 1}, "h1": {Up: true, Worker: "w1", Tasks: 1}}
+	for now := begun; ; now = now.Add(3 * time.Second) {
+		is.True(now.Sub(begun) <= 13*time.Second) // half of the 20 s for the first host, and one takeover
+		c := New(testCampaign(2, 1, 40*time.Second), nil, begun, now)
+		c.Next(hosts, now)
+		if len(c.Next(hosts, now.Add(2*time.Second)).Evict) > 0 {
+			break
+		}
+	}
+}
