--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -311,6 +311,9 @@
 	clock platform.LatestClock // as read by this host
 	mu    sync.Mutex
 	cut   bool
+	// paused is how long the host pauses after its next transaction, before it handles the
+	// answer.
+	paused time.Duration
 }
 
 func (s *cutStore) StoreClock() (platform.ClockReading, bool) { return s.clock.StoreClock() }
@@ -347,9 +350,19 @@
 	if err == nil {
 		s.readClock(sent)
 	}
+	s.mu.Lock()
+	paused := s.paused
+	s.mu.Unlock()
+	time.Sleep(paused)
 	return version, err
 }
 
+func (s *cutStore) setPaused(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = d
+}
+
 func (s *cutStore) Scan(ctx context.Context, table, partition, from, to string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -641,3 +654,53 @@
 		is.Equal(len(f.ended), 0)
 	})
 }
+
+// A host is frozen as the answer to its takeover is on its way. Meanwhile another host takes
+// the leadership, and counts the leases of the frozen one from there on. These end in time
+// though the frozen host counts its takeover as its last commit.
+func TestLeasesOfAHostFrozenInItsTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		if err := l.Jobs.Insert(t.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+		worker := f.placeOf(task)
+		l.stop()
+
+		record := func() leaderRow {
+			all, err := readLeaderRows(t.Context(), store)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return *all.active()
+		}
+		const frozenFor = 1400 * time.Millisecond
+		frozen := f.lead(store, "frozen")
+		frozen.store.setPaused(frozenFor)
+		for record().Leader != "frozen" {
+			time.Sleep(time.Millisecond)
+		}
+		f.mu.Lock()
+		f.workers[worker].fencedOff = record().Epoch // its successor does not reach the worker
+		f.mu.Unlock()
+		next := f.lead(store, "next")
+		for record().Leader != "next" {
+			time.Sleep(time.Millisecond)
+		}
+		frozen.store.setPaused(0)
+		for t := frozen.currentTerm.Load(); t == nil || !t.loaded.Load(); t = frozen.currentTerm.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		frozen.store.setCut(true)
+		time.Sleep(20 * time.Second)
+		frozen.store.setCut(false)
+		time.Sleep(time.Second)
+		frozen.stop()
+		next.stop()
+	})
+}
