--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -34,6 +34,7 @@
 	ended   map[workload.TaskID]time.Time
 	// longestGap is the longest time for which a task had no run.
 	longestGap time.Duration
+	listTime   time.Duration // how long a listing of the registry takes
 }
 
 type fleetWorker struct {
@@ -84,6 +85,7 @@
 
 // List and Next implement platform.Feed.
 func (f *fleet) List(context.Context) ([]workload.WorkerChange, int64, error) {
+	time.Sleep(f.listTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []workload.WorkerChange
@@ -655,6 +657,33 @@
 	})
 }
 
+// A store outage just after a takeover is outlasted like any other. The successor reads
+// the registry within 150 ms, so that for its first ticks all workers are out of reach.
+func TestLeasesLapseInAnOutageAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(4)))
+		time.Sleep(3 * time.Second)
+		f.listTime = 150 * time.Millisecond
+		l.stop()
+		l = f.lead(store, "host-1")
+		for t := l.currentTerm.Load(); t == nil || !t.loaded.Load(); t = l.currentTerm.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		l.store.setCut(true)
+		time.Sleep(6500 * time.Millisecond)
+		l.store.setCut(false)
+		time.Sleep(5 * time.Second)
+		l.stop()
+		t.Logf("%d runs ended", len(f.ended))
+		is.Equal(len(f.ended), 0)
+	})
+}
+
 // A host is frozen as the answer to its takeover is on its way. Meanwhile another host takes
 // the leadership, and counts the leases of the frozen one from there on. These end in time
 // though the frozen host counts its takeover as its last commit.
