--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -684,6 +684,39 @@
 	})
 }
 
+// A worker crashes with the coordinator, and its successors end before they have loaded the
+// jobs. They give no leases, so that the wait for those on the worker does not start anew
+// with each of them.
+func TestServiceStaysDownThroughTermsThatDoNotLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		f.crash(f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}))
+		l.stop()
+		store.SetLatency(slowCall / 2) // loading takes longer than a term
+		terms := 0
+		for began := time.Now(); time.Since(began) < serviceRestart-2*time.Second; terms++ {
+			l = f.lead(store, fmt.Sprint("host-", terms+1))
+			for l.currentTerm.Load() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			is.True(!l.currentTerm.Load().loaded.Load())
+			l.stop()
+		}
+		store.SetLatency(usualCall)
+		l = f.lead(store, "last")
+		time.Sleep(15 * time.Second)
+		l.stop()
+		t.Logf("longest time without a run: %v, after %d terms that did not load", f.gap(), terms)
+		is.True(f.gap() <= takeoverBound+time.Second)
+	})
+}
+
 // A host is frozen as the answer to its takeover is on its way. Meanwhile another host takes
 // the leadership, and counts the leases of the frozen one from there on. These end in time
 // though the frozen host counts its takeover as its last commit.
