--- a/internal/coordinator/advicepool_test.go
+++ b/internal/coordinator/advicepool_test.go
@@ -126,3 +126,28 @@
 		is.Equal(len(p.inProgress), 0)
 	}
 }
+
+// Load pattern: all hosts but one are down. A step whose call is long still gets its
+// advice: the last host is not kept for short calls for good.
+func TestLastHostMakesNoLongCalls(t *testing.T) {
+	is := is.New(t)
+	const longCall = 450 * time.Millisecond
+	adviser := recordingAdviser{make(chan workload.StepID, 1), make(chan struct{})}
+	defer close(adviser.release)
+	p := newAdvicePool(func() []Adviser { return []Adviser{{Name: "last", Adviser: adviser}} }, make(chan any, 1))
+	core, now := dispatch.New(), time.Now()
+	queue := workload.Queue{Name: "q", Pool: "p", Slack: 2, Allowance: 10 * time.Second,
+		Advice: &workload.AdviceCost{PerCall: longCall, Validity: 2 * time.Second}}
+	core.SetCell(workload.NewCell(1, []workload.Queue{queue}, []workload.Team{{Name: "team"}}, nil))
+	core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Address: "w:1", Pool: "p", Incarnation: 1,
+		Capacity: model.Resources{MilliCores: 64000, MemoryMB: 1 << 20}}})
+	core.HandleInventory("w", workload.Inventory{Incarnation: 1}, now, now)
+	core.AddJob(&workload.Job{ID: "0000000000000001", Queue: "q", Pool: "p", Team: "team", Policy: queue, AcceptedAt: now.UnixMilli(),
+		Steps: []workload.Step{{Tasks: 1, Resources: model.Resources{MilliCores: 1000}, Service: true}}}, now)
+	for range 100 {
+		core.Schedule(now)
+		p.startCalls(t.Context(), core, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(p.inProgress["last"] >= longCall)
+}
