--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -150,3 +150,45 @@
 	_, t := c.findTask(workload.TaskID{StepID: workload.StepID{Job: job}})
 	return t.state
 }
+
+// Services of different jobs move off a leaving worker only as far as the others have
+// capacity: tasks that were stopped already take the capacity that they are to get.
+func TestMoreServicesStopThanFitElsewhere(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	for _, job := range []string{"j", "k", "l", "m"} {
+		c.addJob(job, workload.Step{Tasks: 1, Resources: cores(2), Service: true, MaxUnavailable: 1})
+	}
+	is.Equal(len(c.startTasks(nil)), 4)
+	c.setAvailable()
+	c.addWorker("v", 2) // has capacity for one of them
+	leaving := c.core.workers["w"].info
+	leaving.Draining, leaving.Remaining = true, time.Minute
+	c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &leaving})
+	for range 10 {
+		c.core.Tick(c.now)
+		c.now = c.now.Add(50 * time.Millisecond)
+	}
+	is.Equal(len(c.core.TakeStopOrders()), 1)
+}
+
+// A service does not move off a leaving worker when the advice service denies all workers
+// with capacity: it would only have no run for the rest of the notice.
+func TestServiceStopsThoughNoAllowedWorkerHasCapacity(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 450 * time.Millisecond, Validity: 2500 * time.Millisecond}})
+	c.addWorker("w", 8)
+	c.addWorker("v", 8)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(2), Service: true, MaxUnavailable: 1})
+	c.core.HandleAdvice(AdviceCall{Step: workload.StepID{Job: "j"}, Workers: []string{"v", "w"}},
+		[]workload.Ticket{{Worker: "w", Token: "t"}}, nil, c.now)
+	is.Equal(len(c.startTasks(nil)), 1)
+	c.setAvailable()
+	leaving := c.core.workers["w"].info
+	leaving.Draining, leaving.Remaining = true, time.Minute
+	c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &leaving})
+	c.core.Tick(c.now)
+	is.Equal(len(c.core.TakeStopOrders()), 0)
+}
