--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +54,22 @@
 	}
 	is.Equal(c.core.TasksOn("w"), 0)
 }
+
+// A service task on a worker that is out of reach may be down. EvictTasks counts it as
+// unavailable, as operators do after the notice time.
+func TestEvictionDisregardsTasksOutOfReach(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 2)
+	c.addWorker("x", 2)
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(2), Service: true, MaxUnavailable: 1})
+	is.Equal(len(c.startTasks(nil)), 2)
+	c.setAvailable()
+	c.addWorker("v", 8)
+	c.core.ExtendLease("x", c.now.Add(7*time.Second))
+	c.core.HandleLostContact("x", c.now)
+	c.now = c.now.Add(5 * time.Second)
+	c.core.EvictTasks("w")
+	c.core.Tick(c.now)
+	is.Equal(len(c.core.TakeStopOrders()), 0)
+}
