--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -34,6 +34,7 @@
 	ended   map[workload.TaskID]time.Time
 	// longestGap is the longest time for which a task had no run.
 	longestGap time.Duration
+	listTime   time.Duration // how long a listing of the registry takes
 }
 
 type fleetWorker struct {
@@ -84,6 +85,7 @@
 
 // List and Next implement platform.Feed.
 func (f *fleet) List(context.Context) ([]workload.WorkerChange, int64, error) {
+	time.Sleep(f.listTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []workload.WorkerChange
@@ -311,6 +313,9 @@
 	clock platform.LatestClock // as read by this host
 	mu    sync.Mutex
 	cut   bool
+	// paused is how long the host pauses after its next transaction, before it handles the
+	// answer.
+	paused time.Duration
 }
 
 func (s *cutStore) StoreClock() (platform.ClockReading, bool) { return s.clock.StoreClock() }
@@ -347,9 +352,19 @@
 	if err == nil {
 		s.readClock(sent)
 	}
+	s.mu.Lock()
+	paused := s.paused
+	s.mu.Unlock()
+	time.Sleep(paused)
 	return version, err
 }
 
+func (s *cutStore) setPaused(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = d
+}
+
 func (s *cutStore) Scan(ctx context.Context, table, partition, from, to string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -641,3 +656,113 @@
 		is.Equal(len(f.ended), 0)
 	})
 }
+
+// A store outage just after a takeover is outlasted like any other. The successor reads
+// the registry within 150 ms, so that for its first ticks all workers are out of reach.
+func TestLeasesLapseInAnOutageAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(4)))
+		time.Sleep(3 * time.Second)
+		f.listTime = 150 * time.Millisecond
+		l.stop()
+		l = f.lead(store, "host-1")
+		for t := l.currentTerm.Load(); t == nil || !t.loaded.Load(); t = l.currentTerm.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		l.store.setCut(true)
+		time.Sleep(6500 * time.Millisecond)
+		l.store.setCut(false)
+		time.Sleep(5 * time.Second)
+		l.stop()
+		t.Logf("%d runs ended", len(f.ended))
+		is.Equal(len(f.ended), 0)
+	})
+}
+
+// A worker crashes with the coordinator, and its successors end before they have loaded the
+// jobs. They give no leases, so that the wait for those on the worker does not start anew
+// with each of them.
+func TestServiceStaysDownThroughTermsThatDoNotLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		f.crash(f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}))
+		l.stop()
+		store.SetLatency(slowCall / 2) // loading takes longer than a term
+		terms := 0
+		for began := time.Now(); time.Since(began) < serviceRestart-2*time.Second; terms++ {
+			l = f.lead(store, fmt.Sprint("host-", terms+1))
+			for l.currentTerm.Load() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			is.True(!l.currentTerm.Load().loaded.Load())
+			l.stop()
+		}
+		store.SetLatency(usualCall)
+		l = f.lead(store, "last")
+		time.Sleep(15 * time.Second)
+		l.stop()
+		t.Logf("longest time without a run: %v, after %d terms that did not load", f.gap(), terms)
+		is.True(f.gap() <= takeoverBound+time.Second)
+	})
+}
+
+// A host is frozen as the answer to its takeover is on its way. Meanwhile another host takes
+// the leadership, and counts the leases of the frozen one from there on. These end in time
+// though the frozen host counts its takeover as its last commit.
+func TestLeasesOfAHostFrozenInItsTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		if err := l.Jobs.Insert(t.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+		worker := f.placeOf(task)
+		l.stop()
+
+		record := func() leaderRow {
+			all, err := readLeaderRows(t.Context(), store)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return *all.active()
+		}
+		const frozenFor = 1400 * time.Millisecond
+		frozen := f.lead(store, "frozen")
+		frozen.store.setPaused(frozenFor)
+		for record().Leader != "frozen" {
+			time.Sleep(time.Millisecond)
+		}
+		f.mu.Lock()
+		f.workers[worker].fencedOff = record().Epoch // its successor does not reach the worker
+		f.mu.Unlock()
+		next := f.lead(store, "next")
+		for record().Leader != "next" {
+			time.Sleep(time.Millisecond)
+		}
+		frozen.store.setPaused(0)
+		for t := frozen.currentTerm.Load(); t == nil || !t.loaded.Load(); t = frozen.currentTerm.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		frozen.store.setCut(true)
+		time.Sleep(20 * time.Second)
+		frozen.store.setCut(false)
+		time.Sleep(time.Second)
+		frozen.stop()
+		next.stop()
+	})
+}
