--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -122,6 +122,9 @@
 	// The leadership counts as renewed from the start of the call, since the expiry of
 	// leases is derived from this time.
 	t.committedAt.Store(int64(began.Sub(t.term.Since)))
+	if t.loaded.Load() {
+		t.leaseBasis.Store(&began)
+	}
 	took := time.Since(began)
 	t.Observer.ObserveCommit(len(r.puts), took)
 	if took >= slowCommit {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -186,6 +186,7 @@
 	}
 	term.Loaded()
 	t.loaded.Store(true)
+	t.leaseBoundsChanged = true // commits at once, so that leases can be given
 	post := func(ctx context.Context, event any) error {
 		t.post(ctx, event)
 		return ctx.Err()
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -198,7 +198,7 @@
 		return 0
 	}
 	elapsed := now.Sub(l.clockReceived)
-	latestEnd := l.set.lastCommit().Add(takeoverBound - leaseMargin)
+	latestEnd := l.set.leasesGivenFrom().Add(takeoverBound - leaseMargin)
 	duration := min(elapsed+leaseDuration, time.Duration(float64(latestEnd.Sub(l.clockReceived))/clockDriftFactor))
 	if duration <= elapsed {
 		return 0
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -13,7 +13,7 @@
 type linkSet struct {
 	coordinator     *Coordinator
 	fence           int64
-	lastCommit      func() time.Time
+	leasesGivenFrom func() time.Time // when the commit began on which leases are based
 	events          chan<- any
 	links           map[string]*link
 	withheld        map[string]bool // workers that are given no leases
@@ -23,8 +23,8 @@
 	running         sync.WaitGroup
 }
 
-func newLinkSet(c *Coordinator, fence int64, lastCommit func() time.Time, events chan<- any) *linkSet {
-	return &linkSet{coordinator: c, fence: fence, lastCommit: lastCommit, events: events, links: map[string]*link{}, withheld: map[string]bool{},
+func newLinkSet(c *Coordinator, fence int64, leasesGivenFrom func() time.Time, events chan<- any) *linkSet {
+	return &linkSet{coordinator: c, fence: fence, leasesGivenFrom: leasesGivenFrom, events: events, links: map[string]*link{}, withheld: map[string]bool{},
 		shortHeartbeats: make(chan struct{}, maxShortHeartbeats)}
 }
 
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -67,7 +67,8 @@
 	index           *jobstore.ProgressIndex
 	sweptAt         time.Time // when the last sweep began
 	committedAt     atomic.Int64
-	loaded          atomic.Bool // the core holds all jobs
+	leaseBasis      atomic.Pointer[time.Time] // when the last commit since the load began; nil if there is none
+	loaded          atomic.Bool               // the core holds all jobs
 	endWaiters      endWaiters
 	loopTime        loopTime
 	// leaseBounds are to be stored with the next commit; leaseBoundsChanged is set if the
@@ -81,7 +82,7 @@
 		Coordinator: c, term: term, core: dispatch.New(), events: events, statsReportedAt: time.Now(),
 		commits: make(chan commitRequest, 1), index: jobstore.NewProgressIndex(), endWaiters: endWaiters{}, loopTime: loopTime{},
 	}
-	t.links = newLinkSet(c, term.Epoch, t.lastCommit, events)
+	t.links = newLinkSet(c, term.Epoch, t.leasesGivenFrom, events)
 	t.advice = newAdvicePool(c.Advisers, events)
 	t.maintenance = newMaintenanceController()
 	t.takeOverLeaseBounds()
@@ -93,6 +94,16 @@
 	return t.term.Since.Add(time.Duration(t.committedAt.Load()))
 }
 
+// leasesGivenFrom returns when the last commit began on which leases may be based; the zero
+// time if there is none. The takeover is none: its answer may arrive after another host
+// has taken the leadership.
+func (t *termLoop) leasesGivenFrom() time.Time {
+	if began := t.leaseBasis.Load(); began != nil {
+		return *began
+	}
+	return time.Time{}
+}
+
 // run handles events until the leadership is lost.
 func (t *termLoop) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
