--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -119,7 +119,6 @@
 func (t *Term) Commit(ctx context.Context, puts, removes []platform.PartitionRow) error {
 	t.renewal.announce(&t.record)
 	began := time.Now()
-	t.record.announceLeases(t.earlierLeasesEnd, began)
 	err := t.chain.commitOrRefuse(ctx, t.record, puts, removes, refusalTimeout)
 	now := time.Now()
 	t.renewal.record(now.Sub(began), now)
@@ -150,11 +149,11 @@
 }
 
 // resign clears the leader record, so that another host can take the leadership at
-// once. A commit that was in progress when the term ended may have been applied; then
+// once. It leaves Loading, which tells whether this leader gave leases. A commit that was in progress when the term ended may have been applied; then
 // the record still belongs to this term, with a higher sequence number.
 func (t *Term) resign(ctx context.Context) error {
 	record := t.record
-	record.Leader, record.Address, record.RenewMS, record.Loading = "", "", 0, false
+	record.Leader, record.Address, record.RenewMS = "", "", 0
 	err := t.chain.commit(ctx, record, nil)
 	if !errors.Is(err, errLeadershipLost) {
 		return err
@@ -303,8 +302,10 @@
 	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1, LeaseBounds: from.active().LeaseBounds}
 	renewal := newRenewal(&from.active().LeaderRecord)
 	renewal.announce(&record)
-	expireWithin := from.active().leasesExpireWithin()
-	record.announceLeases(time.Now().Add(expireWithin), time.Now())
+	earlierLeasesEnd := from.active().allLeasesEnd()
+	if from.active().readAt > 0 {
+		record.EarlierLeasesEndMS = earlierLeasesEnd.Milliseconds() + 1 // rounded up
+	}
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	err := c.take(attempt, record)
 	cancel()
@@ -314,8 +315,12 @@
 	}
 	e.Log.Info("coordinator's seat taken", "epoch", record.Epoch, "from", from.active().Leader, "silent for", silent)
 	e.setLeading(true, *c.last.active())
-	since := time.Now()
-	err = e.Lead(ctx, &Term{Epoch: record.Epoch, Since: since, earlierLeasesEnd: since.Add(expireWithin), record: record, renewal: renewal, chain: c})
+	term := &Term{Epoch: record.Epoch, Since: time.Now(), record: record, renewal: renewal, chain: c}
+	term.earlierLeasesEnd = term.Since.Add(olderTakeoverBound)
+	if reading, ok := platform.StoreClock(e.Store); ok && from.active().readAt > 0 {
+		term.earlierLeasesEnd = reading.Reached(earlierLeasesEnd)
+	}
+	err = e.Lead(ctx, term)
 	e.setLeading(false, *c.last.active())
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errLeadershipLost) && ctx.Err() == nil {
 		e.mu.Lock()
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -43,32 +43,31 @@
 	RenewMS int64 `json:"renew_ms,omitempty"`
 	// Loading is set until the leader has loaded the stored jobs.
 	Loading bool `json:"loading,omitempty"`
-	// LeaseMS is the time in milliseconds after the leader's last commit by which all
-	// leases that it and earlier leaders gave have expired; 0 in older builds.
-	LeaseMS int64 `json:"lease_ms,omitempty"`
+	// EarlierLeasesEndMS is when all leases that earlier leaders gave have expired, in
+	// milliseconds of the store's clock; 0 in older builds. A leader that is loading has
+	// given none itself.
+	EarlierLeasesEndMS int64 `json:"earlier_leases_end_ms,omitempty"`
 	// LeaseBounds are the bounds of the leases on workers out of reach. A build before
 	// this field removes it with its first commit.
 	LeaseBounds leaseBounds `json:"lease_bounds,omitempty"`
 }
 
-// leasesExpireWithin returns the time after the last commit by which all leases have
-// expired that this and earlier leaders gave.
-func (r *LeaderRecord) leasesExpireWithin() time.Duration {
+// allLeasesEnd returns when all leases have expired that this and earlier leaders gave, by
+// the store's clock, if no commit has followed the row.
+func (r *leaderRow) allLeasesEnd() time.Duration {
+	earlier := time.Duration(r.EarlierLeasesEndMS) * time.Millisecond
 	switch {
 	case r.Epoch == 0:
-		return 0 // no leader yet
-	case r.LeaseMS == 0:
-		return olderTakeoverBound
+		return r.readAt // no leader yet
+	case earlier == 0:
+		return r.readAt + olderTakeoverBound
+	case r.Loading:
+		return earlier
 	default:
-		return time.Duration(r.LeaseMS) * time.Millisecond
+		return max(earlier, r.readAt+takeoverBound)
 	}
 }
 
-// announceLeases sets LeaseMS. All leases of earlier leaders have expired at earlier.
-func (r *LeaderRecord) announceLeases(earlier, now time.Time) {
-	r.LeaseMS = max(takeoverBound, earlier.Sub(now)).Milliseconds()
-}
-
 // sameWrite reports whether two records were written by the same call: a sequence number
 // is not used twice in an epoch.
 func (r *LeaderRecord) sameWrite(o *LeaderRecord) bool {
@@ -84,6 +83,7 @@
 type leaderRow struct {
 	LeaderRecord
 	version int64
+	readAt  time.Duration // the store's clock when the row was read; 0 if it is not known
 }
 
 // leaderRows are the rows of the leader record, one in each of
@@ -133,6 +133,7 @@
 			if err == nil && len(page.Rows) > 0 {
 				all.rows[i], err = decodeLeaderRow(page.Rows[0])
 			}
+			all.rows[i].readAt = page.Clock
 			return err
 		})
 	}
@@ -328,7 +329,7 @@
 		version, err := platform.CommitHedged(attempt, c.store, tx, max(minHedgeDelay, hedgeFactor*platform.TypicalLatency(c.store)))
 		cancel()
 		if err == nil {
-			return leaderRow{w.next, version}, nil
+			return leaderRow{LeaderRecord: w.next, version: version}, nil
 		}
 		var conflict *platform.RowConflictError
 		if errors.As(err, &conflict) {
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -24,7 +24,7 @@
 	// expired, so that its successor knows when a worker out of reach runs nothing. It
 	// outlasts a store outage of 7 s.
 	takeoverBound = 8500 * time.Millisecond
-	// olderTakeoverBound is that time for builds that do not announce theirs.
+	// olderTakeoverBound is that time for builds whose record has no EarlierLeasesEndMS.
 	olderTakeoverBound = 13210 * time.Millisecond
 
 	// heartbeatWaitBusy is how long a worker with tasks waits for an end before it
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -520,24 +520,28 @@
 	})
 }
 
-// Leaders of older builds go on giving leases for longer. Their successor announces that
-// to its own, until these leases have expired.
-func TestLeasesOfOlderBuildsAreWaitedFor(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		is.Equal((&LeaderRecord{}).leasesExpireWithin(), time.Duration(0))
-		older := &LeaderRecord{Leader: "old", Epoch: 3}
-		is.Equal(older.leasesExpireWithin(), olderTakeoverBound)
-		earlier := time.Now().Add(older.leasesExpireWithin())
-		next := &LeaderRecord{Leader: "new", Epoch: 4}
-		for range 20 {
-			next.announceLeases(earlier, time.Now())
-			is.True(!time.Now().Add(next.leasesExpireWithin()).Before(earlier.Truncate(time.Millisecond)))
-			is.True(next.leasesExpireWithin() >= takeoverBound)
-			time.Sleep(time.Second)
-		}
-		is.Equal(next.leasesExpireWithin(), takeoverBound)
-	})
+// Leaders of older builds go on giving leases for longer. Their successors wait for these,
+// however many they are, and for the leases of a leader that has loaded the jobs.
+func TestLeasesOfEarlierLeadersAreWaitedFor(t *testing.T) {
+	const earlier = 40 * time.Second
+	for name, test := range map[string]struct {
+		record LeaderRecord
+		clock  time.Duration
+		want   time.Duration
+	}{
+		"no leader yet":                        {LeaderRecord{}, time.Second, time.Second},
+		"older build":                          {LeaderRecord{Epoch: 3}, time.Second, time.Second + olderTakeoverBound},
+		"older build, loading":                 {LeaderRecord{Epoch: 3, Loading: true}, time.Second, time.Second + olderTakeoverBound},
+		"loaded":                               {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds()}, 39 * time.Second, 39*time.Second + takeoverBound},
+		"loaded, after an older build":         {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds()}, 30 * time.Second, earlier},
+		"loading: it has given no leases":      {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds(), Loading: true}, 39 * time.Second, earlier},
+		"loading, earlier leases have expired": {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds(), Loading: true}, 50 * time.Second, earlier},
+	} {
+		t.Run(name, func(t *testing.T) {
+			row := leaderRow{LeaderRecord: test.record, readAt: test.clock}
+			is.New(t).Equal(row.allLeasesEnd(), test.want)
+		})
+	}
 }
 
 // A worker whose bound is stored is given no lease before a commit without it: here the
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -50,6 +50,8 @@
 	Rows    []PartitionRow
 	More    bool
 	Version int64 // newest version of the store at that time
+	// Clock is the store's clock when it read the rows; 0 if it is not known.
+	Clock time.Duration
 }
 
 // Store is the platform's store of partitioned tables. Errors wrap ErrUnavailable (the
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -172,7 +172,7 @@
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
-	page := platform.Page{Rows: out, Version: s.version}
+	page := platform.Page{Rows: out, Version: s.version, Clock: time.Since(s.began)}
 	if len(out) > maxRowsPerReply {
 		page.Rows, page.More = out[:maxRowsPerReply], true
 	}
