--- a/internal/coordinator/leasebounds.go
+++ b/internal/coordinator/leasebounds.go
@@ -46,17 +46,16 @@
 // updateLeaseBounds adds the workers that have gone out of reach and removes those on
 // which no task may be running any more.
 func (t *termLoop) updateLeaseBounds() {
-	ends := t.core.LeasesOutOfReach()
 	for id := range t.leaseBounds {
-		if _, out := ends[id]; !out {
+		if !t.core.MayRunOutOfReach(id) {
 			t.removeLeaseBound(id)
 		}
 	}
 	reading, ok := platform.StoreClock(t.Store)
-	if !ok {
+	if !ok || !t.registryRead {
 		return
 	}
-	for id, end := range ends {
+	for id, end := range t.core.LeasesOutOfReach() {
 		if _, listed := t.leaseBounds[id]; listed || len(t.leaseBounds) >= maxLeaseBounds {
 			continue
 		}
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -75,6 +75,7 @@
 	// last one does not have them.
 	leaseBounds        leaseBounds
 	leaseBoundsChanged bool
+	registryRead       bool // the core knows all registered workers
 }
 
 func newTermLoop(c *Coordinator, term *Term, events chan any) *termLoop {
@@ -228,6 +229,7 @@
 // handleRegistry applies the complete registry: workers that it does not list are
 // removed.
 func (t *termLoop) handleRegistry(all registrySnapshot) {
+	t.registryRead = true
 	listed := make(map[string]bool, len(all))
 	for _, ch := range all {
 		listed[ch.ID] = ch.Worker != nil
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -18,6 +18,7 @@
 	if requestedAt.After(w.unansweredAt) && !w.unansweredAt.IsZero() {
 		w.unansweredAt, w.backoffUntil = time.Time{}, now
 	}
+	w.lostContact = false
 	if !w.reachable {
 		w.reachable = true
 		c.needsScheduling = true
--- a/internal/dispatch/outofreach.go
+++ b/internal/dispatch/outofreach.go
@@ -34,18 +34,25 @@
 	return out
 }
 
-// LeasesOutOfReach returns when the leases end on each worker that is out of reach and
-// may be running tasks.
+// LeasesOutOfReach returns when the leases end on each worker that may be running tasks
+// and has been found out of reach: it did not answer, or the registry names no address.
 func (c *Core) LeasesOutOfReach() map[string]time.Time {
 	out := map[string]time.Time{}
 	for id, w := range c.workers {
-		if !w.reachable && len(w.tasks) > 0 && !w.leasesEnd.IsZero() {
+		if c.MayRunOutOfReach(id) && (w.lostContact || w.info.Address == "") && !w.leasesEnd.IsZero() {
 			out[id] = w.leasesEnd
 		}
 	}
 	return out
 }
 
+// MayRunOutOfReach reports whether a worker may be running tasks and has not answered its
+// latest heartbeat, if any.
+func (c *Core) MayRunOutOfReach(id string) bool {
+	w := c.workers[id]
+	return w != nil && !w.reachable && len(w.tasks) > 0
+}
+
 // outOfReachFor returns how long a worker has been out of reach; 0 if it is in reach, or
 // was not in reach in this term.
 func (w *worker) outOfReachFor(now time.Time) time.Duration {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -13,6 +13,7 @@
 	info                 workload.Worker
 	registered           bool // listed in the registry
 	reachable            bool // answered the latest heartbeat under this core's fence
+	lostContact          bool // did not answer the latest heartbeat
 	incarnation          int64
 	used                 model.Resources
 	bestEffortMilliCores int64 // thousandths of a core that best-effort tasks would use
@@ -167,7 +168,12 @@
 
 // HandleLostContact handles a worker that did not answer a heartbeat.
 func (c *Core) HandleLostContact(id string, now time.Time) {
-	if w := c.workers[id]; w != nil && w.reachable {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.lostContact = true
+	if w.reachable {
 		w.reachable, w.unreachableSince = false, now
 		c.emit("worker out of reach", "worker", id, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w),
 			"leases end in", w.leasesEnd.Sub(now))
