--- a/internal/coordinator/advicepool.go
+++ b/internal/coordinator/advicepool.go
@@ -35,8 +35,10 @@
 	// calls.
 	shortCallLimit = 60 * time.Millisecond
 	// reservedForShort hosts make only short calls, so that urgent steps do not wait
-	// behind calls of half a second.
+	// behind calls of half a second, if at least minHostsToReserve take calls. Load
+	// pattern: two hosts are left, and long calls need more than half of their time.
 	reservedForShort    = 1
+	minHostsToReserve   = 3
 	unreservedCallLimit = time.Minute
 	// fewIdleShare is the share of idle hosts below which AdviceCapacity.FewIdle is set:
 	// calls for gangs then name fewer workers and take less time.
@@ -71,9 +73,11 @@
 		p.cachedAdvisers, p.listedAt = p.advisers(), now
 	}
 	var idle, queueing []Adviser
+	paused := 0
 	for _, a := range p.cachedAdvisers {
 		switch {
 		case now.Before(p.pausedUntil[a.Name]):
+			paused++
 		case p.inProgress[a.Name] == 0:
 			idle = append(idle, a)
 		case p.inProgress[a.Name] <= maxQueuedCalls:
@@ -83,7 +87,7 @@
 	pass := core.NewAdvicePass(now)
 	for len(idle)+len(queueing) > 0 {
 		capacity := dispatch.AdviceCapacity{MaxDuration: unreservedCallLimit, FewIdle: float64(len(idle)) < fewIdleShare*float64(len(p.cachedAdvisers))}
-		if len(idle) <= reservedForShort {
+		if len(idle) <= reservedForShort && (len(idle) == 0 || len(p.cachedAdvisers)-paused >= minHostsToReserve) {
 			capacity.MaxDuration = shortCallLimit
 		}
 		call, ok := pass.Next(capacity)
