--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -40,7 +40,8 @@
 	workload.Worker
 	registered  bool
 	unreachable bool
-	fencedOff   int64 // if set, calls under a higher fence get no answer
+	fencedOff   int64  // if set, calls under a higher fence get no answer
+	answerOnce  func() // if set, one heartbeat is answered although the worker is unreachable
 	began       time.Time
 	fence       int64
 	lease       time.Time // when the lease ends
@@ -170,6 +171,12 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if reached := f.workers[target.ID]; reached.unreachable && reached.answerOnce != nil {
+		reached.answerOnce()
+		reached.answerOnce = nil
+		reached.unreachable = false
+		defer func() { reached.unreachable = true }()
+	}
 	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return workload.Inventory{}, err
