--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -29,6 +29,8 @@
 	workers map[string]*fleetWorker
 	version int64
 	changes []workload.WorkerChange
+	// answerTime is how long a heartbeat takes that does not wait.
+	answerTime time.Duration
 	// running and ended are the worker that runs a task, and when its last run ended.
 	running map[workload.TaskID]string
 	ended   map[workload.TaskID]time.Time
@@ -55,7 +57,7 @@
 const slowClock = 0.98
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
+	f := &fleet{t: t, answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
 	for i := range n {
 		f.add(fmt.Sprint("w", i))
 	}
@@ -168,7 +170,7 @@
 }
 
 func (f *fleet) Heartbeat(ctx context.Context, target *workload.Worker, o workload.Heartbeat) (workload.Inventory, error) {
-	time.Sleep(time.Millisecond)
+	time.Sleep(f.answerTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if reached := f.workers[target.ID]; reached.unreachable && reached.answerOnce != nil {
