--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -29,6 +29,8 @@
 	workers map[string]*fleetWorker
 	version int64
 	changes []workload.WorkerChange
+	// answerTime is how long a heartbeat takes that does not wait.
+	answerTime time.Duration
 	// running and ended are the worker that runs a task, and when its last run ended.
 	running map[workload.TaskID]string
 	ended   map[workload.TaskID]time.Time
@@ -41,7 +43,8 @@
 	workload.Worker
 	registered  bool
 	unreachable bool
-	fencedOff   int64 // if set, calls under a higher fence get no answer
+	fencedOff   int64  // if set, calls under a higher fence get no answer
+	answerOnce  func() // if set, one heartbeat is answered although the worker is unreachable
 	began       time.Time
 	fence       int64
 	lease       time.Time // when the lease ends
@@ -55,7 +58,7 @@
 const slowClock = 0.98
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
+	f := &fleet{t: t, answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
 	for i := range n {
 		f.add(fmt.Sprint("w", i))
 	}
@@ -169,9 +172,15 @@
 }
 
 func (f *fleet) Heartbeat(ctx context.Context, target *workload.Worker, o workload.Heartbeat) (workload.Inventory, error) {
-	time.Sleep(time.Millisecond)
+	time.Sleep(f.answerTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if reached := f.workers[target.ID]; reached.unreachable && reached.answerOnce != nil {
+		reached.answerOnce()
+		reached.answerOnce = nil
+		reached.unreachable = false
+		defer func() { reached.unreachable = true }()
+	}
 	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return workload.Inventory{}, err
