--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -378,13 +378,15 @@
 	}
 }
 
-// start sends a start order. It is repeated if its answer is lost: a worker that
-// already runs the task answers as if it had just started it.
-func (l *link) start(ctx context.Context, st dispatch.Start) {
+// start sends a start order with a lease that was given when the order was decided: an
+// order that waits behind others until its run counts as over is refused by the worker. It
+// is repeated if its answer is lost: a worker that already runs the task answers as if it
+// had just started it.
+func (l *link) start(ctx context.Context, st dispatch.Start, leaseUntil int64) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		order := st.Order
 		order.Fence = l.set.fence
-		order.LeaseUntil = l.newLeaseEnd()
+		order.LeaseUntil = leaseUntil
 		if order.LeaseUntil == 0 {
 			return workload.ErrUnhealthy
 		}
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -68,7 +68,8 @@
 func (s *linkSet) start(ctx context.Context, starts []dispatch.Start) {
 	for _, st := range starts {
 		if l := s.links[st.Worker.ID]; l != nil {
-			s.spawn(func() { l.start(ctx, st) })
+			leaseUntil := l.newLeaseEnd()
+			s.spawn(func() { l.start(ctx, st, leaseUntil) })
 		}
 	}
 }
