--- a/internal/coordinator/answertime_test.go
+++ b/internal/coordinator/answertime_test.go
@@ -79,7 +79,7 @@
 			is := is.New(t)
 			w := &lossyWorker{fakeWorker: fakeWorker{began: time.Now()}, lose: lose}
 			events := make(chan any, 10_000)
-			l := newLink(newLinkSet(&Coordinator{Commander: w}, 1, time.Now, events),
+			l := newLink(newLinkSet(&Coordinator{Commander: w}, 1, renewedNow, events),
 				dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, ShortTasks: true})
 			l.update(dispatch.WorkerView{Worker: l.worker, Tasks: 1, ShortTasks: true})
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -105,9 +105,13 @@
 	Since time.Time
 	// earlierLeasesEnd is when all leases of earlier leaders have expired.
 	earlierLeasesEnd time.Time
-	record           LeaderRecord
-	renewal          renewal
-	chain            *commitChain
+	// firstLeasesEnd is when the leases have to end that this leader gives before its first
+	// commit after the load. It is no later than the time that the record announces for
+	// those of earlier leaders.
+	firstLeasesEnd time.Time
+	record         LeaderRecord
+	renewal        renewal
+	chain          *commitChain
 }
 
 // Partition returns the partition that holds the progress of jobs.
@@ -319,6 +323,7 @@
 	term.earlierLeasesEnd = term.Since.Add(olderTakeoverBound)
 	if reading, ok := platform.StoreClock(e.Store); ok && from.active().readAt > 0 {
 		term.earlierLeasesEnd = reading.Reached(earlierLeasesEnd)
+		term.firstLeasesEnd = reading.Sent.Add(earlierLeasesEnd - reading.Clock)
 	}
 	err = e.Lead(ctx, term)
 	e.setLeading(false, *c.last.active())
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -113,6 +113,7 @@
 	leasesEndBy    time.Time // all leases given by this link have expired then
 	grantedAt      time.Time // when a lease was last given
 	withheld       bool      // no leases are given: see leaseBounds
+	leaseless      bool      // the latest heartbeat gave no lease
 	answered       bool      // the worker counts as in reach
 	failures       int       // consecutive heartbeats without an answer
 }
@@ -175,6 +176,16 @@
 	l.withheld = false
 }
 
+// takeLeaseless reports whether the worker's tasks wait for a lease: the latest heartbeat
+// gave none and may be waiting for an end. It returns true once for such a heartbeat.
+func (l *link) takeLeaseless() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leaseless := l.leaseless && l.answered && l.tasks > 0
+	l.leaseless = false
+	return leaseless
+}
+
 // setClock records a reading of the worker's clock.
 func (l *link) setClock(clockMS int64) {
 	if clockMS <= 0 {
@@ -198,7 +209,7 @@
 		return 0
 	}
 	elapsed := now.Sub(l.clockReceived)
-	latestEnd := l.set.leasesGivenFrom().Add(takeoverBound - leaseMargin)
+	latestEnd := l.set.leasesEndBefore().Add(-leaseMargin)
 	duration := min(elapsed+leaseDuration, time.Duration(float64(latestEnd.Sub(l.clockReceived))/clockDriftFactor))
 	if duration <= elapsed {
 		return 0
@@ -291,6 +302,9 @@
 		}
 	}
 	order.LeaseUntil = l.newLeaseEnd()
+	l.mu.Lock()
+	l.leaseless = order.LeaseUntil == 0
+	l.mu.Unlock()
 	sentAt := time.Now()
 	call, cancel := context.WithTimeout(ctx, order.Wait+l.set.answerTimes.timeout(failures))
 	inv, err := l.set.coordinator.Commander.Heartbeat(call, &l.worker, order)
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -47,6 +47,9 @@
 }
 func (f *fakeWorker) Disconnect(*workload.Worker) {}
 
+// renewedNow is linkSet.leasesEndBefore of a leader whose commits are instantaneous.
+func renewedNow() time.Time { return time.Now().Add(takeoverBound) }
+
 // The leases of an unreachable worker expire one lease duration after its last answer,
 // however many heartbeats are sent to it. Guards against counting leases that are
 // offered in unanswered heartbeats, which would keep its tasks from ever being
@@ -56,7 +59,7 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), incarnation: 1}
 		events := make(chan any, 10_000)
-		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, events),
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, renewedNow, events),
 			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -85,7 +88,7 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), incarnation: 1}
 		view := dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Incarnation: 1}
-		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, make(chan any, 10_000)), view)
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, renewedNow, make(chan any, 10_000)), view)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -125,7 +128,7 @@
 		is := is.New(t)
 		f := &fakeWorker{began: time.Now(), incarnation: 1}
 		view := dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Incarnation: 1}
-		set := newLinkSet(&Coordinator{Commander: f}, 1, time.Now, make(chan any, 10_000))
+		set := newLinkSet(&Coordinator{Commander: f}, 1, renewedNow, make(chan any, 10_000))
 		set.count.Store(3000)
 		l := newLink(set, view)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -199,7 +202,7 @@
 			core.SetWorker(workload.WorkerChange{ID: id, Worker: &workload.Worker{ID: id, Incarnation: 1, Address: id + ":1"}})
 		}
 		events := make(chan any, 100_000)
-		set := newLinkSet(&Coordinator{Commander: &slowWorkers{}}, 1, time.Now, events)
+		set := newLinkSet(&Coordinator{Commander: &slowWorkers{}}, 1, renewedNow, events)
 		ctx, cancel := context.WithCancel(t.Context())
 		set.sync(ctx, core)
 		time.Sleep(5 * workers * callCost)
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -13,7 +13,7 @@
 type linkSet struct {
 	coordinator     *Coordinator
 	fence           int64
-	leasesGivenFrom func() time.Time // when the commit began on which leases are based
+	leasesEndBefore func() time.Time // the time by which leases given now have to end
 	events          chan<- any
 	links           map[string]*link
 	withheld        map[string]bool // workers that are given no leases
@@ -23,8 +23,8 @@
 	running         sync.WaitGroup
 }
 
-func newLinkSet(c *Coordinator, fence int64, leasesGivenFrom func() time.Time, events chan<- any) *linkSet {
-	return &linkSet{coordinator: c, fence: fence, leasesGivenFrom: leasesGivenFrom, events: events, links: map[string]*link{}, withheld: map[string]bool{},
+func newLinkSet(c *Coordinator, fence int64, leasesEndBefore func() time.Time, events chan<- any) *linkSet {
+	return &linkSet{coordinator: c, fence: fence, leasesEndBefore: leasesEndBefore, events: events, links: map[string]*link{}, withheld: map[string]bool{},
 		shortHeartbeats: make(chan struct{}, maxShortHeartbeats)}
 }
 
@@ -110,6 +110,17 @@
 	}
 }
 
+// renewLeaseless gives leases to the workers whose latest heartbeat gave none, without
+// waiting for its answer. Load pattern: a takeover at a store that is a hundred times
+// slower than usual leaves little of the leases that the predecessor gave.
+func (s *linkSet) renewLeaseless(ctx context.Context) {
+	for _, l := range s.links {
+		if l.takeLeaseless() {
+			s.spawn(func() { _, _ = l.heartbeat(ctx, true) }) // it posts its result
+		}
+	}
+}
+
 // leasesEnd returns the time by which all leases given to a worker have expired.
 func (s *linkSet) leasesEnd(id string) time.Time {
 	if l := s.links[id]; l != nil {
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -83,7 +83,7 @@
 		Coordinator: c, term: term, core: dispatch.New(), events: events, statsReportedAt: time.Now(),
 		commits: make(chan commitRequest, 1), index: jobstore.NewProgressIndex(), endWaiters: endWaiters{}, loopTime: loopTime{},
 	}
-	t.links = newLinkSet(c, term.Epoch, t.leasesGivenFrom, events)
+	t.links = newLinkSet(c, term.Epoch, t.leasesEndBefore, events)
 	t.advice = newAdvicePool(c.Advisers, events)
 	t.maintenance = newMaintenanceController()
 	t.takeOverLeaseBounds()
@@ -95,14 +95,15 @@
 	return t.term.Since.Add(time.Duration(t.committedAt.Load()))
 }
 
-// leasesGivenFrom returns when the last commit began on which leases may be based; the zero
-// time if there is none. The takeover is none: its answer may arrive after another host
-// has taken the leadership.
-func (t *termLoop) leasesGivenFrom() time.Time {
+// leasesEndBefore returns the time by which the leases given now have to end: a successor
+// relies on takeoverBound after the last commit since the load, or, if there is none, on
+// the end of the earlier leases that the record announces. The takeover is no such commit:
+// its answer may arrive after another host has taken the leadership.
+func (t *termLoop) leasesEndBefore() time.Time {
 	if began := t.leaseBasis.Load(); began != nil {
-		return *began
+		return began.Add(takeoverBound)
 	}
-	return time.Time{}
+	return t.term.firstLeasesEnd
 }
 
 // run handles events until the leadership is lost.
@@ -201,6 +202,7 @@
 			t.index = e.index
 		}
 		t.releaseLeases(e.leaseBounds)
+		t.links.renewLeaseless(ctx)
 		for _, batch := range e.batches {
 			t.links.start(ctx, t.core.HandleStored(batch))
 		}
