--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -31,36 +31,43 @@
 // stops the next ones. Load pattern: hosts with tasks of one service are emptied one
 // after the other, and its restarted tasks take time to become available.
 func (c *Core) EvictTasks(worker string) {
-	if w := c.workers[worker]; w != nil {
-		c.evictTasks(w, func(*step) bool { return true })
+	w := c.workers[worker]
+	if w == nil {
+		return
 	}
-}
-
-// evictTasks is EvictTasks for the tasks of some steps.
-func (c *Core) evictTasks(w *worker, of func(*step) bool) {
 	for id := range w.tasks {
-		s, t := c.findTask(id)
-		if t == nil || t.state == taskStopping || !of(s) {
-			continue
+		if s, t := c.findTask(id); t != nil && t.state != taskStopping && c.mayInterrupt(s, id.Index) {
+			c.evict(s, id.Index)
 		}
-		if s.spec.Service && s.available(id.Index) && s.unavailable() >= max(1, s.spec.MaxUnavailable) {
-			continue
-		}
-		c.emit("run taken away from its worker", "task", id.String(), "run", t.run, "worker", w.info.ID)
-		c.stop(s, id.Index)
 	}
 }
 
-// available reports whether a service task is running and has started up.
-func (s *step) available(i int) bool {
-	return s.tasks[i].state == taskRunning && s.tasks[i].percent >= 100
+// evict stops a task, so that it starts again on another worker.
+func (c *Core) evict(s *step, i int) {
+	t := &s.tasks[i]
+	c.emit("run taken away from its worker", "task", s.taskID(i).String(), "run", t.run, "worker", t.worker)
+	c.stop(s, i)
+}
+
+// mayInterrupt reports whether a task may be stopped without making more tasks of its
+// service unavailable than allowed.
+func (c *Core) mayInterrupt(s *step, i int) bool {
+	return !s.spec.Service || !c.available(s, i) || c.unavailable(s) < max(1, s.spec.MaxUnavailable)
+}
+
+// available reports whether a service task is running and has started up. On a worker out
+// of reach it may be down.
+func (c *Core) available(s *step, i int) bool {
+	t := &s.tasks[i]
+	w := c.workers[t.worker]
+	return t.state == taskRunning && t.percent >= 100 && w != nil && w.reachable
 }
 
 // unavailable counts the tasks of a service that are not available.
-func (s *step) unavailable() int {
+func (c *Core) unavailable(s *step) int {
 	n := 0
 	for i := range s.tasks {
-		if !s.available(i) {
+		if !c.available(s, i) {
 			n++
 		}
 	}
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -23,7 +23,11 @@
 		w.leavesAt = time.Time{}
 		return
 	}
-	c.evictTasks(w, func(s *step) bool { return s.spec.Service && c.fitsAnywhere(s, now) })
+	for id := range w.tasks {
+		if s, t := c.findTask(id); t != nil && t.state != taskStopping && s.spec.Service && c.fitsAnywhere(s, now) && c.mayInterrupt(s, id.Index) {
+			c.evict(s, id.Index)
+		}
+	}
 	if w.info.Remaining <= 0 {
 		w.leavesAt = time.Time{}
 		return
