--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -16,18 +16,12 @@
 	leaveSlack = 200 * time.Millisecond
 )
 
-// tickLeaving stops the tasks that would be lost with a leaving worker. Services never end
-// by themselves: they move to other workers as soon as these have capacity.
+// tickLeaving stops the tasks that would be lost with a leaving worker.
 func (c *Core) tickLeaving(w *worker, now time.Time) {
 	if !w.info.Draining {
 		w.leavesAt = time.Time{}
 		return
 	}
-	for id := range w.tasks {
-		if s, t := c.findTask(id); t != nil && t.state != taskStopping && s.spec.Service && c.fitsAnywhere(s, now) && c.mayInterrupt(s, id.Index) {
-			c.evict(s, id.Index)
-		}
-	}
 	if w.info.Remaining <= 0 {
 		w.leavesAt = time.Time{}
 		return
@@ -55,13 +49,64 @@
 	}
 }
 
-// fitsAnywhere reports whether a worker has capacity for one more task of the step,
-// without regard to advice.
-func (c *Core) fitsAnywhere(s *step, now time.Time) bool {
-	q := c.queueOf(s.job)
+// moveServices stops service tasks on draining workers as far as other workers have capacity
+// for them: services never end by themselves. Tasks that are to start anyway go first.
+func (c *Core) moveServices(now time.Time) {
+	var leaving, roomy []*worker
 	for _, w := range c.workers {
-		if w.info.Pool == q.Pool && c.schedulable(w, now) && s.matchesLabel(w) && fitOnWorker(w, s) > 0 {
-			return true
+		switch {
+		case w.info.Draining && w.reachable && len(w.tasks) > 0:
+			leaving = append(leaving, w)
+		case c.schedulable(w, now) && w.free().MilliCores > 0:
+			roomy = append(roomy, w)
+		}
+	}
+	if len(leaving) == 0 || len(roomy) == 0 {
+		return
+	}
+	starting := c.servicesToStart()
+	for _, w := range leaving {
+		for id := range w.tasks {
+			s, t := c.findTask(id)
+			if t == nil || t.state == taskStopping || !s.spec.Service || !c.mayInterrupt(s, id.Index) || !c.fitsBeside(s, starting, roomy) {
+				continue
+			}
+			c.evict(s, id.Index)
+			starting++
+		}
+	}
+}
+
+// servicesToStart counts the service tasks that wait for a start or are being stopped.
+func (c *Core) servicesToStart() int {
+	n := 0
+	for _, j := range c.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if !s.spec.Service || j.state.Final() {
+					continue
+				}
+				for i := range s.tasks {
+					if state := s.tasks[i].state; state == taskPending || state == taskStopping {
+						n++
+					}
+				}
+			}
+		}
+	}
+	return n
+}
+
+// fitsBeside reports whether one more task of the step fits on the workers besides this
+// number of others of its size. Workers that the advice service has denied don't count.
+func (c *Core) fitsBeside(s *step, others int, workers []*worker) bool {
+	q := c.queueOf(s.job)
+	n := 0
+	for _, w := range workers {
+		if w.info.Pool == q.Pool && s.matchesLabel(w) && !s.advice.denied[w.info.ID] {
+			if n += fitOnWorker(w, s); n > others {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/dispatch/leave_bench_test.go
+++ b/internal/dispatch/leave_bench_test.go
@@ -31,6 +31,7 @@
 			b.ResetTimer()
 			for range b.N {
 				c.core.Tick(c.now)
+				c.now = c.now.Add(50 * time.Millisecond)
 			}
 		})
 	}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -19,6 +19,7 @@
 	}
 	if c.stopsDue || now.Sub(c.tasksCheckedAt) >= taskCheckInterval {
 		c.stopsDue, c.tasksCheckedAt = false, now
+		c.moveServices(now)
 		c.tickTasks(now)
 	}
 	for _, j := range c.active {
