--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -89,7 +89,7 @@
 	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
 	worker := &workload.Worker{ID: "w", Incarnation: 1, Address: "w:1", Pool: "p", Capacity: model.Resources{MilliCores: 8000}}
 	c := New(Coordinator{
-		Store: health, Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch,
+		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch,
 		Workers:   listFeed[workload.WorkerChange]{[]workload.WorkerChange{{ID: "w", Worker: worker}}},
 		Commander: &quickWorker{fakeWorker: fakeWorker{began: time.Now()}, runs: map[workload.Run]time.Time{}},
 		Advisers:  func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{},
@@ -194,7 +194,7 @@
 		health := platform.NewHealth(c.store)
 		watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
 		coordinator := New(Coordinator{
-			Store: health, Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Log: logr.Discard(), Observer: nopObserver{},
+			Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Log: logr.Discard(), Observer: nopObserver{},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
--- a/internal/coordinator/slowstore_test.go
+++ b/internal/coordinator/slowstore_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"cuminloft/internal/jobstore"
@@ -63,7 +62,7 @@
 		slow := rows.NewSlowStore(rows.New(), usualCall)
 		var stores [hosts]jobstore.Jobs
 		for i := range stores {
-			stores[i] = jobstore.Jobs{Store: platform.NewHealth(slow), Log: logr.Discard()}
+			stores[i] = jobstore.Jobs{Store: platform.NewHealth(slow)}
 		}
 		var waits sync.WaitGroup
 		var mu sync.Mutex
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -381,7 +381,7 @@
 	cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, []workload.Team{{Name: "team"}}, nil)
 	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
 	c := New(Coordinator{
-		Store: health, Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Workers: f, Commander: f,
+		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
 		Advisers: func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{},
 		Retention: time.Minute, Undersized: func() bool { return false },
 	})
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -58,6 +58,8 @@
 	host  string
 	self  hostRow
 	log   logr.Logger
+	// rejected records the rows that cannot be decoded.
+	rejected *platform.RejectedRows
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -136,7 +138,7 @@
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &p.hostRow); err != nil {
-			m.log.Error(err, "invalid host row ignored", "host", r.Key)
+			m.rejected.Add(r, err)
 			delete(m.peers, r.Key)
 			continue
 		}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,6 +10,7 @@
 	"cuminloft/internal/dispatch"
 	"cuminloft/internal/intake"
 	"cuminloft/internal/linkmeter"
+	"cuminloft/internal/platform"
 )
 
 // metrics are the counters and histograms of the process.
@@ -36,7 +37,7 @@
 // to a caller's timeout.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2, 3}
 
-func newMetrics(a *admission, meter *linkmeter.Meter) *metrics {
+func newMetrics(a *admission, meter *linkmeter.Meter, rejected *platform.RejectedRows) *metrics {
 	m := &metrics{
 		admission: a,
 		registry:  prometheus.NewRegistry(),
@@ -66,7 +67,7 @@
 			Name: "cuminloft_coordinator_loop_seconds_total", Help: "Time that the coordinator's loop has spent, by phase."}, []string{"phase"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting,
-		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, trafficCollector{meter})
+		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, trafficCollector{meter}, rejectedCollector{rejected})
 	return m
 }
 
@@ -124,3 +125,18 @@
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// rejectedCollector exports the counts of rows that cannot be used.
+type rejectedCollector struct{ rejected *platform.RejectedRows }
+
+var rejectedRows = prometheus.NewDesc("cuminloft_rejected_rows_total", "Reads of rows that cannot be used, by table.", []string{"table"}, nil)
+
+// Describe implements prometheus.Collector.
+func (rejectedCollector) Describe(ch chan<- *prometheus.Desc) { ch <- rejectedRows }
+
+// Collect implements prometheus.Collector.
+func (c rejectedCollector) Collect(ch chan<- prometheus.Metric) {
+	for table, n := range c.rejected.Counts() {
+		ch <- prometheus.MustNewConstMetric(rejectedRows, prometheus.CounterValue, float64(n), table)
+	}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -36,7 +36,9 @@
 	Workers   platform.Feed[workload.WorkerChange]
 	Commander workload.Commander
 	Advice    workload.Adviser
-	Hosts     workload.HostOperator // nil if there is none
+	// Rejected records the rows that cannot be used.
+	Rejected *platform.RejectedRows
+	Hosts    workload.HostOperator // nil if there is none
 	// Meter counts the traffic of these connections.
 	Meter *linkmeter.Meter
 	// Callers serves the callers' API, Readiness the load balancer's readiness check.
@@ -120,11 +122,12 @@
 func newProcess(s *Settings, a Adapter, log logr.Logger) *process {
 	p := &process{settings: s, adapter: a, log: log}
 	store := a.Store
-	jobs := jobstore.Jobs{Store: store, Log: log, LinkBytesPerSecond: s.LinkBytesPerSecond()}
+	jobs := jobstore.Jobs{Store: store, Rejected: a.Rejected, LinkBytesPerSecond: s.LinkBytesPerSecond()}
 	p.watch = cellwatch.New(a.Operators, a.Store.RecentlyServed, log)
 	p.members = newMembership(store, s.Host, hostRow{Address: s.RPCListen, AZ: s.AZ, CoreShare: s.CoreShare, Started: time.Now().UnixMilli()}, log)
+	p.members.rejected = a.Rejected
 	p.admission = newAdmission(a.Meter, s.LinkBytesPerSecond(), log)
-	p.metrics = newMetrics(p.admission, a.Meter)
+	p.metrics = newMetrics(p.admission, a.Meter, a.Rejected)
 	p.peers = newPeers(p.members, p.admission, a.Meter, log)
 	p.local = coordinator.New(coordinator.Coordinator{
 		Store: store, Jobs: jobs, Watch: p.watch, Workers: a.Workers,
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -117,7 +117,7 @@
 	t.Cleanup(func() { cancel(); <-ended })
 	h.Server = New(Config{
 		Admit: func() (time.Duration, bool) { return time.Second, !h.refuses },
-		Jobs:  jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Dispatcher: h.dispatcher, Relay: h.relay,
+		Jobs:  jobstore.Jobs{Store: health}, Watch: watch, Dispatcher: h.dispatcher, Relay: h.relay,
 		StoreSuspect:     func(now time.Time) bool { return h.suspect || health.Suspect(now) },
 		StoreUnreachable: func(now time.Time) bool { return h.suspect || health.Unreachable(now) },
 		RerouteDelay:     func(time.Time) time.Duration { return h.rerouteDelay }, Log: logr.Discard(), Observer: noopObserver{},
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -16,8 +16,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"cuminloft/internal/platform"
 	"cuminloft/internal/workload"
 )
@@ -104,7 +102,8 @@
 // Jobs reads and writes job rows.
 type Jobs struct {
 	Store *platform.Health
-	Log   logr.Logger
+	// Rejected records the rows that cannot be decoded.
+	Rejected *platform.RejectedRows
 	// LinkBytesPerSecond is the capacity of this host's link; 0: unknown.
 	LinkBytesPerSecond float64
 }
@@ -244,13 +243,13 @@
 	return j.decodeRows(rows), version, nil
 }
 
-// decodeRows decodes rows, and logs and skips those that cannot be decoded.
+// decodeRows decodes rows. It records and skips those that cannot be decoded.
 func (j Jobs) decodeRows(rows []platform.PartitionRow) []Entry {
 	out := make([]Entry, 0, len(rows))
 	for _, r := range rows {
 		e, err := Decode(r)
 		if err != nil {
-			j.Log.Error(err, "row of the job table ignored", "version", r.Version)
+			j.Rejected.Add(r, err)
 			continue
 		}
 		out = append(out, e)
--- a/internal/jobstore/listing_test.go
+++ b/internal/jobstore/listing_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"cuminloft/internal/model"
@@ -52,7 +51,7 @@
 		n, err := strconv.Atoi(partition)
 		return err == nil && n%5 == 0 && scan <= 2
 	}}
-	jobs := Jobs{Store: platform.NewHealth(store), Log: logr.Discard(), LinkBytesPerSecond: 250_000}
+	jobs := Jobs{Store: platform.NewHealth(store), LinkBytesPerSecond: 250_000}
 	const count = 300
 	for i := range count {
 		id := strconv.FormatInt(int64(i)+1<<40, 16)
