--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -64,6 +64,7 @@
 // heartbeatResult is the outcome of a heartbeat.
 type heartbeatResult struct {
 	worker    string
+	address   string // to which the heartbeat was sent
 	inventory workload.Inventory
 	sentAt    time.Time
 	err       error
@@ -297,7 +298,7 @@
 		}
 	}
 	if l.recordHeartbeat(order, inv, err) {
-		l.post(ctx, heartbeatResult{l.worker.ID, inv, sentAt, err})
+		l.post(ctx, heartbeatResult{l.worker.ID, l.worker.Address, inv, sentAt, err})
 	}
 	return inv, err
 }
@@ -387,6 +388,7 @@
 		l.setClock(clock)
 		return err
 	}, startAttempts)
+	st.Worker.Address = l.worker.Address // to which the order was sent
 	l.post(ctx, startResult{st, err})
 }
 
@@ -395,6 +397,7 @@
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		return l.set.coordinator.Commander.Stop(call, &l.worker, st.Run, l.set.fence)
 	}, 1)
+	st.Worker.Address = l.worker.Address // to which the order was sent
 	l.post(ctx, stopResult{st, err})
 }
 
--- /dev/null
+++ b/internal/coordinator/oddentry_test.go
@@ -0,0 +1,82 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/model"
+	"cuminloft/internal/standin/rows"
+	"cuminloft/internal/workload"
+)
+
+// overwrite publishes an entry of another writer in place of a worker's, nil for one that
+// names no worker. The worker itself does not change.
+func (f *fleet) overwrite(id string, odd func(*workload.Worker)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	change := workload.WorkerChange{ID: id}
+	if odd != nil {
+		entry := f.workers[id].Worker
+		odd(&entry)
+		change.Worker = &entry
+	}
+	f.changes = append(f.changes, change)
+}
+
+// Guards against tasks that are lost or run twice while another writer overwrites the
+// entry of their worker again and again. The worker writes its own entry in between.
+func TestTasksOutlastOddEntriesOfTheirWorker(t *testing.T) {
+	const another = "w9:1" // the address of a worker that runs no task of the test
+	for name, odd := range map[string]func(*workload.Worker){
+		"names no worker":           nil,
+		"address of another worker": func(w *workload.Worker) { w.Address = another },
+		"and another birth":         func(w *workload.Worker) { w.Address, w.Incarnation = another, 1<<52 },
+		"and no birth":              func(w *workload.Worker) { w.Address, w.Incarnation = another, 0 },
+		"another birth":             func(w *workload.Worker) { w.Incarnation = 1 << 52 },
+		"another pool":              func(w *workload.Worker) { w.Pool = "none" },
+		"no capacity":               func(w *workload.Worker) { w.Capacity = model.Resources{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
+				l := f.lead(store, "host-0")
+				time.Sleep(time.Second)
+				job := serviceJob(1)
+				is.NoErr(l.Jobs.Insert(t.Context(), job))
+				time.Sleep(3 * time.Second)
+				task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+				worker := f.placeOf(task)
+				is.True(worker != "")
+				for i := range 12 {
+					f.overwrite(worker, odd)
+					time.Sleep(time.Second)
+					if i == 6 {
+						f.mu.Lock()
+						f.publish(f.workers[worker])
+						f.mu.Unlock()
+						time.Sleep(time.Second)
+						l.stop()
+						l = f.lead(store, fmt.Sprint("host-", i))
+						time.Sleep(2 * time.Second)
+					}
+				}
+				is.Equal(f.placeOf(task), worker) // it has run on there
+				is.Equal(f.gap(), time.Duration(0))
+				f.mu.Lock()
+				f.publish(f.workers[worker])
+				f.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				back := false
+				is.NoErr(l.do(t.Context(), func(loop *termLoop) { back = len(loop.core.RegisteredWorkers()) == 3 }))
+				is.True(back)
+				l.stop()
+			})
+		})
+	}
+}
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -150,8 +150,11 @@
 
 // call finds the worker that a command is for, raises its fence and renews its lease.
 // The caller holds mu.
-func (f *fleet) call(ctx context.Context, id string, fence, lease int64) (*fleetWorker, error) {
-	w := f.workers[id]
+func (f *fleet) call(ctx context.Context, target *workload.Worker, fence, lease int64) (*fleetWorker, error) {
+	w := f.workers[target.ID]
+	if target.Address != w.Address {
+		return nil, workload.ErrReplaced
+	}
 	if w.unreachable || w.fencedOff != 0 && fence > w.fencedOff {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -170,7 +173,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return workload.Inventory{}, err
 	}
@@ -201,7 +204,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return 0, err
 	}
@@ -234,7 +237,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target.ID, fence, 0)
+	w, err := f.call(ctx, target, fence, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -231,12 +231,15 @@
 
 func (t *termLoop) handleHeartbeatResult(r heartbeatResult, now time.Time) {
 	t.core.ExtendLease(r.worker, t.links.leasesEnd(r.worker))
+	if v, known := t.core.ViewWorker(r.worker); known && v.Worker.Address != r.address && !errors.Is(r.err, workload.ErrReplaced) {
+		return // from before the worker's address changed
+	}
 	switch {
 	case r.err == nil:
 		t.removeLeaseBound(r.worker)
 		t.core.HandleInventory(r.worker, r.inventory, r.sentAt, now)
 	case errors.Is(r.err, workload.ErrReplaced):
-		t.core.HandleReplaced(r.worker, now)
+		t.core.HandleReplaced(r.worker, r.address, now)
 	default:
 		t.core.HandleLostContact(r.worker, now)
 	}
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -34,19 +34,20 @@
 		return
 	}
 	c.emit("start refused", "task", run.Task.String(), "run", run.Number, "worker", st.Worker.ID, "cause", err.Error())
-	c.handleStartError(s, run.Task.Index, w, err, now)
+	c.handleStartError(s, run.Task.Index, w, st.Worker.Address, err, now)
 }
 
 // handleStartError handles a start that was refused or not answered. A run whose start
-// was not answered is stopped, so that a delayed start order has no effect.
-func (c *Core) handleStartError(s *step, i int, w *worker, err error, now time.Time) {
+// was not answered is stopped, so that a delayed start order has no effect. The order was
+// sent to the given address.
+func (c *Core) handleStartError(s *step, i int, w *worker, address string, err error, now time.Time) {
 	if errors.Is(err, workload.ErrNoAnswer) {
 		c.stop(s, i)
 		return
 	}
 	switch {
 	case errors.Is(err, workload.ErrReplaced):
-		c.HandleReplaced(s.tasks[i].worker, now)
+		c.HandleReplaced(w.info.ID, address, now)
 		return
 	case errors.Is(err, workload.ErrBadTicket):
 		s.advice.dropTicket(s.tasks[i].worker)
@@ -69,6 +70,6 @@
 		t.stopConfirmed = now
 	}
 	if errors.Is(err, workload.ErrReplaced) {
-		c.HandleReplaced(o.Worker.ID, now)
+		c.HandleReplaced(o.Worker.ID, o.Worker.Address, now)
 	}
 }
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -13,6 +13,9 @@
 		return
 	}
 	if inv.Incarnation != w.incarnation {
+		if inv.Incarnation < w.incarnation {
+			w.refutedIncarnation = w.incarnation
+		}
 		c.startIncarnation(w, inv.Incarnation)
 	}
 	if requestedAt.After(w.unansweredAt) && !w.unansweredAt.IsZero() {
@@ -61,6 +64,7 @@
 	if t.state == taskAssigned {
 		t.state = taskRunning
 	}
+	t.address = w.info.Address
 	s.job.begin()
 	if t.startConfirmed.IsZero() {
 		t.startConfirmed = now
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,7 +28,8 @@
 	state       taskState
 	run         int // number of the latest run
 	worker      string
-	incarnation int64 // incarnation of the worker
+	incarnation int64  // incarnation of the worker
+	address     string // of the worker at the start; empty if the run was restored and not reported since
 	failures    int
 	failedTime  time.Duration // total duration of its failed runs
 	checkpoint  string        // latest checkpoint
@@ -335,7 +336,7 @@
 		c.urgentUsed -= s.spec.RequiredCapacity().MilliCores
 	}
 	s.busy--
-	t.worker, t.incarnation = "", 0
+	t.worker, t.incarnation, t.address = "", 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
--- /dev/null
+++ b/internal/dispatch/oddentry_test.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/workload"
+)
+
+// setEntry applies a registry entry of the worker "w" with this address and incarnation.
+func (c *testCell) setEntry(address string, incarnation int64) {
+	info := c.core.workers["w"].info
+	info.Address, info.Incarnation = address, incarnation
+	c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &info})
+}
+
+// Guards against a second run of a task that still runs: an entry of another writer gives
+// a worker the address of another one, which answers that it is not that worker.
+func TestAnswerAtAnotherAddressEndsNoRun(t *testing.T) {
+	for name, incarnation := range map[string]int64{"same life": testIncarnation, "odd life": 1 << 52, "no life": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+			is.Equal(len(c.startTasks(nil)), 1)
+			c.addWorker("other", 8)
+			for range 3 {
+				c.setEntry("other:1", incarnation)
+				if v, ok := c.core.ViewWorker("w"); ok && v.Worker.Address == "other:1" {
+					c.core.HandleReplaced("w", "other:1", c.now)
+				}
+				is.Equal(len(c.startTasks(nil)), 0) // it may still run at w:1
+				v, ok := c.core.ViewWorker("w")
+				is.True(ok)
+				is.Equal(v.Worker.Address, "w:1") // where its lease is renewed
+			}
+			c.reportInventory("w", workload.Inventory{})
+			c.setEntry("w:1", testIncarnation)
+			c.reportInventory("w", workload.Inventory{})
+			is.True(c.core.workers["w"].registered)
+			is.Equal(c.core.Stats().RunningTasks, 1)
+		})
+	}
+}
+
+// Guards against an entry with an odd time of birth that makes its worker look restarted
+// at each rewrite: it would lose contact each time.
+func TestOddBirthRestartsNoWorkerAgainAndAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(1)})
+	st := c.startTasks(nil)
+	is.Equal(len(st), 2)
+	restarts := 0
+	for range 5 {
+		c.setEntry("w:1", 1<<52)
+		c.now = c.now.Add(time.Second)
+		c.reportInventory("w", workload.Inventory{})
+		for _, e := range c.core.TakeEvents() {
+			if e.Name == "worker started anew" {
+				restarts++
+			}
+		}
+	}
+	is.True(restarts <= 2) // to the odd life and back
+	c.reportEnd(1, st[0], workload.RunDone, "")
+	c.reportEnd(2, st[1], workload.RunDone, "")
+	c.startTasks(nil)
+	is.Equal(c.jobState(), workload.Completed)
+}
+
+// Guards against tasks that are lost, or started twice, while the entry of their worker
+// cannot be used.
+func TestTasksRunOnWhileTheEntryOfTheirWorkerIsOdd(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(1)}, workload.Step{Tasks: 1, Resources: cores(1), After: []int{0}})
+	st := c.startTasks(nil)
+	info := c.core.workers["w"].info
+	c.core.SetWorker(workload.WorkerChange{ID: "w"})
+	c.addWorker("other", 8)
+	c.core.Tick(c.now)
+	is.Equal(len(c.startTasks(nil)), 0)
+	_, wanted := c.core.ViewWorker("w")
+	is.True(wanted) // its link renews the leases
+	c.reportEnd(1, st[0], workload.RunDone, "")
+	c.reportEnd(2, st[1], workload.RunDone, "")
+	next := c.startTasks(nil)
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Worker.ID, "other")
+	c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &info})
+	c.reportInventory("w", workload.Inventory{})
+	is.True(c.core.workers["w"].registered)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -326,7 +326,7 @@
 func (c *Core) assign(s *step, i int, w *worker, run int, checkpoint string) {
 	now := c.pass.now
 	t := &s.tasks[i]
-	t.state, t.run, t.worker, t.incarnation = taskAssigned, run, w.info.ID, w.incarnation
+	t.state, t.run, t.worker, t.incarnation, t.address = taskAssigned, run, w.info.ID, w.incarnation, w.info.Address
 	t.startConfirmed, t.percent, t.progressedAt = time.Time{}, 0, time.Time{}
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.tailLatencyMS, t.throttlePercent = 0, fullSpeed
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -14,6 +14,7 @@
 	registered           bool // listed in the registry
 	reachable            bool // answered the latest heartbeat under this core's fence
 	incarnation          int64
+	refutedIncarnation   int64 // the latest one that the registry named and the worker itself did not
 	used                 model.Resources
 	bestEffortMilliCores int64 // thousandths of a core that best-effort tasks would use
 	throttle             throttle
@@ -93,8 +94,40 @@
 	}
 }
 
+// registration is what identifies a life of a worker in a registry entry.
+type registration struct {
+	address     string
+	incarnation int64
+}
+
+// namesNoWorker reports whether an entry was written by another writer, as shown by the
+// worker itself: it answers at another address in the same life, or another worker
+// answers at the entry's address.
+func (c *Core) namesNoWorker(entry *workload.Worker) bool {
+	if m, ok := c.misdirected[entry.ID]; ok && m.incarnation != 0 && m == (registration{entry.Address, entry.Incarnation}) {
+		return true
+	}
+	w := c.workers[entry.ID]
+	return w != nil && w.reachable && w.incarnation != 0 && w.info.Address != entry.Address && !w.restartedAs(entry.Incarnation)
+}
+
+// restartedAs reports whether an incarnation that the registry names is a later one than
+// the worker's.
+func (w *worker) restartedAs(incarnation int64) bool {
+	return w.incarnation != 0 && incarnation > w.incarnation && incarnation != w.refutedIncarnation
+}
+
 // SetWorker applies a change of the registry.
 func (c *Core) SetWorker(ch workload.WorkerChange) {
+	if ch.Worker != nil && c.namesNoWorker(ch.Worker) {
+		if w := c.workers[ch.ID]; w != nil && w.registered {
+			c.emit("registry entry contradicts its worker", "worker", ch.ID, "address", w.info.Address, "entry's address", ch.Worker.Address,
+				"born", w.incarnation, "entry's born", ch.Worker.Incarnation)
+		}
+		ch.Worker = nil
+	} else {
+		delete(c.misdirected, ch.ID)
+	}
 	if ch.Worker == nil {
 		if w := c.workers[ch.ID]; w != nil && w.registered {
 			w.registered = false
@@ -112,7 +145,7 @@
 	changed := !w.registered || !ch.Worker.SameRegistration(&w.info)
 	w.registered = true
 	w.info = *ch.Worker
-	if w.incarnation != 0 && ch.Worker.Incarnation != 0 && ch.Worker.Incarnation > w.incarnation {
+	if w.restartedAs(ch.Worker.Incarnation) {
 		c.startIncarnation(w, ch.Worker.Incarnation)
 		changed = true
 	}
@@ -144,24 +177,46 @@
 
 // loseTasks removes the tasks of a worker on which they can no longer be running.
 func (c *Core) loseTasks(w *worker, now time.Time) {
+	c.loseTasksIf(w, now, func(*task) bool { return true })
+}
+
+// loseTasksIf is loseTasks for some of the tasks.
+func (c *Core) loseTasksIf(w *worker, now time.Time, lost func(*task) bool) {
 	for id := range w.tasks {
-		if s, t := c.findTask(id); t != nil {
+		if s, t := c.findTask(id); t != nil && lost(t) {
 			c.runEnded(s, id.Index, workload.RunLeaseExpired, "", now)
 		}
 	}
 }
 
-// HandleReplaced handles an answer from a worker with another ID at the worker's address,
-// which means that this worker has ended.
-func (c *Core) HandleReplaced(id string, now time.Time) {
+// HandleReplaced handles an answer from a worker with another ID at an address of this
+// worker: its life at that address has ended. It says nothing about runs that were sent to
+// another address, since another writer may have changed the worker's entry.
+func (c *Core) HandleReplaced(id, address string, now time.Time) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
-	c.emit("worker replaced by another life", "worker", id, "lost tasks", len(w.tasks))
-	w.reachable = false
-	w.registered = false
-	c.loseTasks(w, now)
+	c.misdirected[id] = registration{address, w.info.Incarnation}
+	ended := func(t *task) bool { return t.address == "" || t.address == address }
+	elsewhere := ""
+	kept := 0
+	for id := range w.tasks {
+		if _, t := c.findTask(id); t != nil && !ended(t) {
+			elsewhere = t.address
+			kept++
+		}
+	}
+	c.emit("worker replaced by another life", "worker", id, "address", address, "lost tasks", len(w.tasks)-kept, "tasks elsewhere", kept)
+	if w.info.Address == address {
+		w.reachable, w.unreachableSince = false, now
+		w.registered = false
+		if kept > 0 {
+			w.info.Address = elsewhere
+		}
+		c.changedWorkers[id] = true
+	}
+	c.loseTasksIf(w, now, ended)
 	c.dropIfUnused(w)
 }
 
