--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		if err := t.core.Restore(e.Job, rows[e.ID], cancelled[e.ID], now); err != nil {
-			t.Log.Error(err, "stored job ignored", "job", e.ID)
+			t.Log.Error(err, "stored job held", "job", e.ID)
 		}
 		delete(rows, e.ID)
 	}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -55,10 +55,14 @@
 			c.markDirty(j)
 		}
 	}
-	if b := c.TakeBatch(math.MaxInt, math.MaxInt); b != nil {
-		return b
+	b := c.TakeBatch(math.MaxInt, math.MaxInt)
+	if b == nil {
+		b = &Batch{}
 	}
-	return &Batch{}
+	for id := range c.held {
+		b.Progress = append(b.Progress, workload.JobProgress{Job: id, Data: []byte(unreadableProgress)})
+	}
+	return b
 }
 
 // ackEnds records that a worker's ends up to sequence number seq are stored.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,6 +21,7 @@
 	cordoned       map[string]bool      // workers that accept no new tasks
 	suspectAZ      map[string]time.Time // by AZ: the end of the period in which the AZ is suspected to be unreachable
 	jobs           map[string]*job
+	held           map[string]bool // jobs that must not run: see Hold
 	active         map[string]*job // jobs without a final state, or with tasks that may be running
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
@@ -55,6 +56,7 @@
 		evacuated:       map[string]bool{},
 		suspectAZ:       map[string]time.Time{},
 		jobs:            map[string]*job{},
+		held:            map[string]bool{},
 		active:          map[string]*job{},
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
@@ -158,11 +160,12 @@
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
 	ReservedWorkers                              int // workers with capacity reserved for gangs
+	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -75,7 +76,15 @@
 		*t = TaskProgress{Done: true}
 		return nil
 	}
-	return json.Unmarshal(data, &[]any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint})
+	fields := []any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint}
+	n := len(fields)
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	if len(fields) != n {
+		return fmt.Errorf("progress of a task has %d fields instead of %d", len(fields), n)
+	}
+	return nil
 }
 
 // ProgressIsFinal reports whether stored progress belongs to a job that has ended.
@@ -127,19 +136,68 @@
 	return out
 }
 
+// decodeProgress decodes the stored progress of a job. It returns an error unless the
+// progress tells of each task whether it has been started.
+func decodeProgress(spec *workload.Job, data []byte) (Progress, error) {
+	var p Progress
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, fmt.Errorf("stored progress cannot be decoded: %w", err)
+	}
+	if !p.State.Final() && p.State != workload.Queued && p.State != workload.Running {
+		return p, errors.New("stored progress has no known state")
+	}
+	if p.NextOccurrence < 0 || p.NextOccurrence > spec.Occurrences() {
+		return p, fmt.Errorf("stored progress continues with occurrence %d of %d", p.NextOccurrence, spec.Occurrences())
+	}
+	for _, o := range p.Occurrences {
+		if o.Index < 0 || o.Index >= p.NextOccurrence || len(o.Steps) != len(spec.Steps) {
+			return p, fmt.Errorf("stored progress has %d steps in occurrence %d", len(o.Steps), o.Index)
+		}
+		for i, s := range o.Steps {
+			if err := s.check(spec.Steps[i].Tasks, len(p.Workers)); err != nil {
+				return p, fmt.Errorf("stored progress of step %d of occurrence %d: %w", i, o.Index, err)
+			}
+		}
+	}
+	return p, nil
+}
+
+// check checks the progress of a step with this number of tasks. The progress names this
+// number of workers.
+func (p *StepProgress) check(tasks, workers int) error {
+	if len(p.Tasks) != tasks && (len(p.Tasks) > 0 || !p.AllDone) {
+		return fmt.Errorf("it has %d tasks instead of %d", len(p.Tasks), tasks)
+	}
+	for i, t := range p.Tasks {
+		if t.Run < 0 || t.Failures < 0 || t.Worker < 0 || t.Worker > workers {
+			return fmt.Errorf("task %d has run %d, %d failures and worker %d of %d", i, t.Run, t.Failures, t.Worker, workers)
+		}
+	}
+	return nil
+}
+
+// unreadableProgress is stored as the progress of a held job when all progress is stored
+// anew. No build can decode it as progress.
+const unreadableProgress = `"unreadable"`
+
+// Hold keeps a job from running whose stored progress cannot be read: tasks that are
+// running or done would run again.
+func (c *Core) Hold(id string) { c.held[id] = true }
+
 // Restore adds a job with its stored progress, which is nil if none is stored. Tasks that
-// may be running occupy capacity on their workers until these report an inventory.
+// may be running occupy capacity on their workers until these report an inventory. If the
+// progress cannot be read, it returns an error and holds the job.
 func (c *Core) Restore(spec *workload.Job, progress []byte, cancelled bool, now time.Time) error {
-	if c.jobs[spec.ID] != nil {
+	if c.jobs[spec.ID] != nil || c.held[spec.ID] {
 		return nil
 	}
-	var p Progress
+	p := Progress{State: workload.Queued}
 	if progress != nil {
-		if err := json.Unmarshal(progress, &p); err != nil {
-			return fmt.Errorf("decode stored progress of job %s: %w", spec.ID, err)
+		var err error
+		if p, err = decodeProgress(spec, progress); err != nil {
+			c.Hold(spec.ID)
+			return fmt.Errorf("job %s: %w", spec.ID, err)
 		}
-	} else {
-		p.State = workload.Queued
 	}
 	j := &job{spec: spec, state: p.State, storedState: p.State, begun: p.Begun, nextOccurrence: p.NextOccurrence, endedAt: p.EndedAt, restored: true}
 	c.jobs[spec.ID] = j
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -90,6 +90,7 @@
 func (m *metrics) SetGauges(s dispatch.Stats, w dispatch.Waiting, away dispatch.OutOfReach) {
 	m.admission.setOldest(w.OldestAge)
 	m.gauges.WithLabelValues("jobs").Set(float64(s.ActiveJobs))
+	m.gauges.WithLabelValues("held_jobs").Set(float64(s.HeldJobs))
 	m.gauges.WithLabelValues("workers").Set(float64(s.Workers))
 	m.gauges.WithLabelValues("workers_in_reach").Set(float64(s.Reachable))
 	m.gauges.WithLabelValues("tasks").Set(float64(s.RunningTasks))
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -120,6 +120,9 @@
 	versions := map[string]int64{}
 	take := func(job, bundle string, version int64, data []byte) {
 		if version > versions[job] {
+			if data == nil {
+				data = []byte{} // nil would mean that there is no row
+			}
 			versions[job], newest[job] = version, data
 			x.setLocation(job, bundle)
 		}
