--- a/internal/coordinator/advicepool.go
+++ b/internal/coordinator/advicepool.go
@@ -121,7 +121,7 @@
 	switch {
 	case errors.Is(e.err, workload.ErrAdviceBusy):
 		p.pausedUntil[e.adviser] = now.Add(busyAdviserPause)
-	case e.err != nil:
+	case e.err != nil && !errors.Is(e.err, workload.ErrAdviceIncomplete):
 		p.failedAt[e.adviser] = now
 		if p.commonFailure(now) {
 			p.pauseAll(now)
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"time"
 
 	"cuminloft/internal/workload"
@@ -160,8 +161,10 @@
 	}
 	s.advice.callPending = false
 	if err != nil {
-		c.emit("advice failed", "step", call.Step.String(), "workers", len(call.Workers), "cause", err.Error())
-		return
+		c.emit("advice failed", "step", call.Step.String(), "workers", len(call.Workers), "tickets", len(tickets), "cause", err.Error())
+		if !errors.Is(err, workload.ErrAdviceIncomplete) {
+			return
+		}
 	}
 	s.advice.newTickets = len(tickets) > 0
 	if s.advice.tickets == nil {
@@ -180,8 +183,9 @@
 		token, ok := tokens[id]
 		w := c.workers[id]
 		switch {
-		case !ok:
+		case !ok && err == nil:
 			s.advice.denied[id] = true
+		case !ok:
 		case w != nil:
 			s.advice.lastExpiry = expires
 			s.advice.tickets[id] = ticket{token: token, incarnation: w.incarnation, expires: expires}
--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -97,3 +97,31 @@
 	c.reportInventory("w", workload.Inventory{})
 	is.True(c.core.workers["w"].registered)
 }
+
+// Guards against a worker that is denied to a step for good since the row of an answer that
+// allows it cannot be read, and against tickets of workers that were not asked for.
+func TestIncompleteAdviceDeniesNoWorker(t *testing.T) {
+	is := is.New(t)
+	advice := &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: time.Minute}
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Advice: advice})
+	c.addWorker("w1", 8)
+	c.addWorker("w2", 8)
+	c.addJob("j", workload.Step{Tasks: 12, Resources: cores(1)})
+	call := func() AdviceCall {
+		t.Helper()
+		c.now = c.now.Add(minCallInterval)
+		c.startTasks(nil)
+		call, ok := c.core.NewAdvicePass(c.now).Next(AdviceCapacity{MaxDuration: time.Second})
+		is.True(ok)
+		return call
+	}
+	c.core.HandleAdvice(call(), []workload.Ticket{{Worker: "w1", Token: "one"}, {Worker: "w9", Token: "nine"}}, workload.ErrAdviceIncomplete, c.now)
+	starts := c.startTasks(nil)
+	is.Equal(len(starts), 8)
+	is.Equal(starts[0].Worker.ID, "w1")
+	is.Equal(len(c.core.jobs["j"].occurrences[0].steps[0].advice.tickets), 1)
+	c.core.HandleAdvice(call(), []workload.Ticket{{Worker: "w2", Token: "two"}}, nil, c.now)
+	starts = c.startTasks(nil)
+	is.Equal(len(starts), 4)
+	is.Equal(starts[0].Worker.ID, "w2")
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -128,6 +128,7 @@
 	ErrMalformedOrder       = errors.New("worker rejected the order as malformed")
 	ErrAdviceBusy           = errors.New("advice service has too many pending calls")
 	ErrAdviceFailed         = errors.New("advice service did not answer")
+	ErrAdviceIncomplete     = errors.New("rows of the advice service's answer cannot be read")
 )
 
 // Commander sends commands to workers. Each command names the worker's ID; it fails with
@@ -155,7 +156,8 @@
 }
 
 // Adviser is a connection to the external advice service. Advise returns tickets for
-// those of the given workers that may run a step.
+// those of the given workers that may run a step; with ErrAdviceIncomplete, for some of
+// those.
 type Adviser interface {
 	Advise(ctx context.Context, step StepID, workers []string) ([]Ticket, error)
 }
