--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -152,9 +152,17 @@
 	j.overRate = m.exceeds(team.Weight, j.spec.AcceptedAt)
 }
 
-// openOccurrences opens the occurrences that are due.
+// openOccurrences opens the occurrences that are due, within the tasks whose progress fits
+// into one row of the store; the others open as earlier ones end.
 func (c *Core) openOccurrences(j *job, now time.Time) {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Tasks
+	}
 	for j.nextOccurrence < j.spec.Occurrences() && !now.Before(timeOfMillis(j.spec.Due(j.nextOccurrence))) {
+		if open := len(j.occurrences); open > 0 && (open+1)*tasks > workload.MaxTasks {
+			return
+		}
 		j.occurrences = append(j.occurrences, newOccurrence(j, j.nextOccurrence))
 		j.nextOccurrence++
 		c.needsScheduling = true
--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -125,3 +125,28 @@
 	is.Equal(len(starts), 4)
 	is.Equal(starts[0].Worker.ID, "w2")
 }
+
+// Guards against a job with so many due occurrences that the coordinator ends by its
+// memory, or that the job's progress no longer fits into a row of the store.
+func TestDueOccurrencesOpenWithinBounds(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	const repeats, tasks = 1_000_000_000, 10
+	c.core.AddJob(&workload.Job{ID: "00112233445566aa", Queue: "batch", Team: "team", AcceptedAt: c.now.UnixMilli(), Repeats: repeats, Period: 1,
+		Steps: []workload.Step{{Tasks: tasks, Resources: cores(1)}}}, c.now)
+	j := c.core.jobs["00112233445566aa"]
+	seq, ended := int64(0), 0
+	for range 200 {
+		c.core.Tick(c.now)
+		is.True(len(j.occurrences)*tasks <= workload.MaxTasks)
+		is.True(len(j.encode()) <= 65536)
+		for _, st := range c.startTasks(nil) {
+			seq++
+			ended++
+			c.reportEnd(seq, st, workload.RunDone, "")
+		}
+	}
+	is.True(ended >= 200*tasks/2) // further occurrences open as earlier ones end
+	is.Equal(j.state, workload.Running)
+}
