--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -80,6 +80,9 @@
 		if err := json.Unmarshal(r.Value, &e.Tombstone); err != nil {
 			return Entry{}, fmt.Errorf("mark of job %q cannot be read: %w", r.Key, err)
 		}
+		if !e.State.Final() {
+			return Entry{}, fmt.Errorf("mark of job %q has the state %q, which is not final", r.Key, e.State)
+		}
 		return e, nil
 	}
 	job := new(workload.Job)
