--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -104,9 +104,11 @@
 func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartitionRow) error {
 	now := time.Now()
 	rows, err := t.index.Load(progress)
-	if err != nil {
+	var unreadable *jobstore.UnreadableBundlesError
+	if err != nil && !errors.As(err, &unreadable) {
 		return err
 	}
+	held := 0
 	cancelled := map[string]bool{}
 	for _, e := range entries {
 		if e.Cancelled {
@@ -120,16 +122,26 @@
 		if e.Job == nil {
 			continue
 		}
+		if unreadable != nil && unreadable.MayHold(e.ID, e.Version) {
+			t.core.Hold(e.ID, nil)
+			held++
+			delete(rows, e.ID)
+			continue
+		}
 		if err := t.core.Restore(e.Job, rows[e.ID], cancelled[e.ID], now); err != nil {
 			t.Log.Error(err, "stored job held", "job", e.ID)
 		}
 		delete(rows, e.ID)
 	}
+	if held > 0 {
+		t.Log.Error(unreadable, "stored jobs held", "jobs", held)
+	}
 	for id, progress := range rows {
 		if _, ended := t.core.JobState(id); ended || dispatch.ProgressIsFinal(progress) {
 			t.index.Drop(id)
 			continue
 		}
+		t.core.Hold(id, progress) // the next coordinator restores it if its row can be read again
 		t.Log.Info("progress without a readable job row is kept", "job", id)
 	}
 	t.core.SetLeaseBounds(t.term.Since.Add(TakeoverBound), t.leaseBounds.times(t.Store), now)
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -59,8 +59,8 @@
 	if b == nil {
 		b = &Batch{}
 	}
-	for id := range c.held {
-		b.Progress = append(b.Progress, workload.JobProgress{Job: id, Data: []byte(unreadableProgress)})
+	for id, progress := range c.held {
+		b.Progress = append(b.Progress, workload.JobProgress{Job: id, Data: progress})
 	}
 	return b
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,8 +21,8 @@
 	cordoned       map[string]bool      // workers that accept no new tasks
 	suspectAZ      map[string]time.Time // by AZ: the end of the period in which the AZ is suspected to be unreachable
 	jobs           map[string]*job
-	held           map[string]bool // jobs that must not run: see Hold
-	active         map[string]*job // jobs without a final state, or with tasks that may be running
+	held           map[string][]byte // by job ID: stored progress of jobs that must not run, see Hold
+	active         map[string]*job   // jobs without a final state, or with tasks that may be running
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
 	changedWorkers map[string]bool            // workers whose WorkerView may have changed
@@ -56,7 +56,7 @@
 		evacuated:       map[string]bool{},
 		suspectAZ:       map[string]time.Time{},
 		jobs:            map[string]*job{},
-		held:            map[string]bool{},
+		held:            map[string][]byte{},
 		active:          map[string]*job{},
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -122,7 +122,7 @@
 
 // AddJob adds an accepted job. It ignores a job that is known already.
 func (c *Core) AddJob(spec *workload.Job, now time.Time) {
-	if c.jobs[spec.ID] != nil || c.held[spec.ID] {
+	if c.jobs[spec.ID] != nil || c.isHeld(spec.ID) {
 		return
 	}
 	j := &job{spec: spec, state: workload.Queued, storedState: workload.Queued}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -180,22 +180,31 @@
 // anew. No build can decode it as progress.
 const unreadableProgress = `"unreadable"`
 
-// Hold keeps a job from running whose stored progress cannot be read: tasks that are
-// running or done would run again.
-func (c *Core) Hold(id string) { c.held[id] = true }
+// Hold keeps a job from running whose row or stored progress cannot be read: tasks that are
+// running or done would run again. progress is what is stored for it, or nil if that cannot
+// be read.
+func (c *Core) Hold(id string, progress []byte) {
+	if !json.Valid(progress) {
+		progress = []byte(unreadableProgress)
+	}
+	c.held[id] = progress
+}
+
+// isHeld reports whether a job is held.
+func (c *Core) isHeld(id string) bool { return c.held[id] != nil }
 
 // Restore adds a job with its stored progress, which is nil if none is stored. Tasks that
 // may be running occupy capacity on their workers until these report an inventory. If the
 // progress cannot be read, it returns an error and holds the job.
 func (c *Core) Restore(spec *workload.Job, progress []byte, cancelled bool, now time.Time) error {
-	if c.jobs[spec.ID] != nil || c.held[spec.ID] {
+	if c.jobs[spec.ID] != nil || c.isHeld(spec.ID) {
 		return nil
 	}
 	p := Progress{State: workload.Queued}
 	if progress != nil {
 		var err error
 		if p, err = decodeProgress(spec, progress); err != nil {
-			c.Hold(spec.ID)
+			c.Hold(spec.ID, nil)
 			return fmt.Errorf("job %s: %w", spec.ID, err)
 		}
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -46,6 +46,7 @@
 type Entry struct {
 	ID        string
 	Job       *workload.Job // nil for a cancellation, a tombstone or a removed row
+	Version   int64         // of the row with the job; 0 without
 	Cancelled bool
 	Removed   bool
 	Tombstone // set for the tombstone of a job that has ended
@@ -95,7 +96,7 @@
 	if err := job.Check(); err != nil {
 		return Entry{}, fmt.Errorf("job row %q: %w", r.Key, err)
 	}
-	return Entry{ID: r.Key, Job: job}, nil
+	return Entry{ID: r.Key, Job: job, Version: r.Version}, nil
 }
 
 // ErrOutcomeUnknown is returned if the store's replies were lost, so that the row may
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -112,9 +113,28 @@
 	return platform.PartitionRow{Table: ProgressTable, Partition: DefaultProgressPartition, Key: key, Value: value}
 }
 
-// Load fills the index from all progress rows and returns the newest progress of each
-// job. It fails if a bundle cannot be decoded: without it, tasks that have run would
-// run again.
+// UnreadableBundlesError reports bundles that cannot be decoded. The newest progress of
+// each of MayHold's jobs may be in them.
+type UnreadableBundlesError struct {
+	Keys   []string
+	newest int64            // version of the newest of these bundles
+	known  map[string]int64 // by job: version of the newest progress that can be read
+}
+
+// Error implements error.
+func (e *UnreadableBundlesError) Error() string {
+	return fmt.Sprintf("progress bundles %q cannot be decoded", e.Keys)
+}
+
+// MayHold reports whether one of the bundles may hold progress of a job that is newer than
+// what can be read. version is that of the job's row.
+func (e *UnreadableBundlesError) MayHold(job string, version int64) bool {
+	return version < e.newest && e.known[job] < e.newest
+}
+
+// Load fills the index from all progress rows and returns the newest progress of each job.
+// If bundles cannot be decoded, it also returns an *UnreadableBundlesError: if the jobs that
+// they may hold ran, tasks that have run would run again. These bundles are not removed.
 func (x *ProgressIndex) Load(rows []platform.PartitionRow) (map[string][]byte, error) {
 	newest := map[string][]byte{}
 	versions := map[string]int64{}
@@ -127,17 +147,23 @@
 			x.setLocation(job, bundle)
 		}
 	}
+	unreadable := &UnreadableBundlesError{known: versions}
 	for _, r := range rows {
-		if !strings.HasPrefix(r.Key, bundlePrefix) {
+		number, bundled := strings.CutPrefix(r.Key, bundlePrefix)
+		if !bundled {
 			take(r.Key, "", r.Version, r.Value)
 			continue
 		}
-		if n, err := strconv.Atoi(strings.TrimPrefix(r.Key, bundlePrefix)); err == nil {
-			x.nextBundle = max(x.nextBundle, n+1)
+		n, err := strconv.Atoi(number)
+		if err != nil || n < 0 || n == math.MaxInt {
+			continue // a row of another writer
 		}
+		x.nextBundle = max(x.nextBundle, n+1)
 		bundle, err := decodeBundle(r)
 		if err != nil {
-			return nil, err
+			unreadable.Keys = append(unreadable.Keys, r.Key)
+			unreadable.newest = max(unreadable.newest, r.Version)
+			continue
 		}
 		for job, data := range bundle {
 			take(job, r.Key, r.Version, data)
@@ -146,6 +172,9 @@
 			x.obsolete = append(x.obsolete, r.Key)
 		}
 	}
+	if len(unreadable.Keys) > 0 {
+		return newest, unreadable
+	}
 	return newest, nil
 }
 
@@ -154,5 +183,8 @@
 	if err := json.Unmarshal(r.Value, &bundle); err != nil {
 		return nil, fmt.Errorf("progress bundle %q cannot be decoded: %w", r.Key, err)
 	}
+	if bundle == nil {
+		return nil, fmt.Errorf("progress bundle %q holds nothing", r.Key)
+	}
 	return bundle, nil
 }
