--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -150,3 +151,33 @@
 	is.True(ended >= 200*tasks/2) // further occurrences open as earlier ones end
 	is.Equal(j.state, workload.Running)
 }
+
+// FuzzRestore checks that stored progress is either refused, and the job held, or leaves a
+// core that goes on.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"state":"running","begun":true,"next":2,"workers":[{"id":"w","born":1000}],"occ":[{"k":1,"steps":[{"tasks":[1,[3,1,1,"saved"]]},{"tasks":[0,0,0]}]}]}`))
+	f.Add([]byte(`{"state":"completed","next":3,"ended_at":-9223372036854775808}`))
+	f.Add([]byte(`{"state":"queued","occ":[{"k":1e9}]}`))
+	f.Fuzz(func(t *testing.T, progress []byte) {
+		c := newCell(t)
+		c.addWorker("w", 8)
+		spec := &workload.Job{ID: "j", Queue: "batch", Team: "team", Repeats: 3, Period: time.Second, FirstDue: c.now.UnixMilli(),
+			Steps: []workload.Step{{Tasks: 2, Resources: cores(1)}, {Tasks: 3, Resources: cores(1), After: []int{0}, Gang: true}}}
+		err := c.core.Restore(spec, progress, false, c.now)
+		if (err != nil) != c.core.isHeld("j") {
+			t.Errorf("held: %v, error %v", c.core.isHeld("j"), err)
+		}
+		c.core.AddJob(spec, c.now)
+		c.reportInventory("w", workload.Inventory{})
+		c.core.Tick(c.now)
+		starts := c.startTasks(nil)
+		if err != nil && len(starts) > 0 {
+			t.Errorf("%d runs of a held job start", len(starts))
+		}
+		for _, p := range c.core.TakeSnapshot().Progress {
+			if !json.Valid(p.Data) {
+				t.Errorf("snapshot stores %q", p.Data)
+			}
+		}
+	})
+}
