--- a/internal/coordinator/oddentry_test.go
+++ b/internal/coordinator/oddentry_test.go
@@ -80,3 +80,36 @@
 		})
 	}
 }
+
+// Guards against a second run, and against a task that stays down, if a coordinator takes
+// over while the entry of a worker that is at work cannot be used.
+func TestTakeoverWhileAnEntryIsOdd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
+		l := f.lead(store, "host-0")
+		time.Sleep(time.Second)
+		job := serviceJob(1)
+		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		time.Sleep(3 * time.Second)
+		worker := f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}})
+		is.True(worker != "")
+		f.mu.Lock()
+		f.workers[worker].registered = false
+		f.publish(f.workers[worker])
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		l.stop()
+		l = f.lead(store, "host-1")
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		f.workers[worker].registered = true
+		f.publish(f.workers[worker])
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		is.True(f.runs(job))
+		t.Logf("longest time without a run: %v", f.gap())
+		is.True(f.gap() <= serviceRestart)
+		l.stop()
+	})
+}
