--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -26,7 +26,7 @@
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
 	changedWorkers map[string]bool            // workers whose WorkerView may have changed
-	misdirected    map[string]registration    // by worker ID: the latest entry at whose address another worker answered
+	misdirected    map[string]misdirection    // by worker ID
 	usage          map[string]model.Resources // by team: resources of all tasks that may be running
 	rates          map[string]*rateMeter      // by team
 	dirtyJobs      []*job
@@ -61,7 +61,7 @@
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
 		changedWorkers:  map[string]bool{},
-		misdirected:     map[string]registration{},
+		misdirected:     map[string]misdirection{},
 		usage:           map[string]model.Resources{},
 		rates:           map[string]*rateMeter{},
 		adviceStats:     newAdviceStats(),
--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -181,3 +181,39 @@
 		}
 	})
 }
+
+// Guards against a log, and calls to workers, for each rewrite of an entry that names
+// another worker's address. A worker that has come to that address is found in the end.
+func TestEntryAtAnotherWorkersAddressIsTriedRarely(t *testing.T) {
+	for name, incarnation := range map[string]int64{"with a birth": 7, "without": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			entry := workload.Worker{ID: "odd", Incarnation: incarnation, Address: "w:1", AZ: "a", Pool: "pool"}
+			tried := 0
+			const rewrites, interval = 40, 1500 * time.Millisecond
+			for range rewrites {
+				c.core.SetWorker(workload.WorkerChange{ID: "odd", Worker: &entry})
+				if _, known := c.core.ViewWorker("odd"); known {
+					tried++
+					c.core.HandleReplaced("odd", "w:1", c.now)
+				}
+				c.now = c.now.Add(interval)
+				c.core.Tick(c.now)
+			}
+			is.True(tried <= 1+int(rewrites*interval/misdirectedRetry))
+			is.True(tried >= 2)
+			lines := 0
+			for _, e := range c.core.TakeEvents() {
+				if e.Name == "worker registered" || e.Name == "worker replaced by another life" {
+					lines++
+				}
+			}
+			is.True(lines <= 1+2*tried) // one for "w"
+			c.core.SetWorker(workload.WorkerChange{ID: "odd"})
+			is.Equal(len(c.core.misdirected), 0)
+			is.True(c.core.workers["w"].registered)
+		})
+	}
+}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -14,6 +14,7 @@
 // repeats stop orders, expires leases, moves stalled tasks and opens due occurrences.
 func (c *Core) Tick(now time.Time) {
 	c.needsScheduling = c.needsScheduling || len(c.active) > 0 // the backoff of a worker may have ended
+	c.forgetMisdirections(now)
 	for _, w := range c.workers {
 		c.tickLeaving(w, now)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -100,11 +100,30 @@
 	incarnation int64
 }
 
+// misdirectedRetry is the time after which an entry at whose address another worker answered
+// is tried again.
+const misdirectedRetry = 15 * time.Second
+
+// misdirection is an entry at whose address another worker answered.
+type misdirection struct {
+	registration
+	answeredAt time.Time
+}
+
+// forgetMisdirections lets entries be tried again after misdirectedRetry.
+func (c *Core) forgetMisdirections(now time.Time) {
+	for id, m := range c.misdirected {
+		if now.Sub(m.answeredAt) >= misdirectedRetry {
+			delete(c.misdirected, id)
+		}
+	}
+}
+
 // namesNoWorker reports whether an entry was written by another writer, as shown by the
 // worker itself: it answers at another address in the same life, or another worker
 // answers at the entry's address.
 func (c *Core) namesNoWorker(entry *workload.Worker) bool {
-	if m, ok := c.misdirected[entry.ID]; ok && m.incarnation != 0 && m == (registration{entry.Address, entry.Incarnation}) {
+	if m, ok := c.misdirected[entry.ID]; ok && m.registration == (registration{entry.Address, entry.Incarnation}) {
 		return true
 	}
 	w := c.workers[entry.ID]
@@ -197,7 +216,7 @@
 	if w == nil {
 		return
 	}
-	c.misdirected[id] = registration{address, w.info.Incarnation}
+	c.misdirected[id] = misdirection{registration{address, w.info.Incarnation}, now}
 	ended := func(t *task) bool { return t.address == "" || t.address == address }
 	elsewhere := ""
 	kept := 0
