--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -67,6 +67,9 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]PartitionRow, int64, error)
 }
 
+// maxKeyBytes is the size of the longest key.
+const maxKeyBytes = 200
+
 // ScanAll reads a whole partition. The version is that of the first page, so that
 // Changes after it misses no change.
 func ScanAll(ctx context.Context, s Store, table, partition string) ([]PartitionRow, int64, error) {
@@ -81,11 +84,19 @@
 		if version == 0 {
 			version = page.Version
 		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		next := page.Rows
+		if n := len(rows); n > 0 && len(next) > 0 && next[0].Key == rows[n-1].Key {
+			next = next[1:]
+		}
+		rows = append(rows, next...)
+		if !page.More || len(next) == 0 {
 			return rows, version, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		// The next page begins with the key that follows, or again with the last key if the
+		// one that follows would be too long.
+		if from = next[len(next)-1].Key; len(from) < maxKeyBytes {
+			from += "\x00"
+		}
 	}
 }
 
