--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -217,3 +217,14 @@
 		})
 	}
 }
+
+// Guards against jobs that are held since a later build stores more about a task.
+func TestProgressOfALaterBuildIsRead(t *testing.T) {
+	is := is.New(t)
+	var p TaskProgress
+	is.NoErr(json.Unmarshal([]byte(`[3,1,2,"saved",7,{"more":1},null]`), &p))
+	is.Equal(p, TaskProgress{Run: 3, Worker: 1, Failures: 2, Checkpoint: "saved"})
+	for _, odd := range []string{`null`, `[]`, `[3,1,2]`, `[null,1,2,""]`, `[3,1,2,null]`, `[1.5,0,0,""]`, `2`, `{}`} {
+		is.True(json.Unmarshal([]byte(odd), &p) != nil)
+	}
+}
