--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -231,7 +231,7 @@
 
 func (t *termLoop) handleHeartbeatResult(r heartbeatResult, now time.Time) {
 	t.core.ExtendLease(r.worker, t.links.leasesEnd(r.worker))
-	if v, known := t.core.ViewWorker(r.worker); known && v.Worker.Address != r.address && !errors.Is(r.err, workload.ErrReplaced) {
+	if address := t.core.WorkerAddress(r.worker); address != "" && address != r.address && !errors.Is(r.err, workload.ErrReplaced) {
 		return // from before the worker's address changed
 	}
 	switch {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -364,6 +364,14 @@
 	return c.viewOf(w), true
 }
 
+// WorkerAddress returns the address of a worker; empty if it is unknown.
+func (c *Core) WorkerAddress(id string) string {
+	if w := c.workers[id]; w != nil {
+		return w.info.Address
+	}
+	return ""
+}
+
 // free returns the unused capacity.
 func (w *worker) free() model.Resources {
 	f := w.info.Capacity.Sub(w.used)
