--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -155,8 +155,11 @@
 
 // call finds the worker that a command is for, raises its fence and renews its lease.
 // The caller holds mu.
-func (f *fleet) call(ctx context.Context, id string, fence, lease int64) (*fleetWorker, error) {
-	w := f.workers[id]
+func (f *fleet) call(ctx context.Context, target *workload.Worker, fence, lease int64) (*fleetWorker, error) {
+	w := f.workers[target.ID]
+	if target.Address != w.Address {
+		return nil, workload.ErrReplaced
+	}
 	if w.unreachable || w.fencedOff != 0 && fence > w.fencedOff {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -181,7 +184,7 @@
 		reached.unreachable = false
 		defer func() { reached.unreachable = true }()
 	}
-	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return workload.Inventory{}, err
 	}
@@ -212,7 +215,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target.ID, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return 0, err
 	}
@@ -245,7 +248,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target.ID, fence, 0)
+	w, err := f.call(ctx, target, fence, 0)
 	if err != nil {
 		return err
 	}
@@ -405,7 +408,7 @@
 	cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, []workload.Team{{Name: "team"}}, nil)
 	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
 	c := New(Coordinator{
-		Store: health, Jobs: jobstore.Jobs{Store: health, Log: logr.Discard()}, Watch: watch, Workers: f, Commander: f,
+		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
 		Advisers: func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{},
 		Retention: time.Minute, Undersized: func() bool { return false },
 	})
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,10 +21,12 @@
 	cordoned       map[string]bool      // workers that accept no new tasks
 	suspectAZ      map[string]time.Time // by AZ: the end of the period in which the AZ is suspected to be unreachable
 	jobs           map[string]*job
-	active         map[string]*job // jobs without a final state, or with tasks that may be running
+	held           map[string][]byte // by job ID: stored progress of jobs that must not run, see Hold
+	active         map[string]*job   // jobs without a final state, or with tasks that may be running
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
 	changedWorkers map[string]bool            // workers whose WorkerView may have changed
+	misdirected    map[string]misdirection    // by worker ID
 	usage          map[string]model.Resources // by team: resources of all tasks that may be running
 	rates          map[string]*rateMeter      // by team
 	dirtyJobs      []*job
@@ -54,10 +56,12 @@
 		evacuated:       map[string]bool{},
 		suspectAZ:       map[string]time.Time{},
 		jobs:            map[string]*job{},
+		held:            map[string][]byte{},
 		active:          map[string]*job{},
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
 		changedWorkers:  map[string]bool{},
+		misdirected:     map[string]misdirection{},
 		usage:           map[string]model.Resources{},
 		rates:           map[string]*rateMeter{},
 		adviceStats:     newAdviceStats(),
@@ -156,11 +160,12 @@
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
 	ReservedWorkers                              int // workers with capacity reserved for gangs
+	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,7 +28,8 @@
 	state       taskState
 	run         int // number of the latest run
 	worker      string
-	incarnation int64 // incarnation of the worker
+	incarnation int64  // incarnation of the worker
+	address     string // of the worker at the start; empty if the run was restored and not reported since
 	failures    int
 	failedTime  time.Duration // total duration of its failed runs
 	checkpoint  string        // latest checkpoint
@@ -121,7 +122,7 @@
 
 // AddJob adds an accepted job. It ignores a job that is known already.
 func (c *Core) AddJob(spec *workload.Job, now time.Time) {
-	if c.jobs[spec.ID] != nil {
+	if c.jobs[spec.ID] != nil || c.isHeld(spec.ID) {
 		return
 	}
 	j := &job{spec: spec, state: workload.Queued, storedState: workload.Queued}
@@ -151,9 +152,17 @@
 	j.overRate = m.exceeds(team.Weight, j.spec.AcceptedAt)
 }
 
-// openOccurrences opens the occurrences that are due.
+// openOccurrences opens the occurrences that are due, within the tasks whose progress fits
+// into one row of the store; the others open as earlier ones end.
 func (c *Core) openOccurrences(j *job, now time.Time) {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Tasks
+	}
 	for j.nextOccurrence < j.spec.Occurrences() && !now.Before(timeOfMillis(j.spec.Due(j.nextOccurrence))) {
+		if open := len(j.occurrences); open > 0 && (open+1)*tasks > workload.MaxTasks {
+			return
+		}
 		j.occurrences = append(j.occurrences, newOccurrence(j, j.nextOccurrence))
 		j.nextOccurrence++
 		c.needsScheduling = true
@@ -335,7 +344,7 @@
 		c.urgentUsed -= s.spec.RequiredCapacity().MilliCores
 	}
 	s.busy--
-	t.worker, t.incarnation = "", 0
+	t.worker, t.incarnation, t.address = "", 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -16,8 +16,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"cuminloft/internal/platform"
 	"cuminloft/internal/workload"
 )
@@ -48,6 +46,7 @@
 type Entry struct {
 	ID        string
 	Job       *workload.Job // nil for a cancellation, a tombstone or a removed row
+	Version   int64         // of the row with the job; 0 without
 	Cancelled bool
 	Removed   bool
 	Tombstone // set for the tombstone of a job that has ended
@@ -82,6 +81,9 @@
 		if err := json.Unmarshal(r.Value, &e.Tombstone); err != nil {
 			return Entry{}, fmt.Errorf("mark of job %q cannot be read: %w", r.Key, err)
 		}
+		if !e.State.Final() {
+			return Entry{}, fmt.Errorf("mark of job %q has the state %q, which is not final", r.Key, e.State)
+		}
 		return e, nil
 	}
 	job := new(workload.Job)
@@ -94,7 +96,7 @@
 	if err := job.Check(); err != nil {
 		return Entry{}, fmt.Errorf("job row %q: %w", r.Key, err)
 	}
-	return Entry{ID: r.Key, Job: job}, nil
+	return Entry{ID: r.Key, Job: job, Version: r.Version}, nil
 }
 
 // ErrOutcomeUnknown is returned if the store's replies were lost, so that the row may
@@ -104,7 +106,8 @@
 // Jobs reads and writes job rows.
 type Jobs struct {
 	Store *platform.Health
-	Log   logr.Logger
+	// Rejected records the rows that cannot be decoded.
+	Rejected *platform.RejectedRows
 	// LinkBytesPerSecond is the capacity of this host's link; 0: unknown.
 	LinkBytesPerSecond float64
 }
@@ -244,13 +247,13 @@
 	return j.decodeRows(rows), version, nil
 }
 
-// decodeRows decodes rows, and logs and skips those that cannot be decoded.
+// decodeRows decodes rows. It records and skips those that cannot be decoded.
 func (j Jobs) decodeRows(rows []platform.PartitionRow) []Entry {
 	out := make([]Entry, 0, len(rows))
 	for _, r := range rows {
 		e, err := Decode(r)
 		if err != nil {
-			j.Log.Error(err, "row of the job table ignored", "version", r.Version)
+			j.Rejected.Add(r, err)
 			continue
 		}
 		out = append(out, e)
