--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -46,6 +46,8 @@
 	}
 	switch {
 	case errors.Is(err, workload.ErrReplaced):
+		// Unless an earlier order was lost, this one did not reach the worker.
+		s.tasks[i].startSent = !w.unansweredAt.IsZero()
 		c.HandleReplaced(s.tasks[i].worker, now)
 		return
 	case errors.Is(err, workload.ErrBadTicket):
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		if t.state == taskAssigned {
+			t.startSent = true
 			out = append(out, st)
 		}
 	}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -34,6 +34,7 @@
 	for _, r := range inv.Running {
 		listed[r.Run.Task] = true
 		c.applyRunning(w, r, now)
+		c.clearOutlived(w, r.Run, requestedAt)
 	}
 	if len(inv.Ended) < workload.MaxEndsPerInventory {
 		c.dropUnlisted(w, listed, requestedAt, now)
@@ -90,6 +91,10 @@
 			t.state == taskStopping && !t.stopConfirmed.IsZero() && t.stopConfirmed.Before(requestedAt)
 		if confirmed {
 			c.emit("run lost by its worker", "task", id.String(), "run", t.run, "worker", w.info.ID)
+			if t.workerRestarted {
+				c.loseRun(w, s, id.Index, workerRestarted, now)
+				continue
+			}
 			c.runEnded(s, id.Index, workload.RunLeaseExpired, "", now)
 		}
 	}
@@ -104,9 +109,11 @@
 	s.job.begin()
 	switch e.Outcome {
 	case workload.RunDone:
+		c.clearCrashes(s, t)
 		w.recordOutcome(false, now)
 		c.learnFromEnd(s, t, now)
 	case workload.RunFailed:
+		c.clearCrashes(s, t)
 		// Services may fail at any time, which says little about the worker.
 		if !s.spec.Service && w.recordOutcome(true, now) {
 			c.emit("worker suspected", "worker", w.info.ID, "failed", w.failed, "fine", w.succeeded, "until", w.quarantineUntil)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -45,6 +45,11 @@
 	tailLatencyMS    float64 // service tasks: tail latency in milliseconds
 	throttlePercent  int     // best-effort tasks: percent of full speed
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
+
+	crashes         int  // workers that crashed in a row under its runs
+	startSent       bool // the start of the run was sent, or may have been
+	outlived        bool // the run was seen running for crashWindow
+	workerRestarted bool // a new incarnation of the worker answered and has not listed the run
 }
 
 // step is a step of one occurrence.
@@ -337,6 +342,7 @@
 	s.busy--
 	t.worker, t.incarnation = "", 0
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
+	t.startSent, t.outlived, t.workerRestarted = false, false, false
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -193,6 +193,7 @@
 func (c *Core) restoreAssignment(s *step, i int, incarnation WorkerIncarnation) {
 	t := &s.tasks[i]
 	t.state, t.worker, t.incarnation = taskRunning, incarnation.ID, incarnation.Incarnation
+	t.startSent = true
 	if s.job.state.Final() {
 		t.state = taskStopping
 	}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -40,7 +40,7 @@
 		if !w.reachable && !w.leasesEnd.IsZero() && now.After(w.leasesEnd) {
 			c.emit("leases on worker are over", "worker", w.info.ID, "lost tasks", len(w.tasks),
 				"service tasks", c.serviceTasksOn(w), "out of reach for", w.outOfReachFor(now))
-			c.loseTasks(w, now)
+			c.loseTasks(w, workerSilent, now)
 			continue
 		}
 		for id := range w.tasks {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -137,16 +137,17 @@
 	w.health, w.slowdown = health{}, 0
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil {
+			t.workerRestarted = t.workerRestarted || t.incarnation != 0 && t.incarnation != incarnation
 			t.incarnation = incarnation
 		}
 	}
 }
 
 // loseTasks removes the tasks of a worker on which they can no longer be running.
-func (c *Core) loseTasks(w *worker, now time.Time) {
+func (c *Core) loseTasks(w *worker, evidence crashEvidence, now time.Time) {
 	for id := range w.tasks {
 		if s, t := c.findTask(id); t != nil {
-			c.runEnded(s, id.Index, workload.RunLeaseExpired, "", now)
+			c.loseRun(w, s, id.Index, evidence, now)
 		}
 	}
 }
@@ -161,7 +162,7 @@
 	c.emit("worker replaced by another life", "worker", id, "lost tasks", len(w.tasks))
 	w.reachable = false
 	w.registered = false
-	c.loseTasks(w, now)
+	c.loseTasks(w, workerReplaced, now)
 	c.dropIfUnused(w)
 }
 
