--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -405,8 +405,10 @@
 	j := c.core.jobs["00112233445566aa"]
 	for i := range j.occurrences[0].steps[0].tasks {
 		j.occurrences[0].steps[0].tasks[i].checkpoint = "00000bb87a21d94b"
+		j.occurrences[0].steps[0].tasks[i].crashCount = crashCount{unprovenCrashLimit, provenCrashes}
 	}
 	data := j.encode()
+	t.Logf("%d bytes", len(data))
 	is.True(len(data) <= rowBytes)
 	var p Progress
 	is.NoErr(json.Unmarshal(data, &p))
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -8,11 +8,25 @@
 
 // Crashes of workers under tasks. Load pattern: a task crashes each worker that starts it,
 // and the other tasks of these workers are lost with it. A worker that ends without notice
-// has crashed under those of its runs that were not seen running for crashWindow.
-
-// crashWindow is how long after its start a run is seen running before it is cleared of a
-// later crash of its worker.
-const crashWindow = 2 * time.Second
+// has crashed under those of its runs that were not seen running for crashWindow. The
+// cause is not known from one crash, so suspects run apart, and a run that outlives the
+// window clears its task.
+const (
+	// crashWindow is how long after its start a run is seen running before it is cleared of
+	// a later crash of its worker.
+	crashWindow = 2 * time.Second
+	// isolationCrashes is the number of crashes in a row from which nothing else starts on
+	// a task's worker within the window, and from which its next start waits for
+	// crashRetryPause.
+	isolationCrashes = 2
+	crashRetryPause  = 2 * time.Second
+	// A job fails after crashLimit crashes in a row under one of its tasks if provenCrashes
+	// of them are proven. Workers that are cut off look like crashed ones, so otherwise the
+	// limit is unprovenCrashLimit.
+	crashLimit         = 3
+	provenCrashes      = 2
+	unprovenCrashLimit = 5
+)
 
 // crashEvidence is how the end of a worker without notice became known.
 type crashEvidence string
@@ -23,24 +37,61 @@
 	workerSilent    crashEvidence = "leases over" // out of reach until its leases ended; it may have been cut off
 )
 
+// crashCount counts the workers that crashed in a row under a task.
+type crashCount struct {
+	crashes int
+	// proven counts those that are known to have ended and to have started the run.
+	proven int
+}
+
+// conclusive reports whether the task is taken for the cause of the crashes.
+func (n crashCount) conclusive() bool {
+	return n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
+}
+
 // loseRun ends a run that was lost with its worker.
 func (c *Core) loseRun(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
 	t := &s.tasks[i]
 	if t.workerRestarted {
 		evidence = workerRestarted
 	}
-	if c.crashedUnder(w, s, t) {
-		t.crashes++
-		c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
-			"start answered", !t.startConfirmed.IsZero(), "out of reach for", w.outOfReachFor(now), "crashes", t.crashes)
+	crashed := c.crashedUnder(w, s, t, evidence)
+	if crashed {
+		c.countCrash(w, s, i, evidence, now)
 	}
 	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
+	if crashed && t.conclusive() {
+		c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes, "proven", t.proven)
+		c.finish(s.job, workload.Failed, now)
+	}
 }
 
 // crashedUnder reports whether the end of the worker counts as a crash under the task's
-// run. Draining and cordoned workers are expected to end.
-func (c *Core) crashedUnder(w *worker, s *step, t *task) bool {
-	return t.startSent && !t.outlived && !w.info.Draining && !c.cordoned[w.info.ID] && !s.job.state.Final()
+// run. Draining and cordoned workers are expected to end, and one that is still registered
+// is only out of this host's reach.
+func (c *Core) crashedUnder(w *worker, s *step, t *task, evidence crashEvidence) bool {
+	if w.info.Draining || c.cordoned[w.info.ID] || evidence == workerSilent && w.registered {
+		return false
+	}
+	return t.startSent && !t.outlived && !s.job.state.Final()
+}
+
+// countCrash counts a crash under a task.
+func (c *Core) countCrash(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
+	t := &s.tasks[i]
+	if t.crashes == 0 {
+		s.suspects++
+	}
+	t.crashes++
+	started := !t.startConfirmed.IsZero()
+	if started && evidence != workerSilent {
+		t.proven++
+	}
+	if t.crashes >= isolationCrashes {
+		t.retryAt = now.Add(crashRetryPause)
+	}
+	c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
+		"start answered", started, "out of reach for", w.outOfReachFor(now), "crashes", t.crashes, "proven", t.proven)
 }
 
 // clearOutlived clears a task whose run a worker listed in an inventory that was requested
@@ -55,14 +106,93 @@
 		return
 	}
 	t.outlived = true
-	c.clearCrashes(s, t)
+	c.clearCrashes(s, run.Task.Index)
 }
 
 // clearCrashes forgets the crashes under a task.
-func (c *Core) clearCrashes(s *step, t *task) {
+func (c *Core) clearCrashes(s *step, i int) {
+	t := &s.tasks[i]
 	if t.crashes == 0 {
 		return
 	}
-	t.crashes = 0
+	c.emit("task cleared of crashes", "task", s.taskID(i).String(), "run", t.run, "crashes", t.crashes)
+	t.crashCount, t.retryAt = crashCount{}, time.Time{}
+	s.suspects--
+	c.endProbation(t)
 	c.markDirty(s.job)
 }
+
+// beginProbation records that a suspect may run on a worker. It ends with the run, or when
+// the task is cleared.
+func (w *worker) beginProbation(t *task) {
+	if t.crashes == 0 {
+		return
+	}
+	t.onProbation = true
+	w.suspects++
+	if t.crashes >= isolationCrashes {
+		t.isolated = true
+		w.isolated++
+	}
+}
+
+// endProbation ends what beginProbation has begun.
+func (c *Core) endProbation(t *task) {
+	w := c.workers[t.worker]
+	if w == nil || !t.onProbation {
+		return
+	}
+	w.suspects--
+	if t.isolated {
+		w.isolated--
+	}
+	t.onProbation, t.isolated = false, false
+}
+
+// maxCrashes returns the largest number of crashes in a row under a task of the step.
+func (s *step) maxCrashes() int {
+	n := 0
+	if s.suspects > 0 {
+		for i := range s.tasks {
+			n = max(n, s.tasks[i].crashes)
+		}
+	}
+	return n
+}
+
+// retriesLater reports whether a member of a gang waits after crashes.
+func (s *step) retriesLater(now time.Time) bool {
+	if s.suspects > 0 {
+		for i := range s.tasks {
+			if now.Before(s.tasks[i].retryAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// acceptsBesideSuspects reports whether a task with this number of crashes may start on a
+// worker: beside an isolated suspect nothing starts, and an isolated suspect starts beside
+// no other suspect.
+func (w *worker) acceptsBesideSuspects(crashes int) bool {
+	return w.isolated == 0 && (crashes < isolationCrashes || w.suspects == 0)
+}
+
+// Weights in the score of a worker for a suspect.
+const (
+	suspectPenalty = 3.0 // for each other suspect on the worker
+	lossWeight     = 3.0 // for the share of the worker in use, which is lost if it crashes
+)
+
+// suspectScore adds to the score of a worker for a task with this number of crashes.
+func (w *worker) suspectScore(crashes int) float64 {
+	if crashes == 0 {
+		return 0
+	}
+	score := suspectPenalty * float64(w.suspects)
+	if crashes >= isolationCrashes {
+		score += lossWeight * w.used.DominantShare(w.info.Capacity)
+	}
+	return score
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -120,6 +122,7 @@
 		if c.now.Sub(begin) >= time.Duration(second)*time.Second {
 			submit(second)
 			second++
+			c.checkCounts()
 		}
 		if !c.takeover.IsZero() && !c.now.Before(c.takeover) {
 			c.takeOver()
@@ -148,6 +151,25 @@
 	}
 }
 
+// checkCounts compares the counts of suspects with the tasks.
+func (c *crashCell) checkCounts() {
+	for id, w := range c.core.workers {
+		suspects, isolated := 0, 0
+		for task := range w.tasks {
+			_, t := c.core.findTask(task)
+			if t.onProbation {
+				suspects++
+			}
+			if t.isolated {
+				isolated++
+			}
+		}
+		if w.suspects != suspects || w.isolated != isolated {
+			c.Errorf("worker %s counts %d suspects and %d isolated ones, but has %d and %d", id, w.suspects, w.isolated, suspects, isolated)
+		}
+	}
+}
+
 func (w *crashWorker) end(run workload.Run, outcome workload.Outcome) {
 	delete(w.runs, run.Task)
 	w.seq++
@@ -314,3 +336,154 @@
 		}
 	}
 }
+
+// Guards against failing a job for crashes that none of its tasks caused.
+func TestJobIsNotBlamedForCrashesOfFailureDomains(t *testing.T) {
+	for name, o := range outages {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCrashCell(t, 24, o, func(workload.TaskID) bool { return false })
+			r := rand.New(rand.NewPCG(1, 1))
+			jobs := 0
+			c.play(150*time.Second, func(second int) {
+				if second < 100 {
+					for range 5 {
+						jobs++
+						c.submit(fmt.Sprint("job", jobs), workload.Step{Tasks: 4, Resources: cores(2)})
+					}
+				}
+				if second%3 == 0 && second < 100 { // a rack of four
+					workers := c.sorted()
+					first := r.IntN(len(workers))
+					for n := range 4 {
+						if w := workers[(first+n)%len(workers)]; w.backAt.IsZero() {
+							c.crash(w)
+						}
+					}
+				}
+			})
+			for i := range jobs {
+				is.Equal(c.state(fmt.Sprint("job", i+1)), workload.Completed)
+			}
+		})
+	}
+}
+
+// Guards against blaming tasks for workers that end as expected, or long after the start.
+func TestExpectedEndsOfWorkersAreNoCrashes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prepare func(c *testCell)
+		crashes int
+	}{
+		"without notice": {func(*testCell) {}, 1},
+		"with notice": {func(c *testCell) {
+			c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Incarnation: testIncarnation, Address: "w:1", AZ: "a", Pool: "pool", Draining: true}})
+		}, 0},
+		"for maintenance": {func(c *testCell) { c.core.SetCordonedWorkers([]string{"w"}) }, 0},
+		"after the window": {func(c *testCell) {
+			c.now = c.now.Add(crashWindow)
+			c.reportInventory("w", workload.Inventory{})
+		}, 0},
+		"within the window": {func(c *testCell) {
+			c.now = c.now.Add(crashWindow / 2)
+			c.reportInventory("w", workload.Inventory{})
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 4)
+			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+			st := c.startTasks(nil)
+			is.Equal(len(st), 1)
+			tc.prepare(c)
+			c.core.HandleReplaced("w", c.now)
+			_, task := c.core.findTask(st[0].Order.Run.Task)
+			is.Equal(task.crashes, tc.crashes)
+		})
+	}
+}
+
+// Guards against crashes of workers that are only out of reach: one that is registered
+// when its leases end is alive.
+func TestRegisteredWorkerOutOfReachHasNotCrashed(t *testing.T) {
+	for _, registered := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t)
+		c.addWorker("w", 4)
+		c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+		st := c.startTasks(nil)
+		c.core.ExtendLease("w", c.now.Add(time.Second))
+		c.core.HandleLostContact("w", c.now)
+		if !registered {
+			c.core.SetWorker(workload.WorkerChange{ID: "w"})
+		}
+		c.now = c.now.Add(2 * time.Second)
+		c.core.Tick(c.now)
+		_, task := c.core.findTask(st[0].Order.Run.Task)
+		is.Equal(task.state, taskPending)
+		is.Equal(task.crashes == 0, registered)
+		is.Equal(task.proven, 0)
+	}
+}
+
+// Guards against progress that builds of another version cannot read.
+func TestCrashesAreStoredForBothBuilds(t *testing.T) {
+	is := is.New(t)
+	stored, err := json.Marshal(TaskProgress{Run: 4, Failures: 1, Checkpoint: "x", Crashes: 2, Proven: 1})
+	is.NoErr(err)
+	var run, worker, failures int
+	var checkpoint string
+	is.NoErr(json.Unmarshal(stored, &[]any{&run, &worker, &failures, &checkpoint})) // as builds without crashes decode it
+	is.Equal([]any{run, worker, failures, checkpoint}, []any{4, 0, 1, "x"})
+	var p TaskProgress
+	is.NoErr(json.Unmarshal(stored, &p))
+	is.Equal(p, TaskProgress{Run: 4, Failures: 1, Checkpoint: "x", Crashes: 2, Proven: 1})
+	var old TaskProgress
+	is.NoErr(json.Unmarshal([]byte(`[4,0,1,"x"]`), &old))
+	is.Equal(old, TaskProgress{Run: 4, Failures: 1, Checkpoint: "x"})
+	stored, err = json.Marshal(old)
+	is.NoErr(err)
+	is.Equal(string(stored), `[4,0,1,"x"]`)
+}
+
+// Guards against suspects that share a worker: the crash would not show which is the
+// cause, and the others would be lost again.
+func TestSuspectsRunApart(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	for i := range 3 {
+		c.addWorker(fmt.Sprint("w", i), 8)
+	}
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(1)})
+	for round := range 3 {
+		st := c.startTasks(nil)
+		is.Equal(len(st), 2)
+		lost := map[string]bool{}
+		for _, s := range st {
+			lost[s.Worker.ID] = true
+		}
+		is.Equal(len(lost) == 1, round == 0) // apart once they are suspects
+		if round == 2 {
+			break
+		}
+		for id := range lost {
+			c.core.HandleReplaced(id, c.now)
+			delete(c.running, id)
+			c.addWorker(id+"'", 8)
+		}
+		c.now = c.now.Add(crashRetryPause)
+	}
+	// Nothing starts beside them after two crashes, until they have outlived the window.
+	c.addJob("k", workload.Step{Tasks: 3, Resources: cores(8)}, workload.Step{Tasks: 20, Resources: cores(1)})
+	for _, s := range c.startTasks(nil) {
+		is.True(len(c.running[s.Worker.ID]) == 1 || c.core.workers[s.Worker.ID].isolated == 0)
+	}
+	c.now = c.now.Add(crashWindow)
+	for _, w := range c.core.workers {
+		c.reportInventory(w.info.ID, workload.Inventory{})
+		is.Equal(w.suspects, 0)
+		is.Equal(w.isolated, 0)
+	}
+	is.True(len(c.startTasks(nil)) > 0)
+}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -14,6 +14,7 @@
 const (
 	WaitsForTeamLimit       WaitReason = "team's limit"
 	WaitsForCapacity        WaitReason = "room"
+	WaitsAfterCrashes       WaitReason = "retry after crashes"
 	WaitsForGangReservation WaitReason = "room kept for a gang"
 	WaitsForUrgentHeadroom  WaitReason = "room kept for better work"
 	WaitsForAdvice          WaitReason = "advice"
@@ -22,7 +23,7 @@
 
 // WaitReasons lists all reasons.
 var WaitReasons = [...]WaitReason{
-	WaitsForTeamLimit, WaitsForCapacity, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice, WaitsForPass,
+	WaitsForTeamLimit, WaitsForCapacity, WaitsAfterCrashes, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice, WaitsForPass,
 }
 
 // Waiting sums up the waiting work.
@@ -135,7 +136,7 @@
 		return WaitsForTeamLimit
 	}
 	fits := c.fitByReason(r, q)
-	for _, reason := range [...]WaitReason{WaitsForCapacity, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice} {
+	for _, reason := range [...]WaitReason{WaitsForCapacity, WaitsAfterCrashes, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice} {
 		if fits[reason] < need {
 			return reason
 		}
@@ -146,7 +147,7 @@
 // fitByReason counts for each reason how many tasks of the step still fit if this reason
 // and those before it are taken into account.
 func (c *Core) fitByReason(r rankedStep, q *workload.Queue) map[WaitReason]int {
-	s, now := r.step, c.pass.now
+	s, now, crashes := r.step, c.pass.now, r.step.maxCrashes()
 	fits := map[WaitReason]int{}
 	p := c.pass.pools[q.Pool]
 	if p == nil {
@@ -157,6 +158,10 @@
 			continue
 		}
 		fits[WaitsForCapacity] += fitOnWorker(w, s)
+		if !w.acceptsBesideSuspects(crashes) || s.retriesLater(now) {
+			continue
+		}
+		fits[WaitsAfterCrashes] += fitOnWorker(w, s)
 		if c.reservedForOther(s, w, r.rank, now) {
 			continue
 		}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -6,7 +6,7 @@
 func (c *Core) placeGang(r rankedStep) bool {
 	s := r.step
 	workers := c.eligibleWorkers(r)
-	if len(workers) == 0 || c.fitInTeamLimit(s) < len(s.tasks) {
+	if len(workers) == 0 || s.retriesLater(c.pass.now) || c.fitInTeamLimit(s) < len(s.tasks) {
 		return false
 	}
 	plan := c.gangPlan(r, workers)
@@ -63,6 +63,9 @@
 	}
 	sort.Slice(withCapacity, func(a, b int) bool {
 		x, y := withCapacity[a], withCapacity[b]
+		if s.suspects > 0 && x.worker.suspects != y.worker.suspects {
+			return x.worker.suspects < y.worker.suspects
+		}
 		if s.failuresByWorker[x.worker.info.ID] != s.failuresByWorker[y.worker.info.ID] {
 			return s.failuresByWorker[x.worker.info.ID] < s.failuresByWorker[y.worker.info.ID]
 		}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -109,11 +109,11 @@
 	s.job.begin()
 	switch e.Outcome {
 	case workload.RunDone:
-		c.clearCrashes(s, t)
+		c.clearCrashes(s, e.Run.Task.Index)
 		w.recordOutcome(false, now)
 		c.learnFromEnd(s, t, now)
 	case workload.RunFailed:
-		c.clearCrashes(s, t)
+		c.clearCrashes(s, e.Run.Task.Index)
 		// Services may fail at any time, which says little about the worker.
 		if !s.spec.Service && w.recordOutcome(true, now) {
 			c.emit("worker suspected", "worker", w.info.ID, "failed", w.failed, "fine", w.succeeded, "until", w.quarantineUntil)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -46,10 +46,13 @@
 	throttlePercent  int     // best-effort tasks: percent of full speed
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
 
-	crashes         int  // workers that crashed in a row under its runs
-	startSent       bool // the start of the run was sent, or may have been
-	outlived        bool // the run was seen running for crashWindow
-	workerRestarted bool // a new incarnation of the worker answered and has not listed the run
+	crashCount
+	retryAt         time.Time // it does not start before this time
+	onProbation     bool      // counted in worker.suspects
+	isolated        bool      // counted in worker.isolated
+	startSent       bool      // the start of the run was sent, or may have been
+	outlived        bool      // the run was seen running for crashWindow
+	workerRestarted bool      // a new incarnation of the worker answered and has not listed the run
 }
 
 // step is a step of one occurrence.
@@ -71,6 +74,7 @@
 	failedRuns       int
 	maxFailedTime    time.Duration
 	failuresByWorker map[string]int // by worker
+	suspects         int            // tasks with crashes
 	advice           adviceState
 	durations        measuredDurations
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
@@ -317,6 +321,7 @@
 	w.used = w.used.Add(s.spec.RequiredCapacity())
 	w.bestEffortMilliCores += s.bestEffortMilliCores()
 	c.usage[s.job.spec.Team] = c.usage[s.job.spec.Team].Add(s.spec.Resources)
+	w.beginProbation(&s.tasks[i])
 	if t := &s.tasks[i]; c.urgent(s) {
 		t.countedUrgent = true
 		c.urgentUsed += s.spec.RequiredCapacity().MilliCores
@@ -327,6 +332,7 @@
 // new state.
 func (c *Core) releaseTask(s *step, i int) {
 	t := &s.tasks[i]
+	c.endProbation(t)
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.tasks, s.taskID(i))
 		c.changedWorkers[w.info.ID] = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -153,7 +153,7 @@
 		s.reservedFrom = time.Time{}
 		if c.placeGang(r) {
 			placed = true
-		} else if r.rank.group <= groupLate && c.fitInTeamLimit(s) >= len(s.tasks) {
+		} else if r.rank.group <= groupLate && !s.retriesLater(now) && c.fitInTeamLimit(s) >= len(s.tasks) {
 			c.reserve(s, now)
 		}
 	}
@@ -239,7 +239,14 @@
 		return nil
 	}
 	var out []*worker
+	crashes := 0
+	if s.spec.Gang {
+		crashes = s.maxCrashes()
+	}
 	for _, w := range c.allowedByAdvice(s, q, workers) {
+		if !w.acceptsBesideSuspects(crashes) {
+			continue
+		}
 		if q.Advice != nil {
 			if _, ok := s.advice.validTicket(w, c.sendTime(c.pass.now)); !ok {
 				continue
@@ -270,7 +277,14 @@
 		if left <= 0 {
 			break
 		}
-		best := c.bestWorker(r, workers)
+		t := &s.tasks[i]
+		if c.pass.now.Before(t.retryAt) {
+			continue
+		}
+		best := c.bestWorker(r, t, workers)
+		if best == nil && t.crashes >= isolationCrashes {
+			continue // others of the step may fit
+		}
 		if best == nil {
 			break
 		}
@@ -281,15 +295,15 @@
 	return placed
 }
 
-// bestWorker returns the worker with free capacity and the lowest score, or nil.
-func (c *Core) bestWorker(r rankedStep, workers []*worker) *worker {
+// bestWorker returns the worker with free capacity for a task and the lowest score, or nil.
+func (c *Core) bestWorker(r rankedStep, t *task, workers []*worker) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 {
+		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.crashes) {
 			continue
 		}
-		score := c.placeScore(r.step, w)
+		score := c.placeScore(r.step, w) + w.suspectScore(t.crashes)
 		if best == nil || score < bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -44,13 +44,16 @@
 
 // TaskProgress is the stored form of a task. Its JSON is 1 if the task is done, 0 before
 // its first run, and otherwise an array of the fields after Done, since a row holds
-// thousands of tasks.
+// thousands of tasks. Without crashes it has none of the last two; builds that do not know
+// these ignore and drop them.
 type TaskProgress struct {
 	Done       bool
 	Run        int
 	Worker     int // 1-based index in Progress.Workers of the worker where it may run; 0 if it does not run
 	Failures   int
 	Checkpoint string
+	Crashes    int // crashes in a row under the task, and those of them that are proven
+	Proven     int
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -60,6 +63,8 @@
 		return []byte("1"), nil
 	case t == (TaskProgress{}):
 		return []byte("0"), nil
+	case t.Crashes > 0:
+		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint, t.Crashes, t.Proven})
 	default:
 		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint})
 	}
@@ -75,7 +80,7 @@
 		*t = TaskProgress{Done: true}
 		return nil
 	}
-	return json.Unmarshal(data, &[]any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint})
+	return json.Unmarshal(data, &[]any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint, &t.Crashes, &t.Proven})
 }
 
 // ProgressIsFinal reports whether stored progress belongs to a job that has ended.
@@ -115,7 +120,7 @@
 }
 
 func (t *task) progress(p *Progress, incarnations map[WorkerIncarnation]int) TaskProgress {
-	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes, Proven: t.proven}
 	if t.state.mayRun() {
 		incarnation := WorkerIncarnation{t.worker, t.incarnation}
 		if incarnations[incarnation] == 0 {
@@ -175,6 +180,9 @@
 			tp = p.Tasks[i]
 		}
 		t.run, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
+		if t.crashCount = (crashCount{tp.Crashes, tp.Proven}); t.crashes > 0 {
+			s.suspects++
+		}
 		placed := tp.Worker > 0 && tp.Worker <= len(incarnations)
 		if tp.Done || p.AllDone {
 			s.done++
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -25,6 +25,8 @@
 	// unreachableSince is when the worker went out of reach, or the takeover if it has not
 	// been in reach since.
 	unreachableSince time.Time
+	suspects         int       // runs of tasks with crashes that have not outlived crashWindow
+	isolated         int       // those of them beside which nothing starts
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
 	health
