--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -37,6 +37,7 @@
 	stopsDue        bool
 	tasksCheckedAt  time.Time
 	reservedWorkers map[string]*worker // workers with capacity reserved for gangs, as of the latest scheduling pass
+	isolatedWorkers int                // workers beside whose suspects nothing starts
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -20,6 +20,10 @@
 	// crashRetryPause.
 	isolationCrashes = 2
 	crashRetryPause  = 2 * time.Second
+	// maxIsolatedShare is the largest share of a pool's workers on which such suspects run
+	// at one time, counting those that are away after a crash. Load pattern: many tasks that
+	// crash their workers; tried all at once, they take the cell from all others.
+	maxIsolatedShare = 0.1
 	// A job fails after crashLimit crashes in a row under one of its tasks if provenCrashes
 	// of them are proven. Workers that are cut off look like crashed ones, so otherwise the
 	// limit is unprovenCrashLimit.
@@ -124,7 +128,7 @@
 
 // beginProbation records that a suspect may run on a worker. It ends with the run, or when
 // the task is cleared.
-func (w *worker) beginProbation(t *task) {
+func (c *Core) beginProbation(w *worker, t *task) {
 	if t.crashes == 0 {
 		return
 	}
@@ -132,7 +136,9 @@
 	w.suspects++
 	if t.crashes >= isolationCrashes {
 		t.isolated = true
-		w.isolated++
+		if w.isolated++; w.isolated == 1 {
+			c.isolatedWorkers++
+		}
 	}
 }
 
@@ -144,7 +150,9 @@
 	}
 	w.suspects--
 	if t.isolated {
-		w.isolated--
+		if w.isolated--; w.isolated == 0 {
+			c.isolatedWorkers--
+		}
 	}
 	t.onProbation, t.isolated = false, false
 }
@@ -172,6 +180,16 @@
 	return false
 }
 
+// mayTry reports whether a task with this number of crashes may start in the queue's pool
+// now, given the other isolated suspects.
+func (c *Core) mayTry(q *workload.Queue, crashes int) bool {
+	if crashes < isolationCrashes {
+		return true
+	}
+	p := c.pass.pools[q.Pool]
+	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+}
+
 // acceptsBesideSuspects reports whether a task with this number of crashes may start on a
 // worker: beside an isolated suspect nothing starts, and an isolated suspect starts beside
 // no other suspect.
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		fits[WaitsForCapacity] += fitOnWorker(w, s)
-		if !w.acceptsBesideSuspects(crashes) || s.retriesLater(now) {
+		if !w.acceptsBesideSuspects(crashes) || s.retriesLater(now) || !c.mayTry(q, crashes) {
 			continue
 		}
 		fits[WaitsAfterCrashes] += fitOnWorker(w, s)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -321,7 +321,7 @@
 	w.used = w.used.Add(s.spec.RequiredCapacity())
 	w.bestEffortMilliCores += s.bestEffortMilliCores()
 	c.usage[s.job.spec.Team] = c.usage[s.job.spec.Team].Add(s.spec.Resources)
-	w.beginProbation(&s.tasks[i])
+	c.beginProbation(w, &s.tasks[i])
 	if t := &s.tasks[i]; c.urgent(s) {
 		t.countedUrgent = true
 		c.urgentUsed += s.spec.RequiredCapacity().MilliCores
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -278,7 +278,7 @@
 			break
 		}
 		t := &s.tasks[i]
-		if c.pass.now.Before(t.retryAt) {
+		if c.pass.now.Before(t.retryAt) || !c.mayTry(c.queueOf(s.job), t.crashes) {
 			continue
 		}
 		best := c.bestWorker(r, t, workers)
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -53,6 +53,8 @@
 	storeSilent bool
 	// at has the events of the pattern, by the time since its beginning.
 	at map[time.Duration]func(s *replay)
+	// deadly selects the tasks that crash the workers that start them; may be nil.
+	deadly func(r *replay, id workload.TaskID) bool
 }
 
 // replay plays a pattern.
@@ -73,6 +75,7 @@
 	pauses      [][2]time.Time
 	open        []openCores
 	idleCores   idleCores
+	crashes     int // of workers under deadly tasks
 }
 
 // openCores is the number of cores of all reachable workers outside evacuated AZs, from a
@@ -342,6 +345,11 @@
 				continue
 			}
 			id := st.Order.Run.Task
+			if r.deadly != nil && r.deadly(r, id) {
+				r.core.HandleStartResult(st, nil, r.now)
+				r.crashWorker(w)
+				continue
+			}
 			j := r.jobs[id.Job]
 			seconds := j.seconds[id.Step][id.Index] / w.speed * remainingWork(st.Order.Checkpoint)
 			run := &replayRun{run: st.Order.Run, begin: r.now, workShare: remainingWork(st.Order.Checkpoint), duration: time.Duration(seconds * float64(time.Second)), fails: r.fails(st.Order.Run, r.kinds[j.kind])}
