--- a/internal/dispatch/replay_crash_test.go
+++ b/internal/dispatch/replay_crash_test.go
@@ -29,9 +29,11 @@
 	}
 }
 
-// crashWorker ends a worker with all of its runs. Another one takes its place.
-func (r *replay) crashWorker(w *replayWorker) {
+// crashWorker ends a worker with all of its runs, under a task of the step. Another worker
+// takes its place.
+func (r *replay) crashWorker(w *replayWorker, under workload.StepID) {
 	r.crashes++
+	r.after(replayStep, func(r *replay) { r.breakGang(under) }) // when all members have started
 	w.unreachable = true
 	for id := range w.runs {
 		r.breakGang(id.StepID)
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -347,7 +347,7 @@
 			id := st.Order.Run.Task
 			if r.deadly != nil && r.deadly(r, id) {
 				r.core.HandleStartResult(st, nil, r.now)
-				r.crashWorker(w)
+				r.crashWorker(w, id.StepID)
 				continue
 			}
 			j := r.jobs[id.Job]
