--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -71,7 +71,7 @@
 }
 
 // HandleStored handles a stored batch. It returns the starts to send, without those whose
-// task has been stopped or reassigned since.
+// task has been stopped or reassigned since, or no longer fits its worker.
 func (c *Core) HandleStored(b *Batch) []Start {
 	for j, state := range b.storedStates {
 		j.storedState = state
@@ -81,6 +81,7 @@
 			c.ackEnds(w, seq)
 		}
 	}
+	c.withdrawUnfit(b.starts)
 	var out []Start
 	for _, st := range b.starts {
 		s, t := c.findTask(st.Order.Run.Task)
@@ -99,3 +100,22 @@
 	}
 	return out
 }
+
+// withdrawUnfit withdraws the starts whose worker's capacity has shrunk since they were
+// decided: a start waits for a commit.
+func (c *Core) withdrawUnfit(starts []Start) {
+	for _, st := range starts {
+		run := st.Order.Run
+		s, t := c.findTask(run.Task)
+		if t == nil || t.run != run.Number || t.state != taskAssigned {
+			continue
+		}
+		w, size := c.workers[t.worker], s.spec.RequiredCapacity()
+		if w == nil || fitCount(w.free().Add(size), size) > 0 {
+			continue
+		}
+		c.emit("start withdrawn", "task", run.Task.String(), "run", run.Number, "worker", w.info.ID,
+			"used millicores", w.used.MilliCores, "of millicores", w.info.Capacity.MilliCores)
+		c.runEnded(s, run.Task.Index, workload.RunStopped, "", time.Time{})
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -111,6 +111,10 @@
 	} else if ch.Worker.Draining && !w.info.Draining {
 		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w), "remaining", ch.Worker.Remaining)
 	}
+	if w.registered && w.info.Capacity != ch.Worker.Capacity {
+		c.emit("worker's capacity changed", "worker", ch.ID, "millicores", ch.Worker.Capacity.MilliCores, "before", w.info.Capacity.MilliCores,
+			"memory MB", ch.Worker.Capacity.MemoryMB, "memory before", w.info.Capacity.MemoryMB, "used millicores", w.used.MilliCores)
+	}
 	changed := !w.registered || !ch.Worker.SameRegistration(&w.info)
 	w.registered = true
 	w.info = *ch.Worker
