--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -61,6 +61,11 @@
 	orderQueueSize      = 256
 )
 
+// maxStartAge is how long after its decision a start is sent, which waits for a commit and
+// for its turn at the worker. Later the worker may have less capacity, or be draining or
+// evacuated, and the registry may be read only after an outage of the store.
+const maxStartAge = 2 * time.Second
+
 // heartbeatResult is the outcome of a heartbeat.
 type heartbeatResult struct {
 	worker    string
@@ -377,6 +382,9 @@
 // already runs the task answers as if it had just started it.
 func (l *link) start(ctx context.Context, st dispatch.Start) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
+		if time.Since(st.DecidedAt) > maxStartAge {
+			return workload.ErrUnhealthy
+		}
 		order := st.Order
 		order.Fence = l.set.fence
 		order.LeaseUntil = l.newLeaseEnd()
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -214,3 +215,60 @@
 		set.closeAll()
 	})
 }
+
+// silentStarts leaves starts unanswered and records when they arrive.
+type silentStarts struct {
+	fakeWorker
+	arrived []time.Time
+}
+
+func (s *silentStarts) Start(ctx context.Context, _ *workload.Worker, _ workload.StartOrder) (int64, error) {
+	s.mu.Lock()
+	s.arrived = append(s.arrived, time.Now())
+	s.mu.Unlock()
+	<-ctx.Done()
+	return 0, workload.ErrNoAnswer
+}
+
+// Guards against starts that wait for a commit, or behind others at a worker that does not
+// answer, and then arrive at a worker whose capacity has shrunk meanwhile.
+func TestStartsAreNotSentLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &silentStarts{fakeWorker: fakeWorker{began: time.Now(), incarnation: 1}}
+		events := make(chan any, 10_000)
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, events),
+			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { l.run(ctx) })
+		time.Sleep(time.Second) // the worker's clock is known
+		const starts, committedLate = 20, 5
+		decided := time.Now()
+		for range starts {
+			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}) })
+		}
+		time.Sleep(10 * time.Second)
+		for _, at := range f.arrived {
+			is.True(at.Sub(decided) <= maxStartAge)
+		}
+		arrived := len(f.arrived)
+		for range committedLate {
+			running.Go(func() {
+				l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now().Add(-maxStartAge - time.Millisecond)})
+			})
+		}
+		time.Sleep(time.Second)
+		is.Equal(len(f.arrived), arrived)
+		notSent := 0
+		for len(events) > 0 {
+			if r, ok := (<-events).(startResult); ok && !errors.Is(r.err, workload.ErrNoAnswer) {
+				is.True(errors.Is(r.err, workload.ErrUnhealthy))
+				notSent++
+			}
+		}
+		is.True(notSent > committedLate && notSent <= starts+committedLate)
+	})
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -71,6 +71,8 @@
 type Start struct {
 	Worker workload.Worker
 	Order  workload.StartOrder // lease and fence are not set
+	// DecidedAt is when the worker was chosen, by what was known of it then.
+	DecidedAt time.Time
 }
 
 // StopOrder is a decision to stop a run.
