--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,10 +15,11 @@
 	// crashWindow is how long after its start a run is seen running before it is cleared of
 	// a later crash of its worker.
 	crashWindow = 2 * time.Second
-	// isolationCrashes is the number of crashes in a row from which nothing else starts on
-	// a task's worker within the window, and from which its next start waits for
-	// crashRetryPause.
-	isolationCrashes = 2
+	// From isolationProven proven crashes in a row, or isolationCrashes of any kind, nothing
+	// else starts on a task's worker within the window, and its next start waits for
+	// crashRetryPause. A neighbour of such a task seldom has two proven ones.
+	isolationProven  = 2
+	isolationCrashes = 3
 	crashRetryPause  = 2 * time.Second
 	// maxIsolatedShare is the largest share of a pool's workers on which such suspects run
 	// at one time, counting those that are away after a crash. Load pattern: many tasks that
@@ -53,6 +54,11 @@
 	return n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
 }
 
+// isolates reports whether the task is to run beside no other new run.
+func (n crashCount) isolates() bool {
+	return n.proven >= isolationProven || n.crashes >= isolationCrashes
+}
+
 // loseRun ends a run that was lost with its worker.
 func (c *Core) loseRun(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
 	t := &s.tasks[i]
@@ -91,7 +97,7 @@
 	if started && evidence != workerSilent {
 		t.proven++
 	}
-	if t.crashes >= isolationCrashes {
+	if t.isolates() {
 		t.retryAt = now.Add(crashRetryPause)
 	}
 	c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
@@ -134,7 +140,7 @@
 	}
 	t.onProbation = true
 	w.suspects++
-	if t.crashes >= isolationCrashes {
+	if t.isolates() {
 		t.isolated = true
 		if w.isolated++; w.isolated == 1 {
 			c.isolatedWorkers++
@@ -157,15 +163,16 @@
 	t.onProbation, t.isolated = false, false
 }
 
-// maxCrashes returns the largest number of crashes in a row under a task of the step.
-func (s *step) maxCrashes() int {
-	n := 0
+// isolates reports whether a task of the step is to run beside no other new run.
+func (s *step) isolates() bool {
 	if s.suspects > 0 {
 		for i := range s.tasks {
-			n = max(n, s.tasks[i].crashes)
+			if s.tasks[i].isolates() {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
 // retriesLater reports whether a member of a gang waits after crashes.
@@ -180,21 +187,16 @@
 	return false
 }
 
-// mayTry reports whether a task with this number of crashes may start in the queue's pool
-// now, given the other isolated suspects.
-func (c *Core) mayTry(q *workload.Queue, crashes int) bool {
-	if crashes < isolationCrashes {
-		return true
-	}
+// mayIsolate reports whether another isolated suspect may start in the queue's pool now.
+func (c *Core) mayIsolate(q *workload.Queue) bool {
 	p := c.pass.pools[q.Pool]
 	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
 }
 
-// acceptsBesideSuspects reports whether a task with this number of crashes may start on a
-// worker: beside an isolated suspect nothing starts, and an isolated suspect starts beside
-// no other suspect.
-func (w *worker) acceptsBesideSuspects(crashes int) bool {
-	return w.isolated == 0 && (crashes < isolationCrashes || w.suspects == 0)
+// acceptsBesideSuspects reports whether a task may start on a worker: beside an isolated
+// suspect nothing starts, and an isolated suspect starts beside no other suspect.
+func (w *worker) acceptsBesideSuspects(isolated bool) bool {
+	return w.isolated == 0 && (!isolated || w.suspects == 0)
 }
 
 // Weights in the score of a worker for a suspect.
@@ -203,13 +205,13 @@
 	lossWeight     = 3.0 // for the share of the worker in use, which is lost if it crashes
 )
 
-// suspectScore adds to the score of a worker for a task with this number of crashes.
-func (w *worker) suspectScore(crashes int) float64 {
-	if crashes == 0 {
+// suspectScore adds to the score of a worker for a task with these crashes.
+func (w *worker) suspectScore(n crashCount) float64 {
+	if n.crashes == 0 {
 		return 0
 	}
 	score := suspectPenalty * float64(w.suspects)
-	if crashes >= isolationCrashes {
+	if n.isolates() {
 		score += lossWeight * w.used.DominantShare(w.info.Capacity)
 	}
 	return score
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -531,6 +531,6 @@
 		c.reportInventory(w.info.ID, workload.Inventory{})
 		is.Equal(w.suspects, 0)
 		is.Equal(w.isolated, 0)
-		is.True(w.acceptsBesideSuspects(isolationCrashes))
+		is.True(w.acceptsBesideSuspects(true))
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -239,12 +239,9 @@
 		return nil
 	}
 	var out []*worker
-	crashes := 0
-	if s.spec.Gang {
-		crashes = s.maxCrashes()
-	}
+	isolates := s.spec.Gang && s.isolates()
 	for _, w := range c.allowedByAdvice(s, q, workers) {
-		if !w.acceptsBesideSuspects(crashes) {
+		if !w.acceptsBesideSuspects(isolates) {
 			continue
 		}
 		if q.Advice != nil {
@@ -278,11 +275,11 @@
 			break
 		}
 		t := &s.tasks[i]
-		if c.pass.now.Before(t.retryAt) || !c.mayTry(c.queueOf(s.job), t.crashes) {
+		if c.pass.now.Before(t.retryAt) || t.isolates() && !c.mayIsolate(c.queueOf(s.job)) {
 			continue
 		}
 		best := c.bestWorker(r, t, workers)
-		if best == nil && t.crashes >= isolationCrashes {
+		if best == nil && t.isolates() {
 			continue // others of the step may fit
 		}
 		if best == nil {
@@ -300,10 +297,10 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.crashes) {
+		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.isolates()) {
 			continue
 		}
-		score := c.placeScore(r.step, w) + w.suspectScore(t.crashes)
+		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount)
 		if best == nil || score < bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
