--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -47,6 +47,8 @@
 	}
 	switch {
 	case errors.Is(err, workload.ErrReplaced):
+		// Unless an earlier order was lost, this one did not reach the worker.
+		s.tasks[i].startSent = !w.unansweredAt.IsZero()
 		c.HandleReplaced(w.info.ID, address, now)
 		return
 	case errors.Is(err, workload.ErrBadTicket):
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -39,6 +39,7 @@
 	stopsDue        bool
 	tasksCheckedAt  time.Time
 	reservedWorkers map[string]*worker // workers with capacity reserved for gangs, as of the latest scheduling pass
+	isolatedWorkers int                // workers beside whose suspects nothing starts
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
@@ -74,6 +75,8 @@
 type Start struct {
 	Worker workload.Worker
 	Order  workload.StartOrder // lease and fence are not set
+	// DecidedAt is when the worker was chosen, by what was known of it then.
+	DecidedAt time.Time
 }
 
 // StopOrder is a decision to stop a run.
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,218 @@
+package dispatch
+
+import (
+	"time"
+
+	"cuminloft/internal/workload"
+)
+
+// Crashes of workers under tasks. Load pattern: a task crashes each worker that starts it,
+// and the other tasks of these workers are lost with it. A worker that ends without notice
+// has crashed under those of its runs that were not seen running for crashWindow. The
+// cause is not known from one crash, so suspects run apart, and a run that outlives the
+// window clears its task.
+const (
+	// crashWindow is how long after its start a run is seen running before it is cleared of
+	// a later crash of its worker.
+	crashWindow = 2 * time.Second
+	// From isolationProven proven crashes in a row, or isolationCrashes of any kind, nothing
+	// else starts on a task's worker within the window, and its next start waits for
+	// crashRetryPause. A neighbour of such a task seldom has two proven ones.
+	isolationProven  = 2
+	isolationCrashes = 3
+	crashRetryPause  = 2 * time.Second
+	// maxIsolatedShare is the largest share of a pool's workers on which such suspects run
+	// at one time, counting those that are away after a crash. Load pattern: many tasks that
+	// crash their workers; tried all at once, they take the cell from all others.
+	maxIsolatedShare = 0.1
+	// A job fails after crashLimit crashes in a row under one of its tasks if provenCrashes
+	// of them are proven. Workers that are cut off look like crashed ones, so otherwise the
+	// limit is unprovenCrashLimit.
+	crashLimit         = 3
+	provenCrashes      = 2
+	unprovenCrashLimit = 5
+)
+
+// crashEvidence is how the end of a worker without notice became known.
+type crashEvidence string
+
+const (
+	workerReplaced  crashEvidence = "replaced"    // another worker answers at its address
+	workerRestarted crashEvidence = "restarted"   // a new incarnation answers
+	workerSilent    crashEvidence = "leases over" // out of reach until its leases ended; it may have been cut off
+)
+
+// crashCount counts the workers that crashed in a row under a task.
+type crashCount struct {
+	crashes int
+	// proven counts those that are known to have ended and to have started the run.
+	proven int
+}
+
+// conclusive reports whether the task is taken for the cause of the crashes.
+func (n crashCount) conclusive() bool {
+	return n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
+}
+
+// isolates reports whether the task is to run beside no other new run.
+func (n crashCount) isolates() bool {
+	return n.proven >= isolationProven || n.crashes >= isolationCrashes
+}
+
+// loseRun ends a run that was lost with its worker.
+func (c *Core) loseRun(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
+	t := &s.tasks[i]
+	if t.workerRestarted {
+		evidence = workerRestarted
+	}
+	crashed := c.crashedUnder(w, s, t, evidence)
+	if crashed {
+		c.countCrash(w, s, i, evidence, now)
+	}
+	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
+	if crashed && t.conclusive() {
+		c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes, "proven", t.proven)
+		c.finish(s.job, workload.Failed, now)
+	}
+}
+
+// crashedUnder reports whether the end of the worker counts as a crash under the task's
+// run. Draining and cordoned workers are expected to end, and one that is still registered
+// is only out of this host's reach.
+func (c *Core) crashedUnder(w *worker, s *step, t *task, evidence crashEvidence) bool {
+	if w.info.Draining || c.cordoned[w.info.ID] || evidence == workerSilent && w.registered {
+		return false
+	}
+	return t.startSent && !t.outlived && !s.job.state.Final()
+}
+
+// countCrash counts a crash under a task.
+func (c *Core) countCrash(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
+	t := &s.tasks[i]
+	if t.crashes == 0 {
+		s.suspects++
+	}
+	t.crashes++
+	started := !t.startConfirmed.IsZero()
+	if started && evidence != workerSilent {
+		t.proven++
+	}
+	if t.isolates() {
+		t.retryAt = now.Add(crashRetryPause)
+	}
+	c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
+		"start answered", started, "out of reach for", w.outOfReachFor(now), "crashes", t.crashes, "proven", t.proven)
+}
+
+// clearOutlived clears a task whose run a worker listed in an inventory that was requested
+// crashWindow after its start.
+func (c *Core) clearOutlived(w *worker, run workload.Run, requestedAt time.Time) {
+	s, t := c.findTask(run.Task)
+	if t == nil || t.run != run.Number || t.worker != w.info.ID || !t.state.mayRun() {
+		return
+	}
+	t.workerRestarted = false
+	if t.outlived || t.startConfirmed.IsZero() || requestedAt.Sub(t.startConfirmed) < crashWindow {
+		return
+	}
+	t.outlived = true
+	c.clearCrashes(s, run.Task.Index)
+}
+
+// clearCrashes forgets the crashes under a task.
+func (c *Core) clearCrashes(s *step, i int) {
+	t := &s.tasks[i]
+	if t.crashes == 0 {
+		return
+	}
+	c.emit("task cleared of crashes", "task", s.taskID(i).String(), "run", t.run, "crashes", t.crashes)
+	t.crashCount, t.retryAt = crashCount{}, time.Time{}
+	s.suspects--
+	c.endProbation(t)
+	c.markDirty(s.job)
+}
+
+// beginProbation records that a suspect may run on a worker. It ends with the run, or when
+// the task is cleared.
+func (c *Core) beginProbation(w *worker, t *task) {
+	if t.crashes == 0 {
+		return
+	}
+	t.onProbation = true
+	w.suspects++
+	if t.isolates() {
+		t.isolated = true
+		if w.isolated++; w.isolated == 1 {
+			c.isolatedWorkers++
+		}
+	}
+}
+
+// endProbation ends what beginProbation has begun.
+func (c *Core) endProbation(t *task) {
+	w := c.workers[t.worker]
+	if w == nil || !t.onProbation {
+		return
+	}
+	w.suspects--
+	if t.isolated {
+		if w.isolated--; w.isolated == 0 {
+			c.isolatedWorkers--
+		}
+	}
+	t.onProbation, t.isolated = false, false
+}
+
+// isolates reports whether a task of the step is to run beside no other new run.
+func (s *step) isolates() bool {
+	if s.suspects > 0 {
+		for i := range s.tasks {
+			if s.tasks[i].isolates() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// retriesLater reports whether a member of a gang waits after crashes.
+func (s *step) retriesLater(now time.Time) bool {
+	if s.suspects > 0 {
+		for i := range s.tasks {
+			if now.Before(s.tasks[i].retryAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayIsolate reports whether another isolated suspect may start in the queue's pool now.
+func (c *Core) mayIsolate(q *workload.Queue) bool {
+	p := c.pass.pools[q.Pool]
+	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+}
+
+// acceptsBesideSuspects reports whether a task may start on a worker: beside an isolated
+// suspect nothing starts, and an isolated suspect starts beside no other suspect.
+func (w *worker) acceptsBesideSuspects(isolated bool) bool {
+	return w.isolated == 0 && (!isolated || w.suspects == 0)
+}
+
+// Weights in the score of a worker for a suspect.
+const (
+	suspectPenalty = 3.0 // for each other suspect on the worker
+	lossWeight     = 3.0 // for the share of the worker in use, which is lost if it crashes
+)
+
+// suspectScore adds to the score of a worker for a task with these crashes.
+func (w *worker) suspectScore(n crashCount) float64 {
+	if n.crashes == 0 {
+		return 0
+	}
+	score := suspectPenalty * float64(w.suspects)
+	if n.isolates() {
+		score += lossWeight * w.used.DominantShare(w.info.Capacity)
+	}
+	return score
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -46,6 +46,14 @@
 	tailLatencyMS    float64 // service tasks: tail latency in milliseconds
 	throttlePercent  int     // best-effort tasks: percent of full speed
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
+
+	crashCount
+	retryAt         time.Time // it does not start before this time
+	onProbation     bool      // counted in worker.suspects
+	isolated        bool      // counted in worker.isolated
+	startSent       bool      // the start of the run was sent, or may have been
+	outlived        bool      // the run was seen running for crashWindow
+	workerRestarted bool      // a new incarnation of the worker answered and has not listed the run
 }
 
 // step is a step of one occurrence.
@@ -67,6 +75,7 @@
 	failedRuns       int
 	maxFailedTime    time.Duration
 	failuresByWorker map[string]int // by worker
+	suspects         int            // tasks with crashes
 	advice           adviceState
 	durations        measuredDurations
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
@@ -321,6 +330,7 @@
 	w.used = w.used.Add(s.spec.RequiredCapacity())
 	w.bestEffortMilliCores += s.bestEffortMilliCores()
 	c.usage[s.job.spec.Team] = c.usage[s.job.spec.Team].Add(s.spec.Resources)
+	c.beginProbation(w, &s.tasks[i])
 	if t := &s.tasks[i]; c.urgent(s) {
 		t.countedUrgent = true
 		c.urgentUsed += s.spec.RequiredCapacity().MilliCores
@@ -331,6 +341,7 @@
 // new state.
 func (c *Core) releaseTask(s *step, i int) {
 	t := &s.tasks[i]
+	c.endProbation(t)
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.tasks, s.taskID(i))
 		c.changedWorkers[w.info.ID] = true
@@ -346,6 +357,7 @@
 	s.busy--
 	t.worker, t.incarnation, t.address = "", 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
+	t.startSent, t.outlived, t.workerRestarted = false, false, false
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
 }
--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -222,8 +222,8 @@
 func TestProgressOfALaterBuildIsRead(t *testing.T) {
 	is := is.New(t)
 	var p TaskProgress
-	is.NoErr(json.Unmarshal([]byte(`[3,1,2,"saved",7,{"more":1},null]`), &p))
-	is.Equal(p, TaskProgress{Run: 3, Worker: 1, Failures: 2, Checkpoint: "saved"})
+	is.NoErr(json.Unmarshal([]byte(`[3,1,2,"saved",2,1,7,{"more":1},null]`), &p))
+	is.Equal(p, TaskProgress{Run: 3, Worker: 1, Failures: 2, Checkpoint: "saved", Crashes: 2, Proven: 1})
 	for _, odd := range []string{`null`, `[]`, `[3,1,2]`, `[null,1,2,""]`, `[3,1,2,null]`, `[1.5,0,0,""]`, `2`, `{}`} {
 		is.True(json.Unmarshal([]byte(odd), &p) != nil)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -27,6 +27,8 @@
 	// unreachableSince is when the worker went out of reach, or the takeover if it has not
 	// been in reach since.
 	unreachableSince time.Time
+	suspects         int       // runs of tasks with crashes that have not outlived crashWindow
+	isolated         int       // those of them beside which nothing starts
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
 	health
@@ -162,6 +164,10 @@
 	} else if ch.Worker.Draining && !w.info.Draining {
 		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w), "remaining", ch.Worker.Remaining)
 	}
+	if w.registered && w.info.Capacity != ch.Worker.Capacity {
+		c.emit("worker's capacity changed", "worker", ch.ID, "millicores", ch.Worker.Capacity.MilliCores, "before", w.info.Capacity.MilliCores,
+			"memory MB", ch.Worker.Capacity.MemoryMB, "memory before", w.info.Capacity.MemoryMB, "used millicores", w.used.MilliCores)
+	}
 	changed := !w.registered || !ch.Worker.SameRegistration(&w.info)
 	w.registered = true
 	w.info = *ch.Worker
@@ -190,21 +196,22 @@
 	w.health, w.slowdown = health{}, 0
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil {
+			t.workerRestarted = t.workerRestarted || t.incarnation != 0 && t.incarnation != incarnation
 			t.incarnation = incarnation
 		}
 	}
 }
 
 // loseTasks removes the tasks of a worker on which they can no longer be running.
-func (c *Core) loseTasks(w *worker, now time.Time) {
-	c.loseTasksIf(w, now, func(*task) bool { return true })
+func (c *Core) loseTasks(w *worker, evidence crashEvidence, now time.Time) {
+	c.loseTasksIf(w, evidence, now, func(*task) bool { return true })
 }
 
 // loseTasksIf is loseTasks for some of the tasks.
-func (c *Core) loseTasksIf(w *worker, now time.Time, lost func(*task) bool) {
+func (c *Core) loseTasksIf(w *worker, evidence crashEvidence, now time.Time, lost func(*task) bool) {
 	for id := range w.tasks {
 		if s, t := c.findTask(id); t != nil && lost(t) {
-			c.runEnded(s, id.Index, workload.RunLeaseExpired, "", now)
+			c.loseRun(w, s, id.Index, evidence, now)
 		}
 	}
 }
@@ -236,7 +243,7 @@
 		}
 		c.changedWorkers[id] = true
 	}
-	c.loseTasksIf(w, now, ended)
+	c.loseTasksIf(w, workerReplaced, now, ended)
 	c.dropIfUnused(w)
 }
 
