--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -208,8 +208,9 @@
 		return nil, after, nil, platform.ErrHistoryLost
 	}
 	latest := map[rowKey]platform.PartitionRow{}
-	for _, r := range s.history {
-		if r.Table == table && r.Version > after {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	for _, r := range s.history[first:] {
+		if r.Table == table {
 			latest[rowKey{r.Table, r.Partition, r.Key}] = r
 		}
 	}
