--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -118,6 +118,45 @@
 	})
 }
 
+// A worker that restarts under its ID leaves the heartbeat of its old life unanswered. The
+// next one must not acknowledge by the old numbers ends of the new life, which nobody has
+// read: their tasks would run again after a success.
+func TestUnansweredHeartbeatIsFollowedByNoOldAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeWorker{began: time.Now(), incarnation: 1}
+		view := dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Incarnation: 1}
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, time.Now, make(chan any, 10_000)), view)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			l.run(ctx)
+		}()
+		view.Acked = 5
+		l.update(view)
+		time.Sleep(3 * heartbeatWaitBusy)
+		f.mu.Lock()
+		f.unreachable, f.heartbeats = true, nil
+		f.mu.Unlock()
+		for failures := 0; failures == 0; time.Sleep(time.Millisecond) {
+			l.mu.Lock()
+			failures = l.failures
+			l.mu.Unlock()
+		}
+		f.mu.Lock()
+		f.incarnation, f.unreachable, f.heartbeats = 2, false, nil
+		f.mu.Unlock()
+		time.Sleep(3 * heartbeatWaitBusy)
+		f.mu.Lock()
+		first := f.heartbeats[0]
+		f.mu.Unlock()
+		cancel()
+		<-ended
+		is.Equal(first.AckSeq, int64(0))
+	})
+}
+
 // An idle worker gets few heartbeats in a large cell; a new task and an end to
 // acknowledge wake its link at once.
 func TestIdleWorkersGetFewHeartbeats(t *testing.T) {
