--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// Guards against hosts without the setting core_share that count each other as larger: each
+// coordinator would yield to the next one every 12 s.
+func TestHostsWithoutCoreShareAreNotUndersized(t *testing.T) {
+	is := is.New(t)
+	store := rows.New()
+	a := newMembership(store, "a", hostRow{}, logr.Discard())
+	b := newMembership(store, "b", hostRow{}, logr.Discard())
+	is.NoErr(a.renew(context.Background()))
+	is.NoErr(b.renew(context.Background()))
+	is.NoErr(a.read(context.Background()))
+	is.Equal(len(a.others()), 1)
+	is.True(!a.undersized())
+}
+
 // Guards against hosts that count all other hosts as gone while no host can renew its
 // row, since the store is down.
 func TestMembershipWhileTheStoreIsDown(t *testing.T) {
