--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -297,7 +297,7 @@
 	}
 	l.mu.Unlock()
 	if first {
-		order.Wait = 0
+		order.Wait, order.AckSeq = 0, 0
 	}
 	if order.Wait == 0 {
 		select {
@@ -361,9 +361,10 @@
 // ackSeq returns the last sequence number that may be acknowledged. It is 0 unless the
 // incarnation that the number refers to answered the latest heartbeat: a new
 // incarnation numbers its ends from the start and would drop ends that were never
-// reported. The caller holds mu.
+// reported. The worker may have restarted since a heartbeat without an answer. The caller
+// holds mu.
 func (l *link) ackSeq() int64 {
-	if !l.answered || l.incarnation != l.ackIncarnation {
+	if !l.answered || l.failures > 0 || l.incarnation != l.ackIncarnation {
 		return 0
 	}
 	return l.ack
