--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -195,7 +195,7 @@
 // undersized reports whether another live host has a much larger share of a core.
 func (m *membership) undersized() bool {
 	for _, p := range m.others() {
-		if p.CoreShare >= undersizedFactor*m.self.CoreShare {
+		if p.CoreShare > m.self.CoreShare && p.CoreShare >= undersizedFactor*m.self.CoreShare {
 			return true
 		}
 	}
