--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -230,6 +231,13 @@
 	return 0, workload.ErrNoAnswer
 }
 
+// arrivals returns when starts have arrived so far.
+func (s *silentStarts) arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrived)
+}
+
 // Guards against starts that wait for a commit, or behind others at a worker that does not
 // answer, and then arrive at a worker whose capacity has shrunk meanwhile.
 func TestStartsAreNotSentLate(t *testing.T) {
@@ -251,17 +259,17 @@
 			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}) })
 		}
 		time.Sleep(10 * time.Second)
-		for _, at := range f.arrived {
+		arrived := f.arrivals()
+		for _, at := range arrived {
 			is.True(at.Sub(decided) <= maxStartAge)
 		}
-		arrived := len(f.arrived)
 		for range committedLate {
 			running.Go(func() {
 				l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now().Add(-maxStartAge - time.Millisecond)})
 			})
 		}
 		time.Sleep(time.Second)
-		is.Equal(len(f.arrived), arrived)
+		is.Equal(len(f.arrivals()), len(arrived))
 		notSent := 0
 		for len(events) > 0 {
 			if r, ok := (<-events).(startResult); ok && !errors.Is(r.err, workload.ErrNoAnswer) {
