--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -179,7 +179,7 @@
 	if reading, ok := platform.StoreClock(t.Store); ok {
 		if c.begunMS == 0 {
 			c.begunMS = reading.Upper(now).Milliseconds()
-			go t.saveCampaign(ctx, e.campaign.ID, campaignRow{e.row.Started, c.begunMS})
+			go t.saveCampaign(ctx, e.campaign.ID, campaignRow{nil, c.begunMS}, true)
 		}
 		begun = reading.Reached(time.Duration(c.begunMS) * time.Millisecond)
 	}
@@ -218,16 +218,21 @@
 
 // saveCampaign stores when the campaign began, and the hosts whose maintenance has started,
 // so that a successor does not evict their workers again. A second order for such a host
-// is harmless, so a failure is only logged.
-func (t *termLoop) saveCampaign(ctx context.Context, id int64, row campaignRow) {
+// is harmless, so a failure is only logged. The first row of a campaign replaces no other
+// one: it may be stored late.
+func (t *termLoop) saveCampaign(ctx context.Context, id int64, row campaignRow, first bool) {
 	ctx, cancel := context.WithTimeout(ctx, campaignCallTimeout)
 	defer cancel()
 	value, err := json.Marshal(row)
 	if err == nil {
-		_, err = t.Store.Commit(ctx, platform.Tx{Puts: []platform.PartitionRow{{
-			Table: maintenanceTable, Key: strconv.FormatInt(id, 10), Value: value}}})
+		put := platform.PartitionRow{Table: maintenanceTable, Key: strconv.FormatInt(id, 10), Value: value}
+		var conditions []platform.Condition
+		if first {
+			conditions = []platform.Condition{{Table: put.Table, Key: put.Key, Version: platform.MustBeAbsent}}
+		}
+		_, err = t.Store.Commit(ctx, platform.Tx{Conditions: conditions, Puts: []platform.PartitionRow{put}})
 	}
-	if err != nil {
+	if err != nil && !(first && errors.Is(err, platform.ErrConflict)) {
 		t.Log.Info("state of maintenance campaign not stored", "campaign", id, "cause", err.Error())
 	}
 }
@@ -265,7 +270,7 @@
 		t.Log.Info("maintenance of host begun", "campaign", e.campaign, "host", e.host, "worker", e.worker)
 		if c := mc.campaigns[e.campaign]; c != nil && c.Campaign != nil {
 			c.MarkStarted(e.host, e.worker, now)
-			go t.saveCampaign(ctx, e.campaign, campaignRow{c.Started(), c.begunMS})
+			go t.saveCampaign(ctx, e.campaign, campaignRow{c.Started(), c.begunMS}, false)
 		}
 	case campaignReported:
 		c := mc.campaigns[e.campaign]
