--- a/internal/coordinator/leasebounds.go
+++ b/internal/coordinator/leasebounds.go
@@ -67,6 +67,7 @@
 		}
 		if linkEnd.After(end) {
 			end = linkEnd
+			t.core.ExtendLease(id, end)
 		}
 		t.leaseBounds[id] = int64(math.Ceil(float64(reading.Upper(end)) / float64(time.Millisecond)))
 		t.leaseBoundsChanged = true
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -33,9 +33,10 @@
 	for _, id := range core.TakeChangedWorkers() {
 		v, wanted := core.ViewWorker(id)
 		l := s.links[id]
+		var granted, leasesEnd time.Time // of a link that is replaced
 		if l != nil && (!wanted || l.worker.Address != v.Worker.Address) {
 			l.cancel()
-			_, leasesEnd := l.withhold()
+			granted, leasesEnd = l.withhold()
 			core.ExtendLease(id, leasesEnd)
 			delete(s.links, id)
 			l = nil
@@ -45,7 +46,7 @@
 		}
 		if l == nil {
 			l = newLink(s, v)
-			l.withheld = s.withheld[id]
+			l.withheld, l.grantedAt, l.leasesEndBy = s.withheld[id], granted, leasesEnd
 			s.links[id] = l
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -165,7 +165,7 @@
 		t.handleRegistry(e)
 	case registryChanges:
 		for _, ch := range e {
-			t.core.SetWorker(ch)
+			t.setWorker(ch)
 		}
 	case heartbeatResult:
 		t.handleHeartbeatResult(e, now)
@@ -235,15 +235,22 @@
 	listed := make(map[string]bool, len(all))
 	for _, ch := range all {
 		listed[ch.ID] = ch.Worker != nil
-		t.core.SetWorker(ch)
+		t.setWorker(ch)
 	}
 	for _, id := range t.core.RegisteredWorkers() {
 		if !listed[id] {
-			t.core.SetWorker(workload.WorkerChange{ID: id})
+			t.setWorker(workload.WorkerChange{ID: id})
 		}
 	}
 }
 
+// setWorker applies a change of the registry. It may show that a worker has restarted, and
+// is out of reach until it answers again.
+func (t *termLoop) setWorker(ch workload.WorkerChange) {
+	t.core.ExtendLease(ch.ID, t.links.leasesEnd(ch.ID))
+	t.core.SetWorker(ch)
+}
+
 func (t *termLoop) handleHeartbeatResult(r heartbeatResult, now time.Time) {
 	t.core.ExtendLease(r.worker, t.links.leasesEnd(r.worker))
 	if address := t.core.WorkerAddress(r.worker); address != "" && address != r.address && !errors.Is(r.err, workload.ErrReplaced) {
