--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"encoding/json"
 	"testing"
 	"time"
@@ -228,3 +229,44 @@
 		is.True(json.Unmarshal([]byte(odd), &p) != nil)
 	}
 }
+
+// Guards against a second run of a task that was restored after a takeover: an entry of
+// another writer has another worker's address, and that worker answers before this one has
+// reported its runs.
+func TestAnswerAtAnotherAddressEndsNoRestoredRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		stored  bool // the address at which the run was started
+		address string
+		started int // runs that start at once
+	}{
+		"another address":                    {true, "other:1", 0},
+		"its address":                        {true, "w:1", 1},
+		"another address, older build's row": {false, "other:1", 0},
+		"its address, older build's row":     {false, "w:1", 0}, // it may have been started elsewhere
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			spec := &workload.Job{ID: "j", Queue: "batch", Team: "team", AcceptedAt: c.now.UnixMilli(),
+				Steps: []workload.Step{{Tasks: 1, Resources: cores(1)}}}
+			c.core.AddJob(spec, c.now)
+			c.core.Schedule(c.now)
+			row := c.core.TakeBatch(10, 1<<20).Progress[0].Data
+			if !test.stored {
+				row = bytes.Replace(row, []byte(`,"addr":"w:1"`), nil, 1)
+			}
+			next := newCell(t)
+			is.NoErr(next.core.Restore(spec, row, false, next.now))
+			next.core.SetLeaseBounds(next.now.Add(8*time.Second), nil, next.now)
+			next.addWorker("other", 8)
+			next.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Incarnation: testIncarnation,
+				Address: test.address, AZ: "a", Pool: "pool", Capacity: cores(8)}})
+			next.core.HandleReplaced("w", test.address, next.now)
+			is.Equal(len(next.startTasks(nil)), test.started)
+			next.now = next.now.Add(9 * time.Second)
+			next.core.Tick(next.now)
+			is.Equal(len(next.startTasks(nil)), 1-test.started) // when the leases are over
+		})
+	}
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -21,10 +21,16 @@
 	EndedAt int64 `json:"ended_at,omitempty"`
 }
 
+// maxStoredAddresses bounds the addresses in a row, which holds 64 KB.
+const maxStoredAddresses = 256
+
 // WorkerIncarnation identifies an incarnation of a worker.
 type WorkerIncarnation struct {
 	ID          string `json:"id"`
 	Incarnation int64  `json:"born"`
+	// Address is where the runs were started; empty if that is not known, as in rows of
+	// older builds.
+	Address string `json:"addr,omitempty"`
 }
 
 // OccurrenceProgress is the stored form of an open occurrence.
@@ -135,7 +141,10 @@
 func (t *task) progress(p *Progress, incarnations map[WorkerIncarnation]int) TaskProgress {
 	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes, Proven: t.proven}
 	if t.state.mayRun() {
-		incarnation := WorkerIncarnation{t.worker, t.incarnation}
+		incarnation := WorkerIncarnation{t.worker, t.incarnation, t.address}
+		if len(p.Workers) >= maxStoredAddresses && incarnations[incarnation] == 0 {
+			incarnation.Address = ""
+		}
 		if incarnations[incarnation] == 0 {
 			p.Workers = append(p.Workers, incarnation)
 			incarnations[incarnation] = len(p.Workers)
@@ -271,7 +280,7 @@
 // restoreAssignment charges a task to the worker on which it may be running.
 func (c *Core) restoreAssignment(s *step, i int, incarnation WorkerIncarnation) {
 	t := &s.tasks[i]
-	t.state, t.worker, t.incarnation = taskRunning, incarnation.ID, incarnation.Incarnation
+	t.state, t.worker, t.incarnation, t.address = taskRunning, incarnation.ID, incarnation.Incarnation, incarnation.Address
 	t.startSent = true
 	if s.job.state.Final() {
 		t.state = taskStopping
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -225,7 +225,7 @@
 		return
 	}
 	c.misdirected[id] = misdirection{registration{address, w.info.Incarnation}, now}
-	ended := func(t *task) bool { return t.address == "" || t.address == address }
+	ended := func(t *task) bool { return t.address == address }
 	elsewhere := ""
 	kept := 0
 	for id := range w.tasks {
