--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -153,8 +153,9 @@
 }
 
 // resign clears the leader record, so that another host can take the leadership at
-// once. It leaves Loading, which tells whether this leader gave leases. A commit that was in progress when the term ended may have been applied; then
-// the record still belongs to this term, with a higher sequence number.
+// once. It leaves Loading, which tells whether this leader has given leases. A commit that
+// was in progress when the term ended may have been applied; then the record still belongs
+// to this term, with a higher sequence number.
 func (t *Term) resign(ctx context.Context) error {
 	record := t.record
 	record.Leader, record.Address, record.RenewMS = "", "", 0
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -182,14 +182,17 @@
 	l.withheld = false
 }
 
-// takeLeaseless reports whether the worker's tasks wait for a lease: the latest heartbeat
-// gave none and may be waiting for an end. It returns true once for such a heartbeat.
+// takeLeaseless reports whether the worker's tasks wait for a lease that can be given now:
+// the latest heartbeat gave none and may be waiting for an end. It returns true once for
+// such a heartbeat.
 func (l *link) takeLeaseless() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	leaseless := l.leaseless && l.answered && l.tasks > 0
+	if !l.leaseless || !l.answered || l.withheld || l.tasks == 0 {
+		return false
+	}
 	l.leaseless = false
-	return leaseless
+	return true
 }
 
 // setClock records a reading of the worker's clock.
