--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -232,9 +232,10 @@
 		}
 		_, err = t.Store.Commit(ctx, platform.Tx{Conditions: conditions, Puts: []platform.PartitionRow{put}})
 	}
-	if err != nil && !(first && errors.Is(err, platform.ErrConflict)) {
-		t.Log.Info("state of maintenance campaign not stored", "campaign", id, "cause", err.Error())
+	if err == nil || first && errors.Is(err, platform.ErrConflict) {
+		return
 	}
+	t.Log.Info("state of maintenance campaign not stored", "campaign", id, "cause", err.Error())
 }
 
 // handleMaintenance handles the events of the maintenance controller.
