coordinator: simpler lease ends of a term, commits that are due, and hosts kept for short calls

Read-through, no change of behaviour: the term derives its lease ends from the record that it has written; one function rounds up to milliseconds; the flag for bounds that changed also asked for the first commit after the load, so it is named for what it does; the number of hosts kept for short calls is computed once.

--- a/internal/coordinator/advicepool.go
+++ b/internal/coordinator/advicepool.go
@@ -73,21 +73,26 @@
 		p.cachedAdvisers, p.listedAt = p.advisers(), now
 	}
 	var idle, queueing []Adviser
-	paused := 0
+	takingCalls := 0
 	for _, a := range p.cachedAdvisers {
 		switch {
 		case now.Before(p.pausedUntil[a.Name]):
-			paused++
+			continue
 		case p.inProgress[a.Name] == 0:
 			idle = append(idle, a)
 		case p.inProgress[a.Name] <= maxQueuedCalls:
 			queueing = append(queueing, a)
 		}
+		takingCalls++
+	}
+	reserved := 0
+	if takingCalls >= minHostsToReserve {
+		reserved = reservedForShort
 	}
 	pass := core.NewAdvicePass(now)
 	for len(idle)+len(queueing) > 0 {
 		capacity := dispatch.AdviceCapacity{MaxDuration: unreservedCallLimit, FewIdle: float64(len(idle)) < fewIdleShare*float64(len(p.cachedAdvisers))}
-		if len(idle) <= reservedForShort && (len(idle) == 0 || len(p.cachedAdvisers)-paused >= minHostsToReserve) {
+		if len(idle) <= reserved {
 			capacity.MaxDuration = shortCallLimit
 		}
 		call, ok := pass.Next(capacity)
--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -60,10 +60,10 @@
 		puts = t.index.Put(batch.Progress)
 	}
 	removes := t.index.TakeRemovals()
-	if batch == nil && len(removes) == 0 && !t.leaseBoundsChanged && now.Sub(t.lastCommit()) < renewInterval {
+	if batch == nil && len(removes) == 0 && !t.commitDue && now.Sub(t.lastCommit()) < renewInterval {
 		return
 	}
-	t.committing, t.commitBeganAt, t.leaseBoundsChanged = true, now, false
+	t.committing, t.commitBeganAt, t.commitDue = true, now, false
 	request := commitRequest{puts: puts, removes: removes, leaseBounds: maps.Clone(t.leaseBounds)}
 	if batch != nil {
 		request.batches = []*dispatch.Batch{batch}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -186,7 +186,7 @@
 	}
 	term.Loaded()
 	t.loaded.Store(true)
-	t.leaseBoundsChanged = true // commits at once, so that leases can be given
+	t.commitDue = true // leases are based on commits after the load
 	post := func(ctx context.Context, event any) error {
 		t.post(ctx, event)
 		return ctx.Err()
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -114,6 +114,18 @@
 	chain          *commitChain
 }
 
+// setLeaseEnds converts the end of earlier leases in the record to this host's clock.
+func (t *Term) setLeaseEnds(store platform.Store) {
+	reading, ok := platform.StoreClock(store)
+	if !ok || t.record.EarlierLeasesEndMS == 0 {
+		t.earlierLeasesEnd = t.Since.Add(olderTakeoverBound)
+		return
+	}
+	end := time.Duration(t.record.EarlierLeasesEndMS) * time.Millisecond
+	t.earlierLeasesEnd = reading.Reached(end)
+	t.firstLeasesEnd = reading.Sent.Add(end - reading.Clock)
+}
+
 // Partition returns the partition that holds the progress of jobs.
 func (t *Term) Partition() string { return jobstore.ProgressPartitions[t.chain.last.activeIndex] }
 
@@ -304,13 +316,10 @@
 func (e *Elector) takeLeadership(ctx context.Context, from leaderRows) {
 	silent := time.Since(e.changedAt)
 	c := &commitChain{store: e.Store, last: from}
-	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1, LeaseBounds: from.active().LeaseBounds}
+	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1,
+		EarlierLeasesEndMS: ceilMillis(from.active().allLeasesEnd()), LeaseBounds: from.active().LeaseBounds}
 	renewal := newRenewal(&from.active().LeaderRecord)
 	renewal.announce(&record)
-	earlierLeasesEnd := from.active().allLeasesEnd()
-	if from.active().readAt > 0 {
-		record.EarlierLeasesEndMS = earlierLeasesEnd.Milliseconds() + 1 // rounded up
-	}
 	attempt, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	err := c.take(attempt, record)
 	cancel()
@@ -321,11 +330,7 @@
 	e.Log.Info("coordinator's seat taken", "epoch", record.Epoch, "from", from.active().Leader, "silent for", silent)
 	e.setLeading(true, *c.last.active())
 	term := &Term{Epoch: record.Epoch, Since: time.Now(), record: record, renewal: renewal, chain: c}
-	term.earlierLeasesEnd = term.Since.Add(olderTakeoverBound)
-	if reading, ok := platform.StoreClock(e.Store); ok && from.active().readAt > 0 {
-		term.earlierLeasesEnd = reading.Reached(earlierLeasesEnd)
-		term.firstLeasesEnd = reading.Sent.Add(earlierLeasesEnd - reading.Clock)
-	}
+	term.setLeaseEnds(e.Store)
 	err = e.Lead(ctx, term)
 	e.setLeading(false, *c.last.active())
 	if errors.Is(err, errNotLoaded) && !errors.Is(err, errLeadershipLost) && ctx.Err() == nil {
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -44,7 +44,7 @@
 	// Loading is set until the leader has loaded the stored jobs.
 	Loading bool `json:"loading,omitempty"`
 	// EarlierLeasesEndMS is when all leases that earlier leaders gave have expired, in
-	// milliseconds of the store's clock; 0 in older builds. A leader that is loading has
+	// milliseconds of the store's clock; 0 if it is not known, and in older builds. A leader that is loading has
 	// given none itself.
 	EarlierLeasesEndMS int64 `json:"earlier_leases_end_ms,omitempty"`
 	// LeaseBounds are the bounds of the leases on workers out of reach. A build before
@@ -53,10 +53,12 @@
 }
 
 // allLeasesEnd returns when all leases have expired that this and earlier leaders gave, by
-// the store's clock, if no commit has followed the row.
+// the store's clock, if no commit has followed the row; 0 if the clock is not known.
 func (r *leaderRow) allLeasesEnd() time.Duration {
 	earlier := time.Duration(r.EarlierLeasesEndMS) * time.Millisecond
 	switch {
+	case r.readAt == 0:
+		return 0
 	case r.Epoch == 0:
 		return r.readAt // no leader yet
 	case earlier == 0:
--- a/internal/coordinator/leasebounds.go
+++ b/internal/coordinator/leasebounds.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"math"
 	"time"
 
 	"cuminloft/internal/platform"
@@ -21,6 +20,11 @@
 // workers out of reach a successor waits for the leases of its predecessor.
 const maxLeaseBounds = 512
 
+// ceilMillis returns a duration in milliseconds, rounded up.
+func ceilMillis(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
 // times returns the bounds by this host's clock; none if the store's clock is not known.
 func (b leaseBounds) times(store platform.Store) map[string]time.Time {
 	reading, ok := platform.StoreClock(store)
@@ -69,8 +73,8 @@
 			end = linkEnd
 			t.core.ExtendLease(id, end)
 		}
-		t.leaseBounds[id] = int64(math.Ceil(float64(reading.Upper(end)) / float64(time.Millisecond)))
-		t.leaseBoundsChanged = true
+		t.leaseBounds[id] = ceilMillis(reading.Upper(end))
+		t.commitDue = true
 	}
 }
 
@@ -78,7 +82,7 @@
 func (t *termLoop) removeLeaseBound(id string) {
 	if _, listed := t.leaseBounds[id]; listed {
 		delete(t.leaseBounds, id)
-		t.leaseBoundsChanged = true
+		t.commitDue = true
 	}
 }
 
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -153,6 +153,7 @@
 		want   time.Duration
 	}{
 		"no leader yet":                        {LeaderRecord{}, time.Second, time.Second},
+		"the clock is not known":               {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds()}, 0, 0},
 		"older build":                          {LeaderRecord{Epoch: 3}, time.Second, time.Second + olderTakeoverBound},
 		"older build, loading":                 {LeaderRecord{Epoch: 3, Loading: true}, time.Second, time.Second + olderTakeoverBound},
 		"loaded":                               {LeaderRecord{Epoch: 4, EarlierLeasesEndMS: earlier.Milliseconds()}, 39 * time.Second, 39*time.Second + takeoverBound},
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -71,11 +71,9 @@
 	loaded          atomic.Bool               // the core holds all jobs
 	endWaiters      endWaiters
 	loopTime        loopTime
-	// leaseBounds are to be stored with the next commit; leaseBoundsChanged is set if the
-	// last one does not have them.
-	leaseBounds        leaseBounds
-	leaseBoundsChanged bool
-	registryRead       bool // the core knows all registered workers
+	leaseBounds     leaseBounds // to be stored with the next commit
+	commitDue       bool        // a commit is due although no job has changed
+	registryRead    bool        // the core knows all registered workers
 }
 
 func newTermLoop(c *Coordinator, term *Term, events chan any) *termLoop {
