coordinator: lease ends are read where they decide

Read-through: the core learned of lease ends with each heartbeat's result, every 500 ms for all workers, with each change of the registry and with each stored bound, the last two added for cases in which the first two were too old. A tick now reads those of the workers out of reach right before it decides that leases are over, which covers all of them; the interval and both special cases go.

--- a/internal/coordinator/leasebounds.go
+++ b/internal/coordinator/leasebounds.go
@@ -71,7 +71,6 @@
 		}
 		if linkEnd.After(end) {
 			end = linkEnd
-			t.core.ExtendLease(id, end)
 		}
 		t.leaseBounds[id] = ceilMillis(reading.Upper(end))
 		t.commitDue = true
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -130,15 +130,6 @@
 	return time.Time{}
 }
 
-// allLeasesEnd returns leasesEnd of every worker, by worker ID.
-func (s *linkSet) allLeasesEnd() map[string]time.Time {
-	out := make(map[string]time.Time, len(s.links))
-	for id, l := range s.links {
-		out[id] = l.leasesEnd()
-	}
-	return out
-}
-
 // closeAll closes all links and waits for their goroutines. It is called after the
 // term's context has ended.
 func (s *linkSet) closeAll() {
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -35,9 +35,6 @@
 const (
 	// tickInterval is the interval of periodic work.
 	tickInterval = 50 * time.Millisecond
-	// leaseCheckInterval is how often the lease ends of all workers are read; a
-	// worker's lease end is also read with the result of each of its heartbeats.
-	leaseCheckInterval = 500 * time.Millisecond
 	// statsInterval is how often the gauges are set and the waiting tasks are logged.
 	statsInterval = time.Second
 )
@@ -61,7 +58,6 @@
 	scheduleTook    time.Duration
 	adviceCalledAt  time.Time // when calls for advice were last selected
 	wakeScheduled   bool      // a wakeUp event is scheduled
-	leasesReadAt    time.Time // when the lease ends were last read from the links
 	statsReportedAt time.Time // when the gauges were last set
 	refreshedOnly   bool      // the latest pass only refreshed the ready steps
 	index           *jobstore.ProgressIndex
@@ -163,7 +159,7 @@
 		t.handleRegistry(e)
 	case registryChanges:
 		for _, ch := range e {
-			t.setWorker(ch)
+			t.core.SetWorker(ch)
 		}
 	case heartbeatResult:
 		t.handleHeartbeatResult(e, now)
@@ -233,22 +229,15 @@
 	listed := make(map[string]bool, len(all))
 	for _, ch := range all {
 		listed[ch.ID] = ch.Worker != nil
-		t.setWorker(ch)
+		t.core.SetWorker(ch)
 	}
 	for _, id := range t.core.RegisteredWorkers() {
 		if !listed[id] {
-			t.setWorker(workload.WorkerChange{ID: id})
+			t.core.SetWorker(workload.WorkerChange{ID: id})
 		}
 	}
 }
 
-// setWorker applies a change of the registry. It may show that a worker has restarted, and
-// is out of reach until it answers again.
-func (t *termLoop) setWorker(ch workload.WorkerChange) {
-	t.core.ExtendLease(ch.ID, t.links.leasesEnd(ch.ID))
-	t.core.SetWorker(ch)
-}
-
 func (t *termLoop) handleHeartbeatResult(r heartbeatResult, now time.Time) {
 	t.core.ExtendLease(r.worker, t.links.leasesEnd(r.worker))
 	if address := t.core.WorkerAddress(r.worker); address != "" && address != r.address && !errors.Is(r.err, workload.ErrReplaced) {
@@ -270,11 +259,8 @@
 	now := time.Now()
 	t.sweep(ctx, now)
 	t.syncConfiguration()
-	if now.Sub(t.leasesReadAt) >= leaseCheckInterval {
-		t.leasesReadAt = now
-		for id, end := range t.links.allLeasesEnd() {
-			t.core.ExtendLease(id, end)
-		}
+	for _, id := range t.core.WorkersOutOfReach() {
+		t.core.ExtendLease(id, t.links.leasesEnd(id))
 	}
 	t.updateLeaseBounds()
 	t.maintain(ctx, now)
--- a/internal/dispatch/outofreach.go
+++ b/internal/dispatch/outofreach.go
@@ -34,6 +34,24 @@
 	return out
 }
 
+// WorkersOutOfReach returns the workers that may be running tasks and have not answered
+// their latest heartbeat, if any.
+func (c *Core) WorkersOutOfReach() []string {
+	var out []string
+	for id := range c.workers {
+		if c.MayRunOutOfReach(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// MayRunOutOfReach reports whether a worker is among WorkersOutOfReach.
+func (c *Core) MayRunOutOfReach(id string) bool {
+	w := c.workers[id]
+	return w != nil && !w.reachable && len(w.tasks) > 0
+}
+
 // LeasesOutOfReach returns when the leases end on each worker that may be running tasks
 // and has been found out of reach: it did not answer, or the registry names no address.
 func (c *Core) LeasesOutOfReach() map[string]time.Time {
@@ -46,13 +64,6 @@
 	return out
 }
 
-// MayRunOutOfReach reports whether a worker may be running tasks and has not answered its
-// latest heartbeat, if any.
-func (c *Core) MayRunOutOfReach(id string) bool {
-	w := c.workers[id]
-	return w != nil && !w.reachable && len(w.tasks) > 0
-}
-
 // outOfReachFor returns how long a worker has been out of reach; 0 if it is in reach, or
 // was not in reach in this term.
 func (w *worker) outOfReachFor(now time.Time) time.Duration {
