--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -409,7 +409,7 @@
 func (l *link) start(ctx context.Context, st dispatch.Start, leaseUntil int64) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		if time.Since(st.DecidedAt) > maxStartAge {
-			return workload.ErrUnhealthy
+			return workload.ErrStartExpired
 		}
 		order := st.Order
 		order.Fence = l.set.fence
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -315,7 +315,7 @@
 		notSent := 0
 		for len(events) > 0 {
 			if r, ok := (<-events).(startResult); ok && !errors.Is(r.err, workload.ErrNoAnswer) {
-				is.True(errors.Is(r.err, workload.ErrUnhealthy))
+				is.True(errors.Is(r.err, workload.ErrStartExpired))
 				notSent++
 			}
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -320,6 +320,7 @@
 		"no answer": {workload.ErrNoAnswer, 0},
 		"replaced":  {workload.ErrReplaced, 0},
 		"lease":     {workload.ErrLeaseInPast, 1},
+		"expired":   {workload.ErrStartExpired, 1}, // it never reached the worker
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -125,6 +125,7 @@
 	ErrInsufficientCapacity = errors.New("task does not fit the worker's free capacity")
 	ErrBadTicket            = errors.New("ticket is missing or expired")
 	ErrUnhealthy            = errors.New("worker is unhealthy")
+	ErrStartExpired         = errors.New("start was decided too long ago and was not sent")
 	ErrMalformedOrder       = errors.New("worker rejected the order as malformed")
 	ErrAdviceBusy           = errors.New("advice service has too many pending calls")
 	ErrAdviceFailed         = errors.New("advice service did not answer")
