--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -17,10 +17,11 @@
 	"cuminloft/internal/workload"
 )
 
-// fleet stands in for the workers and their registry. Its workers keep fences and
-// leases, on clocks that run 2% slow, and run service tasks until they are stopped.
+// fleet stands in for the workers, their registry and the store. Its workers keep fences
+// and leases, on clocks that run 2% slow, and run service tasks until they are stopped.
 type fleet struct {
 	t       *testing.T
+	store   *rows.SlowStore
 	mu      sync.Mutex
 	workers map[string]*fleetWorker
 	version int64
@@ -54,7 +55,7 @@
 const slowClock = 0.98
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
+	f := &fleet{t: t, store: rows.NewSlowStore(rows.New(), usualCall), answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
 	for i := range n {
 		f.add(fmt.Sprint("w", i))
 	}
@@ -71,6 +72,15 @@
 	f.publish(w)
 }
 
+// setRegistered publishes the worker's own entry anew, or that it has none.
+func (f *fleet) setRegistered(id string, registered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.registered = registered
+	f.publish(w)
+}
+
 // publish appends the worker's registration to the registry's changes. The caller holds mu.
 func (f *fleet) publish(w *fleetWorker) {
 	f.version++
@@ -398,8 +408,8 @@
 
 // lead starts a host that takes the leadership as soon as it can. Calling stop ends it
 // with a resignation.
-func (f *fleet) lead(store *rows.SlowStore, host string) *leader {
-	path := &cutStore{SlowStore: store}
+func (f *fleet) lead(host string) *leader {
+	path := &cutStore{SlowStore: f.store}
 	health := platform.NewHealth(path)
 	cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, []workload.Team{{Name: "team"}}, nil)
 	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
@@ -418,6 +428,54 @@
 	return &leader{c, path, func() { cancel(); running.Wait() }}
 }
 
+// awaitLoaded waits until the host leads and has loaded the jobs.
+func (l *leader) awaitLoaded() {
+	for t := l.currentTerm.Load(); t == nil || !t.loaded.Load(); t = l.currentTerm.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+const (
+	electionTime  = time.Second     // within which a fleet has its first leader
+	placementTime = 3 * time.Second // within which the tasks of a new job run
+)
+
+// formerLeader returns a host that has led and does so no more. It still reaches the store.
+func (f *fleet) formerLeader(host string) *leader {
+	l := f.lead(host)
+	time.Sleep(electionTime)
+	l.stop()
+	return l
+}
+
+// leadService starts the first leader and a service job, and waits until its tasks run. It
+// returns the leader, the first task and the worker that runs it.
+func (f *fleet) leadService(tasks int) (l *leader, first workload.TaskID, worker string) {
+	f.t.Helper()
+	l = f.lead("host-0")
+	time.Sleep(electionTime)
+	job := serviceJob(tasks)
+	if err := l.Jobs.Insert(f.t.Context(), job); err != nil {
+		f.t.Fatal(err)
+	}
+	time.Sleep(placementTime)
+	for i := range tasks {
+		if f.placeOf(taskOf(job, i)) == "" {
+			f.t.Fatalf("service task %d does not run %v after the acceptance of its job", i, placementTime)
+		}
+	}
+	first = taskOf(job, 0)
+	return l, first, f.placeOf(first)
+}
+
+// taskOf returns the ID of a task of a job with one step.
+func taskOf(job *workload.Job, i int) workload.TaskID {
+	return workload.TaskID{StepID: workload.StepID{Job: job.ID}, Index: i}
+}
+
+// runs reports whether the first task of the job runs.
+func (f *fleet) runs(job *workload.Job) bool { return f.placeOf(taskOf(job, 0)) != "" }
+
 // serviceJob returns a job of service tasks.
 func serviceJob(tasks int) *workload.Job {
 	return &workload.Job{ID: "00000000000000a1", Queue: "q", Team: "team", AcceptedAt: time.Now().UnixMilli(),
--- a/internal/coordinator/oddentry_test.go
+++ b/internal/coordinator/oddentry_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"cuminloft/internal/model"
-	"cuminloft/internal/standin/rows"
 	"cuminloft/internal/workload"
 )
 
@@ -44,33 +43,22 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-				l := f.lead(store, "host-0")
-				time.Sleep(time.Second)
-				job := serviceJob(1)
-				is.NoErr(l.Jobs.Insert(t.Context(), job))
-				time.Sleep(3 * time.Second)
-				task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
-				worker := f.placeOf(task)
-				is.True(worker != "")
+				f := newFleet(t, 3)
+				l, task, worker := f.leadService(1)
 				for i := range 12 {
 					f.overwrite(worker, odd)
 					time.Sleep(time.Second)
 					if i == 6 {
-						f.mu.Lock()
-						f.publish(f.workers[worker])
-						f.mu.Unlock()
+						f.setRegistered(worker, true)
 						time.Sleep(time.Second)
 						l.stop()
-						l = f.lead(store, fmt.Sprint("host-", i))
+						l = f.lead(fmt.Sprint("host-", i))
 						time.Sleep(2 * time.Second)
 					}
 				}
 				is.Equal(f.placeOf(task), worker) // it has run on there
 				is.Equal(f.gap(), time.Duration(0))
-				f.mu.Lock()
-				f.publish(f.workers[worker])
-				f.mu.Unlock()
+				f.setRegistered(worker, true)
 				time.Sleep(2 * time.Second)
 				back := false
 				is.NoErr(l.do(t.Context(), func(loop *termLoop) { back = len(loop.core.RegisteredWorkers()) == 3 }))
@@ -86,28 +74,16 @@
 func TestTakeoverWhileAnEntryIsOdd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
-		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		worker := f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}})
-		is.True(worker != "")
-		f.mu.Lock()
-		f.workers[worker].registered = false
-		f.publish(f.workers[worker])
-		f.mu.Unlock()
+		f := newFleet(t, 3)
+		l, task, worker := f.leadService(1)
+		f.setRegistered(worker, false)
 		time.Sleep(3 * time.Second)
 		l.stop()
-		l = f.lead(store, "host-1")
+		l = f.lead("host-1")
 		time.Sleep(20 * time.Second)
-		f.mu.Lock()
-		f.workers[worker].registered = true
-		f.publish(f.workers[worker])
-		f.mu.Unlock()
+		f.setRegistered(worker, true)
 		time.Sleep(3 * time.Second)
-		is.True(f.runs(job))
+		is.True(f.placeOf(task) != "")
 		t.Logf("longest time without a run: %v", f.gap())
 		is.True(f.gap() <= serviceRestart)
 		l.stop()
--- a/internal/coordinator/queuedstart_test.go
+++ b/internal/coordinator/queuedstart_test.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"cuminloft/internal/standin/rows"
-	"cuminloft/internal/workload"
 )
 
 // A start order that waits behind orders which a worker leaves unanswered must not be sent
@@ -21,24 +18,20 @@
 		t.Run(fmt.Sprint(back), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f, store := newFleet(t, 1), rows.NewSlowStore(rows.New(), usualCall)
-				l := f.lead(store, "host-0")
+				f := newFleet(t, 1)
+				l, cancelled, _ := f.leadService(6)
 				defer l.stop()
-				time.Sleep(time.Second)
-				cancelled := serviceJob(6)
-				is.NoErr(l.Jobs.Insert(t.Context(), cancelled))
-				time.Sleep(3 * time.Second)
 				f.setUnreachable("w0", true)
-				is.NoErr(l.Jobs.Cancel(t.Context(), cancelled.ID)) // stop orders stay unanswered
+				is.NoErr(l.Jobs.Cancel(t.Context(), cancelled.Job)) // stop orders stay unanswered
 				time.Sleep(2 * time.Second)
 				job := serviceJob(1)
 				job.ID = "00000000000000a2"
 				is.NoErr(l.Jobs.Insert(t.Context(), job))
-				task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+				task := taskOf(job, 0)
 				time.Sleep(f.leaseLeft("w0") - 800*time.Millisecond)
-				f.answerOnce("w0", func() { store.SetLatency(2 * slowCall) }) // one slow commit
+				f.answerOnce("w0", func() { f.store.SetLatency(2 * slowCall) }) // one slow commit
 				time.Sleep(1400 * time.Millisecond)
-				store.SetLatency(usualCall)
+				f.store.SetLatency(usualCall)
 				f.add("w1")
 				for deadline := time.Now().Add(serviceRestart); f.placeOf(task) == "" && time.Now().Before(deadline); {
 					time.Sleep(time.Millisecond)
--- a/internal/coordinator/slowtakeover_test.go
+++ b/internal/coordinator/slowtakeover_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"cuminloft/internal/standin/rows"
 )
 
 // A takeover while the store is slow leaves just enough time to renew the leases of
@@ -19,19 +17,17 @@
 		t.Run(fmt.Sprint(phase), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
+				f := newFleet(t, 2)
 				f.answerTime = 80 * time.Millisecond
-				l := f.lead(store, "host-0")
+				l, _, _ := f.leadService(12)
 				defer l.stop()
 				time.Sleep(time.Second)
-				is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(12)))
-				time.Sleep(4 * time.Second)
-				store.SetLatency(slowCall)
+				f.store.SetLatency(slowCall)
 				time.Sleep(3*time.Second + time.Duration(phase)*170*time.Millisecond)
 				l.store.setCut(true) // the process ends without a resignation
 				ended := make(chan struct{})
 				go func() { l.stop(); close(ended) }()
-				next := f.lead(store, "host-1")
+				next := f.lead("host-1")
 				time.Sleep(8 * time.Second)
 				next.stop()
 				<-ended
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -11,8 +11,6 @@
 	"github.com/matryer/is"
 
 	"cuminloft/internal/platform"
-	"cuminloft/internal/standin/rows"
-	"cuminloft/internal/workload"
 )
 
 // Issue 36: a service task stayed down for as long as coordinators followed one another,
@@ -20,20 +18,13 @@
 func TestServiceStaysDownThroughTakeovers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
-		worker := f.placeOf(task)
-		is.True(worker != "")
+		f := newFleet(t, 3)
+		l, _, worker := f.leadService(1)
 		f.crash(worker)
 		time.Sleep(3 * time.Second)
 		for i := range 6 {
 			l.stop()
-			l = f.lead(store, fmt.Sprint("host-", i+1))
+			l = f.lead(fmt.Sprint("host-", i+1))
 			time.Sleep(1500 * time.Millisecond)
 		}
 		l.stop()
@@ -51,21 +42,16 @@
 func TestServiceStaysDownAfterLossOfWorkerAndLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
+		f := newFleet(t, 3)
+		l, _, worker := f.leadService(1)
 		crashed := time.Now()
-		f.crash(f.placeOf(task))
+		f.crash(worker)
 		time.Sleep(250 * time.Millisecond)
 		l.store.setCut(true)
 		stopped := make(chan struct{})
 		go func() { defer close(stopped); l.stop() }()
 		owed := time.Since(crashed) + serviceRestartAfterFault
-		successor := f.lead(store, "host-1")
+		successor := f.lead("host-1")
 		time.Sleep(20 * time.Second)
 		successor.stop()
 		<-stopped
@@ -76,24 +62,24 @@
 
 // randomFault applies a random fault to the fleet or to the coordinators, and returns the
 // host that is to lead from then on.
-func (f *fleet) randomFault(r *rand.Rand, store *rows.SlowStore, l *leader, host string, stopped *[]*leader) *leader {
+func (f *fleet) randomFault(r *rand.Rand, l *leader, host string, stopped *[]*leader) *leader {
 	id := fmt.Sprint("w", r.IntN(len(f.workers)))
 	switch r.IntN(7) {
 	case 0: // planned takeover
 		l.stop()
-		return f.lead(store, host)
+		return f.lead(host)
 	case 1, 2: // the leader is cut off from the store, and goes on with its workers
 		l.store.setCut(true)
 		*stopped = append(*stopped, l)
-		return f.lead(store, host)
+		return f.lead(host)
 	case 3:
 		f.setUnreachable(id, true)
 	case 4:
 		f.setUnreachable(id, false)
 	case 5:
-		store.SetLatency(time.Duration(r.IntN(60)+1) * usualCall)
+		f.store.SetLatency(time.Duration(r.IntN(60)+1) * usualCall)
 		time.Sleep(time.Second)
-		store.SetLatency(usualCall)
+		f.store.SetLatency(usualCall)
 	case 6:
 		f.cutFromSuccessors(id)
 	}
@@ -106,15 +92,11 @@
 func TestServiceStaysDownAfterOneTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-		old := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(old.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		f.crash(f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}))
+		f := newFleet(t, 3)
+		old, _, worker := f.leadService(1)
+		f.crash(worker)
 		old.store.setCut(true)
-		l := f.lead(store, "host-1")
+		l := f.lead("host-1")
 		time.Sleep(20 * time.Second)
 		t.Logf("longest time without a run: %v", f.gap())
 		is.True(f.gap() <= serviceRestartAfterFault)
@@ -129,11 +111,8 @@
 func TestLeasesOutlastAStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(4)))
-		time.Sleep(3 * time.Second)
+		f := newFleet(t, 2)
+		l, _, _ := f.leadService(4)
 		l.store.setCut(true)
 		time.Sleep(6500 * time.Millisecond)
 		l.store.setCut(false)
@@ -172,19 +151,13 @@
 func TestWorkerWithStoredBoundGetsNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
-		old := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(old.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
-		worker := f.placeOf(task)
+		f := newFleet(t, 2)
+		old, task, worker := f.leadService(1)
 		f.setUnreachable(worker, true)
 		time.Sleep(3 * time.Second)
 		old.store.setCut(true)
 		f.cutFromSuccessors(worker)
-		l := f.lead(store, "host-1")
+		l := f.lead("host-1")
 		time.Sleep(20 * time.Second)
 		is.True(f.placeOf(task) != "" && f.placeOf(task) != worker)
 		is.True(f.gap() <= serviceRestart)
@@ -203,8 +176,8 @@
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := rand.New(rand.NewPCG(seed, 36))
-				f, store := newFleet(t, 4), rows.NewSlowStore(rows.New(), usualCall)
-				l := f.lead(store, "host")
+				f := newFleet(t, 4)
+				l := f.lead("host")
 				time.Sleep(time.Second)
 				if err := l.Jobs.Insert(t.Context(), serviceJob(6)); err != nil {
 					t.Fatal(err)
@@ -212,7 +185,7 @@
 				var cut []*leader
 				for i := range 30 {
 					time.Sleep(time.Duration(r.IntN(2500)) * time.Millisecond)
-					l = f.randomFault(r, store, l, fmt.Sprint("host-", i), &cut)
+					l = f.randomFault(r, l, fmt.Sprint("host-", i), &cut)
 				}
 				for i := range f.workers {
 					f.setUnreachable(i, false)
@@ -263,18 +236,13 @@
 func TestWorkerBackInReachKeepsItsTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(2)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		worker := f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}})
+		f := newFleet(t, 2)
+		l, _, worker := f.leadService(2)
 		for i := range 4 {
 			f.setUnreachable(worker, true)
 			time.Sleep(3 * time.Second)
 			l.stop()
-			l = f.lead(store, fmt.Sprint("host-", i+1))
+			l = f.lead(fmt.Sprint("host-", i+1))
 			time.Sleep(time.Second)
 			f.setUnreachable(worker, false)
 			time.Sleep(4 * time.Second)
@@ -289,17 +257,12 @@
 func TestLeasesLapseInAnOutageAfterATakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		is.NoErr(l.Jobs.Insert(t.Context(), serviceJob(4)))
-		time.Sleep(3 * time.Second)
+		f := newFleet(t, 2)
+		l, _, _ := f.leadService(4)
 		f.listTime = 150 * time.Millisecond
 		l.stop()
-		l = f.lead(store, "host-1")
-		for t := l.currentTerm.Load(); t == nil || !t.loaded.Load(); t = l.currentTerm.Load() {
-			time.Sleep(time.Millisecond)
-		}
+		l = f.lead("host-1")
+		l.awaitLoaded()
 		time.Sleep(100 * time.Millisecond)
 		l.store.setCut(true)
 		time.Sleep(6500 * time.Millisecond)
@@ -317,26 +280,22 @@
 func TestServiceStaysDownThroughTermsThatDoNotLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, store := newFleet(t, 3), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
-		time.Sleep(3 * time.Second)
-		f.crash(f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}))
+		f := newFleet(t, 3)
+		l, _, worker := f.leadService(1)
+		f.crash(worker)
 		l.stop()
-		store.SetLatency(slowCall / 2) // loading takes longer than a term
+		f.store.SetLatency(slowCall / 2) // loading takes longer than a term
 		terms := 0
 		for began := time.Now(); time.Since(began) < serviceRestart-2*time.Second; terms++ {
-			l = f.lead(store, fmt.Sprint("host-", terms+1))
+			l = f.lead(fmt.Sprint("host-", terms+1))
 			for l.currentTerm.Load() == nil {
 				time.Sleep(time.Millisecond)
 			}
 			is.True(!l.currentTerm.Load().loaded.Load())
 			l.stop()
 		}
-		store.SetLatency(usualCall)
-		l = f.lead(store, "last")
+		f.store.SetLatency(usualCall)
+		l = f.lead("last")
 		time.Sleep(15 * time.Second)
 		l.stop()
 		t.Logf("longest time without a run: %v, after %d terms that did not load", f.gap(), terms)
@@ -349,27 +308,19 @@
 // though the frozen host counts its takeover as its last commit.
 func TestLeasesOfAHostFrozenInItsTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, store := newFleet(t, 2), rows.NewSlowStore(rows.New(), usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		job := serviceJob(1)
-		if err := l.Jobs.Insert(t.Context(), job); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(3 * time.Second)
-		task := workload.TaskID{StepID: workload.StepID{Job: job.ID}}
-		worker := f.placeOf(task)
+		f := newFleet(t, 2)
+		l, _, worker := f.leadService(1)
 		l.stop()
 
 		record := func() leaderRow {
-			all, err := readLeaderRows(t.Context(), store)
+			all, err := readLeaderRows(t.Context(), f.store)
 			if err != nil {
 				t.Fatal(err)
 			}
 			return *all.active()
 		}
 		const frozenFor = 1400 * time.Millisecond
-		frozen := f.lead(store, "frozen")
+		frozen := f.lead("frozen")
 		frozen.store.setPaused(frozenFor)
 		for record().Leader != "frozen" {
 			time.Sleep(time.Millisecond)
@@ -377,14 +328,12 @@
 		f.mu.Lock()
 		f.workers[worker].fencedOff = record().Epoch // its successor does not reach the worker
 		f.mu.Unlock()
-		next := f.lead(store, "next")
+		next := f.lead("next")
 		for record().Leader != "next" {
 			time.Sleep(time.Millisecond)
 		}
 		frozen.store.setPaused(0)
-		for t := frozen.currentTerm.Load(); t == nil || !t.loaded.Load(); t = frozen.currentTerm.Load() {
-			time.Sleep(time.Millisecond)
-		}
+		frozen.awaitLoaded()
 		frozen.store.setCut(true)
 		time.Sleep(20 * time.Second)
 		frozen.store.setCut(false)
--- a/internal/coordinator/unreadable_test.go
+++ b/internal/coordinator/unreadable_test.go
@@ -9,30 +9,60 @@
 	"github.com/matryer/is"
 
 	"cuminloft/internal/jobstore"
-	"cuminloft/internal/model"
 	"cuminloft/internal/platform"
-	"cuminloft/internal/standin/rows"
 	"cuminloft/internal/workload"
 )
 
-// shortJob returns a job of one task.
-func shortJob(id string) *workload.Job {
-	return &workload.Job{ID: id, Queue: "q", Team: "team", AcceptedAt: time.Now().UnixMilli(),
-		Steps: []workload.Step{{Tasks: 1, Resources: model.Resources{MilliCores: 1000}}}}
+// commit applies a transaction to the store.
+func (f *fleet) commit(tx platform.Tx) {
+	f.t.Helper()
+	if _, err := f.store.Commit(f.t.Context(), tx); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// putProgress writes a row of the progress table.
+func (f *fleet) putProgress(key, value string) {
+	f.t.Helper()
+	f.commit(platform.Tx{Puts: []platform.PartitionRow{
+		{Table: jobstore.ProgressTable, Partition: jobstore.DefaultProgressPartition, Key: key, Value: []byte(value)},
+	}})
 }
 
-// putRow writes a row of the progress table.
-func putRow(t *testing.T, s *rows.Store, key string, value []byte) {
-	t.Helper()
-	row := platform.PartitionRow{Table: jobstore.ProgressTable, Partition: jobstore.DefaultProgressPartition, Key: key, Value: value}
-	if _, err := s.Commit(t.Context(), platform.Tx{Puts: []platform.PartitionRow{row}}); err != nil {
-		t.Fatal(err)
+// insert adds jobs of one task.
+func (f *fleet) insert(l *leader, ids ...string) []*workload.Job {
+	f.t.Helper()
+	var jobs []*workload.Job
+	for _, id := range ids {
+		job := testJob(id)
+		if err := l.Jobs.Insert(f.t.Context(), job); err != nil {
+			f.t.Fatal(err)
+		}
+		jobs = append(jobs, job)
 	}
+	return jobs
 }
 
-// runs reports whether a task of the job runs.
-func (f *fleet) runs(job *workload.Job) bool {
-	return f.placeOf(workload.TaskID{StepID: workload.StepID{Job: job.ID}}) != ""
+// moveProgress makes the leader store all progress anew in another partition, with that of
+// a new job.
+func (f *fleet) moveProgress(l *leader, newJob string) {
+	f.t.Helper()
+	f.store.SetPartitionDown(jobstore.DefaultProgressPartition, true)
+	f.insert(l, newJob)
+	time.Sleep(placementTime)
+	f.store.SetPartitionDown(jobstore.DefaultProgressPartition, false)
+}
+
+// checkHeld checks that a job exists and does not run.
+func (f *fleet) checkHeld(l *leader, job *workload.Job) {
+	f.t.Helper()
+	state, err := l.Jobs.Find(f.t.Context(), job.ID)
+	if err != nil || !state.Exists {
+		f.t.Errorf("job %s is forgotten, error %v", job.ID, err)
+	}
+	if f.runs(job) {
+		f.t.Errorf("held job %s runs", job.ID)
+	}
 }
 
 // Guards against a job that runs again from its first task because its progress cannot be
@@ -53,28 +83,17 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				f, s := newFleet(t, 2), rows.New()
-				store := rows.NewSlowStore(s, usualCall)
-				first := f.lead(store, "host-0")
-				time.Sleep(time.Second)
-				unreadable, readable := shortJob("00000000000000b1"), shortJob("00000000000000b2")
-				first.stop()
-				is.NoErr(first.Jobs.Insert(t.Context(), unreadable))
-				is.NoErr(first.Jobs.Insert(t.Context(), readable))
-				putRow(t, s, unreadable.ID, []byte(value))
+				f := newFleet(t, 2)
+				jobs := f.insert(f.formerLeader("host-0"), "00000000000000b1", "00000000000000b2")
+				unreadable, readable := jobs[0], jobs[1]
+				f.putProgress(unreadable.ID, value)
 				for i := range 2 {
-					l := f.lead(store, fmt.Sprint("host-", i+1))
+					l := f.lead(fmt.Sprint("host-", i+1))
 					time.Sleep(jobsRelistInterval + 2*time.Second)
-					is.True(!f.runs(unreadable))
+					f.checkHeld(l, unreadable)
 					is.True(f.runs(readable))
-					state, err := l.Jobs.Find(t.Context(), unreadable.ID)
-					is.NoErr(err)
-					is.True(state.Exists) // it is not forgotten
 					if i == 0 {
-						s.SetPartitionDown(jobstore.DefaultProgressPartition, true) // all progress moves
-						is.NoErr(l.Jobs.Insert(t.Context(), shortJob("00000000000000b3")))
-						time.Sleep(3 * time.Second)
-						s.SetPartitionDown(jobstore.DefaultProgressPartition, false)
+						f.moveProgress(l, "00000000000000b3")
 					}
 					l.stop()
 				}
@@ -90,27 +109,20 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				f, s := newFleet(t, 2), rows.New()
-				store := rows.NewSlowStore(s, usualCall)
-				l := f.lead(store, "host-0")
-				time.Sleep(time.Second)
-				l.stop()
-				before, known, after := shortJob("00000000000000b1"), shortJob("00000000000000b2"), shortJob("00000000000000b3")
-				is.NoErr(l.Jobs.Insert(t.Context(), before))
-				is.NoErr(l.Jobs.Insert(t.Context(), known))
-				putRow(t, s, "pack/7", []byte(value))
-				putRow(t, s, known.ID, []byte(`{"state":"running","begun":true,"next":1,"occ":[{"k":0,"steps":[{"tasks":[0]}]}]}`))
-				putRow(t, s, "pack/of another writer", []byte("\xff"))
-				is.NoErr(l.Jobs.Insert(t.Context(), after))
+				f := newFleet(t, 2)
+				l := f.formerLeader("host-0")
+				earlier := f.insert(l, "00000000000000b1", "00000000000000b2")
+				before, known := earlier[0], earlier[1]
+				f.putProgress("pack/7", value)
+				f.putProgress(known.ID, `{"state":"running","begun":true,"next":1,"occ":[{"k":0,"steps":[{"tasks":[0]}]}]}`)
+				f.putProgress("pack/of another writer", "\xff")
+				after := f.insert(l, "00000000000000b3")[0]
 				for i := range 2 {
-					l = f.lead(store, fmt.Sprint("host-", i+1))
+					l = f.lead(fmt.Sprint("host-", i+1))
 					time.Sleep(jobsRelistInterval + 2*time.Second)
-					is.True(!f.runs(before))
+					f.checkHeld(l, before)
 					is.True(f.runs(known))
 					is.True(f.runs(after))
-					state, err := l.Jobs.Find(t.Context(), before.ID)
-					is.NoErr(err)
-					is.True(state.Exists)
 					l.stop()
 				}
 			})
@@ -123,29 +135,21 @@
 func TestJobWhoseRowIsRepairedKeepsItsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
-		f, s := newFleet(t, 2), rows.New()
-		store := rows.NewSlowStore(s, usualCall)
-		l := f.lead(store, "host-0")
-		time.Sleep(time.Second)
-		l.stop()
-		job := shortJob("00000000000000b1")
-		putRow(t, s, job.ID, []byte(`{"state":"running","begun":true,"next":1,"occ":[{"k":0,"steps":[{"tasks":[[3,0,0,""]]}]}]}`))
-		row := platform.PartitionRow{Table: jobstore.JobTable, Partition: jobstore.PartitionOf(job.ID), Key: job.ID, Value: []byte("{")}
-		_, err := s.Commit(t.Context(), platform.Tx{Puts: []platform.PartitionRow{row}})
-		is.NoErr(err)
-		l = f.lead(store, "host-1")
+		f := newFleet(t, 2)
+		f.formerLeader("host-0")
+		const id = "00000000000000b1"
+		f.putProgress(id, `{"state":"running","begun":true,"next":1,"occ":[{"k":0,"steps":[{"tasks":[[3,0,0,""]]}]}]}`)
+		row := platform.PartitionRow{Table: jobstore.JobTable, Partition: jobstore.PartitionOf(id), Key: id, Value: []byte("{")}
+		f.commit(platform.Tx{Puts: []platform.PartitionRow{row}})
+		l := f.lead("host-1")
 		time.Sleep(5 * time.Second)
-		_, err = s.Commit(t.Context(), platform.Tx{Removes: []platform.PartitionRow{row}})
-		is.NoErr(err)
-		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		f.commit(platform.Tx{Removes: []platform.PartitionRow{row}})
+		job := f.insert(l, id)[0]
 		time.Sleep(jobsRelistInterval + 2*time.Second)
-		is.True(!f.runs(job))                                       // run 1 would come after run 3
-		s.SetPartitionDown(jobstore.DefaultProgressPartition, true) // all progress moves
-		is.NoErr(l.Jobs.Insert(t.Context(), shortJob("00000000000000b2")))
-		time.Sleep(3 * time.Second)
-		s.SetPartitionDown(jobstore.DefaultProgressPartition, false)
+		is.True(!f.runs(job)) // run 1 would come after run 3
+		f.moveProgress(l, "00000000000000b2")
 		l.stop()
-		l = f.lead(store, "host-2")
+		l = f.lead("host-2")
 		time.Sleep(2 * time.Second)
 		is.True(f.runs(job))
 		f.mu.Lock()
