--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -89,14 +89,13 @@
 // countCrash counts a crash under a task.
 func (c *Core) countCrash(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
 	t := &s.tasks[i]
-	if t.crashes == 0 {
-		s.suspects++
-	}
-	t.crashes++
 	started := !t.startConfirmed.IsZero()
+	n := t.crashCount
+	n.crashes++
 	if started && evidence != workerSilent {
-		t.proven++
+		n.proven++
 	}
+	c.setCrashes(s, t, n)
 	if t.isolates() {
 		t.retryAt = now.Add(crashRetryPause)
 	}
@@ -126,41 +125,40 @@
 		return
 	}
 	c.emit("task cleared of crashes", "task", s.taskID(i).String(), "run", t.run, "crashes", t.crashes)
-	t.crashCount, t.retryAt = crashCount{}, time.Time{}
-	s.suspects--
-	c.endProbation(t)
+	c.setCrashes(s, t, crashCount{})
+	t.retryAt = time.Time{}
 	c.markDirty(s.job)
 }
 
-// beginProbation records that a suspect may run on a worker. It ends with the run, or when
-// the task is cleared.
-func (c *Core) beginProbation(w *worker, t *task) {
-	if t.crashes == 0 {
-		return
+// setCrashes changes the crashes under a task.
+func (c *Core) setCrashes(s *step, t *task, n crashCount) {
+	if t.crashes > 0 {
+		s.suspects--
 	}
-	t.onProbation = true
-	w.suspects++
-	if t.isolates() {
-		t.isolated = true
-		if w.isolated++; w.isolated == 1 {
-			c.isolatedWorkers++
-		}
+	if n.crashes > 0 {
+		s.suspects++
 	}
+	c.countSuspect(t, -1)
+	t.crashCount = n
+	c.countSuspect(t, 1)
 }
 
-// endProbation ends what beginProbation has begun.
-func (c *Core) endProbation(t *task) {
+// countSuspect adds 1 or -1 to the suspects on the worker where a task may be running, if
+// the task is one.
+func (c *Core) countSuspect(t *task, n int) {
 	w := c.workers[t.worker]
-	if w == nil || !t.onProbation {
+	if w == nil || t.crashes == 0 {
 		return
 	}
-	w.suspects--
-	if t.isolated {
-		if w.isolated--; w.isolated == 0 {
-			c.isolatedWorkers--
-		}
+	w.suspects += n
+	if !t.isolates() {
+		return
+	}
+	before := w.isolated > 0
+	w.isolated += n
+	if before != (w.isolated > 0) {
+		c.isolatedWorkers += n
 	}
-	t.onProbation, t.isolated = false, false
 }
 
 // isolates reports whether a task of the step is to run beside no other new run.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -158,10 +158,10 @@
 		suspects, isolated := 0, 0
 		for task := range w.tasks {
 			_, t := c.core.findTask(task)
-			if t.onProbation {
+			if t.crashes > 0 {
 				suspects++
 			}
-			if t.isolated {
+			if t.isolates() {
 				isolated++
 			}
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -49,8 +49,6 @@
 
 	crashCount
 	retryAt         time.Time // it does not start before this time
-	onProbation     bool      // counted in worker.suspects
-	isolated        bool      // counted in worker.isolated
 	startSent       bool      // the start of the run was sent, or may have been
 	outlived        bool      // the run was seen running for crashWindow
 	workerRestarted bool      // a new incarnation of the worker answered and has not listed the run
@@ -330,7 +328,7 @@
 	w.used = w.used.Add(s.spec.RequiredCapacity())
 	w.bestEffortMilliCores += s.bestEffortMilliCores()
 	c.usage[s.job.spec.Team] = c.usage[s.job.spec.Team].Add(s.spec.Resources)
-	c.beginProbation(w, &s.tasks[i])
+	c.countSuspect(&s.tasks[i], 1)
 	if t := &s.tasks[i]; c.urgent(s) {
 		t.countedUrgent = true
 		c.urgentUsed += s.spec.RequiredCapacity().MilliCores
@@ -341,7 +339,7 @@
 // new state.
 func (c *Core) releaseTask(s *step, i int) {
 	t := &s.tasks[i]
-	c.endProbation(t)
+	c.countSuspect(t, -1)
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.tasks, s.taskID(i))
 		c.changedWorkers[w.info.ID] = true
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -260,9 +260,7 @@
 			tp = p.Tasks[i]
 		}
 		t.run, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
-		if t.crashCount = (crashCount{tp.Crashes, tp.Proven}); t.crashes > 0 {
-			s.suspects++
-		}
+		c.setCrashes(s, t, crashCount{tp.Crashes, tp.Proven})
 		placed := tp.Worker > 0 && tp.Worker <= len(incarnations)
 		if tp.Done || p.AllDone {
 			s.done++
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -27,7 +27,7 @@
 	// unreachableSince is when the worker went out of reach, or the takeover if it has not
 	// been in reach since.
 	unreachableSince time.Time
-	suspects         int       // runs of tasks with crashes that have not outlived crashWindow
+	suspects         int       // tasks with crashes that may be running on the worker
 	isolated         int       // those of them beside which nothing starts
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
