--- a/internal/dispatch/leave_bench_test.go
+++ b/internal/dispatch/leave_bench_test.go
@@ -8,9 +8,9 @@
 	"cuminloft/internal/workload"
 )
 
-// Load pattern: a zone of a large cell drains, its workers run services, and all other
+// Load pattern: an AZ of a large cell drains, its workers run services, and all other
 // workers are full. The coordinator ticks 20 times a second.
-func BenchmarkTickWithDrainingZoneInAFullCell(b *testing.B) {
+func BenchmarkTickWithDrainingAZInAFullCell(b *testing.B) {
 	for _, workers := range []int{48, 300, 1000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			c := newCell(&testing.T{})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -63,30 +63,32 @@
 	}
 }
 
-// Guards against hosts without the setting core_share that count each other as larger: each
-// coordinator would yield to the next one every 12 s.
-func TestHostsWithoutCoreShareAreNotUndersized(t *testing.T) {
+// twoMembers returns the membership of host "a", which has read the row of host "b".
+func twoMembers(t *testing.T) (*membership, *rows.Store) {
+	t.Helper()
 	is := is.New(t)
 	store := rows.New()
 	a := newMembership(store, "a", hostRow{}, logr.Discard())
 	b := newMembership(store, "b", hostRow{}, logr.Discard())
-	is.NoErr(a.renew(context.Background()))
-	is.NoErr(b.renew(context.Background()))
-	is.NoErr(a.read(context.Background()))
+	is.NoErr(a.renew(t.Context()))
+	is.NoErr(b.renew(t.Context()))
+	is.NoErr(a.read(t.Context()))
 	is.Equal(len(a.others()), 1)
-	is.True(!a.undersized())
+	return a, store
+}
+
+// Guards against hosts without the setting core_share that count each other as larger: each
+// coordinator would yield to the next one every 12 s.
+func TestHostsWithoutCoreShareAreNotUndersized(t *testing.T) {
+	a, _ := twoMembers(t)
+	is.New(t).True(!a.undersized())
 }
 
 // Guards against hosts that count all other hosts as gone while no host can renew its
 // row, since the store is down.
 func TestMembershipWhileTheStoreIsDown(t *testing.T) {
 	is := is.New(t)
-	store := rows.New()
-	a := newMembership(store, "a", hostRow{}, logr.Discard())
-	b := newMembership(store, "b", hostRow{}, logr.Discard())
-	is.NoErr(a.renew(context.Background()))
-	is.NoErr(b.renew(context.Background()))
-	is.NoErr(a.read(context.Background()))
+	a, store := twoMembers(t)
 	a.peers["b"].changedAt = a.peers["b"].changedAt.Add(-time.Duration(failureRenewals*float64(minRenewalInterval)) / 2)
 	store.SetDown(true)
 	is.True(a.read(context.Background()) != nil)
--- a/internal/entry/rejected_test.go
+++ b/internal/entry/rejected_test.go
@@ -19,8 +19,8 @@
 	is := is.New(t)
 	rejected := platform.NewRejectedRows(logr.Discard())
 	m := newMetrics(nil, linkmeter.New(), rejected)
-	rejected.Add(platform.PartitionRow{Table: "servers", Key: "odd"}, errors.New("no address"))
+	rejected.Add(platform.PartitionRow{Table: "rows", Key: "odd"}, errors.New("no address"))
 	answer := httptest.NewRecorder()
 	m.handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	is.True(strings.Contains(answer.Body.String(), `cuminloft_rejected_rows_total{table="servers"} 1`))
+	is.True(strings.Contains(answer.Body.String(), `cuminloft_rejected_rows_total{table="rows"} 1`))
 }
