--- a/internal/dispatch/oddentry_test.go
+++ b/internal/dispatch/oddentry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,6 +154,25 @@
 	is.Equal(j.state, workload.Running)
 }
 
+// Guards against leases that are not renewed where the tasks run: some of a worker's tasks
+// were restored from rows of an older build, which do not tell the address.
+func TestWorkerKeepsTheKnownAddressOfItsTasks(t *testing.T) {
+	for round := range 20 { // the order of a worker's tasks differs
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			for job, address := range []string{"", "", "", "", "", `,"addr":"w:1"`} {
+				spec := &workload.Job{ID: fmt.Sprint("j", job), Queue: "batch", Team: "team", AcceptedAt: c.now.UnixMilli(), Steps: []workload.Step{{Tasks: 1, Resources: cores(1)}}}
+				row := `{"state":"running","begun":true,"next":1,"workers":[{"id":"w","born":1000` + address + `}],"occ":[{"k":0,"steps":[{"tasks":[[1,1,0,""]]}]}]}`
+				is.NoErr(c.core.Restore(spec, []byte(row), false, c.now))
+			}
+			c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Incarnation: testIncarnation, Address: "other:1", AZ: "a", Pool: "pool"}})
+			c.core.HandleReplaced("w", "other:1", c.now)
+			is.Equal(c.core.WorkerAddress("w"), "w:1")
+		})
+	}
+}
+
 // FuzzRestore checks that stored progress is either refused, and the job held, or leaves a
 // core that goes on.
 func FuzzRestore(f *testing.F) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -230,7 +230,7 @@
 	kept := 0
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil && !ended(t) {
-			elsewhere = t.address
+			elsewhere = max(elsewhere, t.address) // empty if it is not known
 			kept++
 		}
 	}
