--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -185,6 +185,11 @@
 	return false
 }
 
+// waitsAfterCrashes reports whether a gang may not start yet because of its suspects.
+func (c *Core) waitsAfterCrashes(s *step, q *workload.Queue) bool {
+	return s.retriesLater(c.pass.now) || s.isolates() && !c.mayIsolate(q)
+}
+
 // mayIsolate reports whether another isolated suspect may start in the queue's pool now.
 func (c *Core) mayIsolate(q *workload.Queue) bool {
 	p := c.pass.pools[q.Pool]
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -147,7 +147,8 @@
 // fitByReason counts for each reason how many tasks of the step still fit if this reason
 // and those before it are taken into account.
 func (c *Core) fitByReason(r rankedStep, q *workload.Queue) map[WaitReason]int {
-	s, now, isolates := r.step, c.pass.now, r.step.isolates()
+	s, now := r.step, c.pass.now
+	isolates, waits := s.isolates(), c.waitsAfterCrashes(s, q)
 	fits := map[WaitReason]int{}
 	p := c.pass.pools[q.Pool]
 	if p == nil {
@@ -158,7 +159,7 @@
 			continue
 		}
 		fits[WaitsForCapacity] += fitOnWorker(w, s)
-		if !w.acceptsBesideSuspects(isolates) || s.retriesLater(now) || isolates && !c.mayIsolate(q) {
+		if waits || !w.acceptsBesideSuspects(isolates) {
 			continue
 		}
 		fits[WaitsAfterCrashes] += fitOnWorker(w, s)
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -18,11 +18,7 @@
 
 // tickLeaving stops the tasks that would be lost with a leaving worker.
 func (c *Core) tickLeaving(w *worker, now time.Time) {
-	if !w.info.Draining {
-		w.leavesAt = time.Time{}
-		return
-	}
-	if w.info.Remaining <= 0 {
+	if !w.info.Draining || w.info.Remaining <= 0 {
 		w.leavesAt = time.Time{}
 		return
 	}
