--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -34,6 +34,7 @@
 	// longestGap is the longest time for which a task had no run.
 	longestGap time.Duration
 	listTime   time.Duration // how long a listing of the registry takes
+	log        logr.Logger   // of coordinators
 }
 
 type fleetWorker struct {
@@ -55,7 +56,7 @@
 const slowClock = 0.98
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, store: rows.NewSlowStore(rows.New(), usualCall), answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
+	f := &fleet{t: t, store: rows.NewSlowStore(rows.New(), usualCall), log: logr.Discard(), answerTime: time.Millisecond, workers: map[string]*fleetWorker{}, running: map[workload.TaskID]string{}, ended: map[workload.TaskID]time.Time{}}
 	for i := range n {
 		f.add(fmt.Sprint("w", i))
 	}
@@ -415,7 +416,7 @@
 	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
 	c := New(Coordinator{
 		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
-		Advisers: func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{},
+		Advisers: func() []Adviser { return nil }, Log: f.log, Observer: nopObserver{},
 		Retention: time.Minute, Undersized: func() bool { return false },
 	})
 	e := &Elector{Store: health, Host: host, Address: host + ":1", Log: logr.Discard(), Rank: func() int { return 0 },
@@ -441,8 +442,8 @@
 )
 
 // formerLeader returns a host that has led and does so no more. It still reaches the store.
-func (f *fleet) formerLeader(host string) *leader {
-	l := f.lead(host)
+func (f *fleet) formerLeader() *leader {
+	l := f.lead("host-0")
 	time.Sleep(electionTime)
 	l.stop()
 	return l
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -133,7 +133,7 @@
 		}
 		delete(rows, e.ID)
 	}
-	if held > 0 {
+	if unreadable != nil {
 		t.Log.Error(unreadable, "stored jobs held", "jobs", held)
 	}
 	for id, progress := range rows {
--- a/internal/coordinator/unreadable_test.go
+++ b/internal/coordinator/unreadable_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"cuminloft/internal/jobstore"
@@ -84,7 +87,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
 				f := newFleet(t, 2)
-				jobs := f.insert(f.formerLeader("host-0"), "00000000000000b1", "00000000000000b2")
+				jobs := f.insert(f.formerLeader(), "00000000000000b1", "00000000000000b2")
 				unreadable, readable := jobs[0], jobs[1]
 				f.putProgress(unreadable.ID, value)
 				for i := range 2 {
@@ -110,7 +113,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
 				f := newFleet(t, 2)
-				l := f.formerLeader("host-0")
+				l := f.formerLeader()
 				earlier := f.insert(l, "00000000000000b1", "00000000000000b2")
 				before, known := earlier[0], earlier[1]
 				f.putProgress("pack/7", value)
@@ -130,13 +133,36 @@
 	}
 }
 
+// Guards against a damaged bundle that is passed over in silence: it may have held progress
+// of jobs that are gone, and it stays in the store.
+func TestUnreadableBundleWithoutJobsIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		var reports atomic.Int32
+		f.log = funcr.New(func(_, line string) {
+			if strings.Contains(line, "pack/7") {
+				reports.Add(1)
+			}
+		}, funcr.Options{})
+		former := f.formerLeader()
+		f.putProgress("pack/7", "\xff")
+		job := f.insert(former, "00000000000000b1")[0]
+		l := f.lead("host-1")
+		time.Sleep(electionTime + placementTime)
+		is.True(f.runs(job)) // it is newer than the bundle
+		l.stop()
+		is.Equal(reports.Load(), int32(1))
+	})
+}
+
 // Guards against a job that runs again from its first task when its row, which could not be
 // read when its coordinator took over, can be read again.
 func TestJobWhoseRowIsRepairedKeepsItsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		f := newFleet(t, 2)
-		f.formerLeader("host-0")
+		f.formerLeader()
 		const id = "00000000000000b1"
 		f.putProgress(id, `{"state":"running","begun":true,"next":1,"occ":[{"k":0,"steps":[{"tasks":[[3,0,0,""]]}]}]}`)
 		row := platform.PartitionRow{Table: jobstore.JobTable, Partition: jobstore.PartitionOf(id), Key: id, Value: []byte("{")}
