--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -259,29 +259,35 @@
 	})
 }
 
-// silentStarts leaves starts unanswered and records when they arrive.
+// silentStarts leaves starts unanswered and records when they arrive, with which lease.
 type silentStarts struct {
 	fakeWorker
-	arrived []time.Time
+	arrived []arrivedStart
 }
 
-func (s *silentStarts) Start(ctx context.Context, _ *workload.Worker, _ workload.StartOrder) (int64, error) {
+type arrivedStart struct {
+	at         time.Time
+	leaseUntil int64
+}
+
+func (s *silentStarts) Start(ctx context.Context, _ *workload.Worker, o workload.StartOrder) (int64, error) {
 	s.mu.Lock()
-	s.arrived = append(s.arrived, time.Now())
+	s.arrived = append(s.arrived, arrivedStart{time.Now(), o.LeaseUntil})
 	s.mu.Unlock()
 	<-ctx.Done()
 	return 0, workload.ErrNoAnswer
 }
 
-// arrivals returns when starts have arrived so far.
-func (s *silentStarts) arrivals() []time.Time {
+// arrivals returns the starts that have arrived so far.
+func (s *silentStarts) arrivals() []arrivedStart {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.arrived)
 }
 
 // Guards against starts that wait for a commit, or behind others at a worker that does not
-// answer, and then arrive at a worker whose capacity has shrunk meanwhile.
+// answer, and then arrive at a worker whose capacity has shrunk meanwhile, or with a lease
+// that lasts longer than their run counts.
 func TestStartsAreNotSentLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -296,14 +302,15 @@
 		running.Go(func() { l.run(ctx) })
 		time.Sleep(time.Second) // the worker's clock is known
 		const starts, committedLate = 20, 5
-		decided := time.Now()
+		decided, lease := time.Now(), l.newLeaseEnd()
 		for range starts {
-			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}, l.newLeaseEnd()) })
+			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}, lease) })
 		}
 		time.Sleep(10 * time.Second)
 		arrived := f.arrivals()
-		for _, at := range arrived {
-			is.True(at.Sub(decided) <= maxStartAge)
+		for _, a := range arrived {
+			is.True(a.at.Sub(decided) <= maxStartAge)
+			is.Equal(a.leaseUntil, lease)
 		}
 		for range committedLate {
 			running.Go(func() {
