--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -16,20 +16,20 @@
 	"cuminloft/internal/workload"
 )
 
-// crashCell drives a core with workers that crash under deadly tasks and return after
+// crashCell drives a core with workers that crash under some tasks and return after
 // some seconds.
 type crashCell struct {
 	*testing.T
 	core     *Core
 	now      time.Time
 	workers  map[string]*crashWorker
-	deadly   func(workload.TaskID) bool
+	crashing func(workload.TaskID) bool
 	outage   outage
 	stored   map[string][]byte // progress by job
 	specs    []*workload.Job
 	starts   map[workload.TaskID]int
-	crashes  map[workload.TaskID]int // workers that crashed under a deadly task
-	surplus  int                     // starts of a deadly task after the third crash under it
+	crashes  map[workload.TaskID]int // workers that crashed under a crashing task
+	surplus  int                     // starts of a crashing task after the third crash under it
 	newIDs   int
 	takeover time.Time // of the next coordinator; zero if none is due
 	// runFor is how long a task runs.
@@ -70,8 +70,8 @@
 	crashReports = 700 * time.Millisecond
 )
 
-func newCrashCell(t *testing.T, workers int, o outage, deadly func(workload.TaskID) bool) *crashCell {
-	c := &crashCell{T: t, now: time.UnixMilli(1_000_000), workers: map[string]*crashWorker{}, deadly: deadly, outage: o, stored: map[string][]byte{},
+func newCrashCell(t *testing.T, workers int, o outage, crashing func(workload.TaskID) bool) *crashCell {
+	c := &crashCell{T: t, now: time.UnixMilli(1_000_000), workers: map[string]*crashWorker{}, crashing: crashing, outage: o, stored: map[string][]byte{},
 		starts: map[workload.TaskID]int{}, crashes: map[workload.TaskID]int{}, runFor: 3 * time.Second}
 	c.core = c.newCore()
 	for range workers {
@@ -237,9 +237,9 @@
 		return
 	}
 	c.starts[task]++
-	if !c.deadly(task) {
+	if !c.crashing(task) {
 		run := crashRun{st.Order.Run, c.now.Add(c.runFor), workload.RunDone}
-		if deadly := (workload.TaskID{StepID: task.StepID}); c.deadly(deadly) && c.core.findStep(task.StepID).spec.Gang {
+		if first := (workload.TaskID{StepID: task.StepID}); c.crashing(first) && c.core.findStep(task.StepID).spec.Gang {
 			run.until, run.outcome = c.now.Add(2*crashStep), workload.RunGangBroken
 		}
 		w.runs[task] = run
@@ -320,11 +320,11 @@
 		for kind, step := range steps {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				is := is.New(t)
-				c := newCrashCell(t, 16, o, func(id workload.TaskID) bool { return id.Job == "deadly" && id.Index == 0 })
+				c := newCrashCell(t, 16, o, func(id workload.TaskID) bool { return id.Job == "crashing" && id.Index == 0 })
 				others := 0
 				c.play(90*time.Second, func(second int) {
 					if second == 3 {
-						c.submit("deadly", step)
+						c.submit("crashing", step)
 					}
 					if second < 70 {
 						for range 4 {
@@ -335,7 +335,7 @@
 				})
 				c.Logf("crashes %v, surplus starts %d", c.crashes, c.surplus)
 				is.True(c.surplus < 3) // starts after the third crash
-				is.Equal(c.state("deadly"), workload.Failed)
+				is.Equal(c.state("crashing"), workload.Failed)
 				for i := range others {
 					is.Equal(c.state(fmt.Sprint("other", i+1)), workload.Completed)
 				}
@@ -348,13 +348,13 @@
 // most of the cell is away.
 func TestManyCrashingTasksLeaveTheCellToOthers(t *testing.T) {
 	is := is.New(t)
-	const workers, deadly = 24, 30
-	c := newCrashCell(t, workers, outage{}, func(id workload.TaskID) bool { return strings.HasPrefix(id.Job, "deadly") })
+	const workers, crashing = 24, 30
+	c := newCrashCell(t, workers, outage{}, func(id workload.TaskID) bool { return strings.HasPrefix(id.Job, "crashing") })
 	others, mostAway := 0, 0
 	c.play(150*time.Second, func(second int) {
 		if second == 3 {
-			for n := range deadly {
-				c.submit(fmt.Sprint("deadly", n), workload.Step{Tasks: 1, Resources: cores(2)})
+			for n := range crashing {
+				c.submit(fmt.Sprint("crashing", n), workload.Step{Tasks: 1, Resources: cores(2)})
 			}
 		}
 		if second < 80 {
@@ -376,8 +376,8 @@
 	c.Logf("at most %d of %d workers away from second 15 on", mostAway, workers)
 	is.True(mostAway <= workers/6)
 	is.True(c.surplus == 0)
-	for n := range deadly {
-		is.Equal(c.state(fmt.Sprint("deadly", n)), workload.Failed)
+	for n := range crashing {
+		is.Equal(c.state(fmt.Sprint("crashing", n)), workload.Failed)
 	}
 	for i := range others {
 		is.Equal(c.state(fmt.Sprint("other", i+1)), workload.Completed)
--- a/internal/dispatch/replay_crash_test.go
+++ b/internal/dispatch/replay_crash_test.go
@@ -57,7 +57,7 @@
 // narrowCrashes has one urgent job of a hundred whose first task crashes its worker.
 func narrowCrashes() pattern {
 	p := narrowGangsPattern(20*time.Second, map[time.Duration]func(*replay){})
-	p.deadly = func(r *replay, id workload.TaskID) bool {
+	p.crashing = func(r *replay, id workload.TaskID) bool {
 		return id.Index == 0 && id.Step == 0 && r.jobs[id.Job].kind == 2 && hashShare(id.Job) < 0.01
 	}
 	return p
@@ -70,12 +70,12 @@
 	r := newReplay(narrowCrashes(), 0)
 	r.play()
 	var others []*replayJob
-	deadly, blamed := 0, 0
+	crashing, blamed := 0, 0
 	for id, j := range r.jobs {
 		first := workload.TaskID{StepID: workload.StepID{Job: id}}
 		state, _ := r.core.JobState(id)
-		if r.deadly(r, first) {
-			deadly++
+		if r.crashing(r, first) {
+			crashing++
 			is.Equal(state, workload.Failed)
 			continue
 		}
@@ -85,9 +85,9 @@
 		}
 	}
 	g := r.gainOf(others)
-	t.Logf("%d tasks crashed %d workers; the others' gain %.3f, two worst windows %.3f; %d of them blamed", deadly, r.crashes, g.total, g.windows, blamed)
+	t.Logf("%d tasks crashed %d workers; the others' gain %.3f, two worst windows %.3f; %d of them blamed", crashing, r.crashes, g.total, g.windows, blamed)
 	is.Equal(blamed, 0)
-	is.True(r.crashes <= unprovenCrashLimit*deadly)
+	is.True(r.crashes <= unprovenCrashLimit*crashing)
 	is.True(g.total >= wantGain && g.windows >= wantWindows)
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -53,8 +53,8 @@
 	storeSilent bool
 	// at has the events of the pattern, by the time since its beginning.
 	at map[time.Duration]func(s *replay)
-	// deadly selects the tasks that crash the workers that start them; may be nil.
-	deadly func(r *replay, id workload.TaskID) bool
+	// crashing selects the tasks that crash the workers that start them; may be nil.
+	crashing func(r *replay, id workload.TaskID) bool
 }
 
 // replay plays a pattern.
@@ -75,7 +75,7 @@
 	pauses      [][2]time.Time
 	open        []openCores
 	idleCores   idleCores
-	crashes     int // of workers under deadly tasks
+	crashes     int // of workers under their tasks
 }
 
 // openCores is the number of cores of all reachable workers outside evacuated AZs, from a
@@ -345,7 +345,7 @@
 				continue
 			}
 			id := st.Order.Run.Task
-			if r.deadly != nil && r.deadly(r, id) {
+			if r.crashing != nil && r.crashing(r, id) {
 				r.core.HandleStartResult(st, nil, r.now)
 				r.crashWorker(w, id.StepID)
 				continue
