--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -27,7 +27,7 @@
 	// unreachableSince is when the worker went out of reach, or the takeover if it has not
 	// been in reach since.
 	unreachableSince time.Time
-	suspects         int       // runs of tasks with crashes that have not outlived crashWindow
+	suspects         int       // tasks with crashes that may be running on the worker
 	isolated         int       // those of them beside which nothing starts
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
@@ -230,7 +230,7 @@
 	kept := 0
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil && !ended(t) {
-			elsewhere = t.address
+			elsewhere = max(elsewhere, t.address) // empty if it is not known
 			kept++
 		}
 	}
