--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -34,6 +34,7 @@
 	takeover time.Time // of the next coordinator; zero if none is due
 	// runFor is how long a task runs.
 	runFor time.Duration
+	fuse   time.Duration // how long after its start a deadly task crashes its worker
 }
 
 // outage is what a coordinator sees of a worker that has crashed.
@@ -60,6 +61,7 @@
 	run     workload.Run
 	until   time.Time
 	outcome workload.Outcome
+	crashes bool // the worker, at until
 }
 
 const (
@@ -212,6 +214,10 @@
 	}
 	for _, r := range w.runs {
 		if !c.now.Before(r.until) {
+			if r.crashes {
+				c.crashUnder(w, r.run.Task)
+				return
+			}
 			w.end(r.run, r.outcome)
 		}
 	}
@@ -238,9 +244,9 @@
 	}
 	c.starts[task]++
 	if !c.deadly(task) {
-		run := crashRun{st.Order.Run, c.now.Add(c.runFor), workload.RunDone}
+		run := crashRun{run: st.Order.Run, until: c.now.Add(c.runFor), outcome: workload.RunDone}
 		if deadly := (workload.TaskID{StepID: task.StepID}); c.deadly(deadly) && c.core.findStep(task.StepID).spec.Gang {
-			run.until, run.outcome = c.now.Add(2*crashStep), workload.RunGangBroken
+			run.until, run.outcome = c.now.Add(c.fuse+2*crashStep), workload.RunGangBroken
 		}
 		w.runs[task] = run
 		c.core.HandleStartResult(st, nil, c.now)
@@ -249,13 +255,22 @@
 	if c.crashes[task] >= 3 {
 		c.surplus++
 	}
-	c.crashes[task]++
 	if c.outage.unanswered {
 		c.core.HandleUnansweredOrder(w.info.ID, c.now)
 		c.core.HandleStartResult(st, workload.ErrNoAnswer, c.now)
 	} else {
 		c.core.HandleStartResult(st, nil, c.now)
 	}
+	if c.fuse > 0 {
+		w.runs[task] = crashRun{run: st.Order.Run, until: c.now.Add(c.fuse), crashes: true}
+		return
+	}
+	c.crashUnder(w, task)
+}
+
+// crashUnder crashes a worker under a deadly task.
+func (c *crashCell) crashUnder(w *crashWorker, task workload.TaskID) {
+	c.crashes[task]++
 	c.crash(w)
 	if c.outage.takeovers && c.takeover.IsZero() {
 		c.takeover = c.now.Add(time.Second)
