--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -193,6 +193,11 @@
 	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
 }
 
+// mayTryGang reports whether a gang may start now, given the crashes under its members.
+func (c *Core) mayTryGang(s *step) bool {
+	return !s.retriesLater(c.pass.now) && (!s.isolates() || c.mayIsolate(c.queueOf(s.job)))
+}
+
 // acceptsBesideSuspects reports whether a task may start on a worker: beside an isolated
 // suspect nothing starts, and an isolated suspect starts beside no other suspect.
 func (w *worker) acceptsBesideSuspects(isolated bool) bool {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -6,7 +6,7 @@
 func (c *Core) placeGang(r rankedStep) bool {
 	s := r.step
 	workers := c.eligibleWorkers(r)
-	if len(workers) == 0 || s.retriesLater(c.pass.now) || s.isolates() && !c.mayIsolate(c.queueOf(s.job)) || c.fitInTeamLimit(s) < len(s.tasks) {
+	if len(workers) == 0 || !c.mayTryGang(s) || c.fitInTeamLimit(s) < len(s.tasks) {
 		return false
 	}
 	plan := c.gangPlan(r, workers)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -153,7 +153,7 @@
 		s.reservedFrom = time.Time{}
 		if c.placeGang(r) {
 			placed = true
-		} else if r.rank.group <= groupLate && !s.retriesLater(now) && c.fitInTeamLimit(s) >= len(s.tasks) {
+		} else if r.rank.group <= groupLate && c.mayTryGang(s) && c.fitInTeamLimit(s) >= len(s.tasks) {
 			c.reserve(s, now)
 		}
 	}
