--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -39,7 +39,7 @@
 	stopsDue        bool
 	tasksCheckedAt  time.Time
 	reservedWorkers map[string]*worker // workers with capacity reserved for gangs, as of the latest scheduling pass
-	isolatedWorkers int                // workers beside whose suspects nothing starts
+	isolatedWorkers map[string]int     // by pool: workers beside whose suspects nothing starts
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
@@ -68,6 +68,7 @@
 		adviceStats:     newAdviceStats(),
 		durationModels:  map[string]*durationModel{},
 		reservedWorkers: map[string]*worker{},
+		isolatedWorkers: map[string]int{},
 	}
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -143,7 +143,8 @@
 	if t.isolates() {
 		t.isolated = true
 		if w.isolated++; w.isolated == 1 {
-			c.isolatedWorkers++
+			w.isolatedIn = w.info.Pool
+			c.isolatedWorkers[w.isolatedIn]++
 		}
 	}
 }
@@ -157,7 +158,7 @@
 	w.suspects--
 	if t.isolated {
 		if w.isolated--; w.isolated == 0 {
-			c.isolatedWorkers--
+			c.isolatedWorkers[w.isolatedIn]--
 		}
 	}
 	t.onProbation, t.isolated = false, false
@@ -190,7 +191,7 @@
 // mayIsolate reports whether another isolated suspect may start in the queue's pool now.
 func (c *Core) mayIsolate(q *workload.Queue) bool {
 	p := c.pass.pools[q.Pool]
-	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+	return p != nil && c.isolatedWorkers[q.Pool] < max(1, int(maxIsolatedShare*float64(len(p.workers))))
 }
 
 // mayTryGang reports whether a gang may start now, given the crashes under its members.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -155,7 +155,7 @@
 
 // checkCounts compares the counts of suspects with the tasks.
 func (c *crashCell) checkCounts() {
-	isolatedWorkers := 0
+	isolatedWorkers := map[string]int{}
 	for id, w := range c.core.workers {
 		suspects, isolated := 0, 0
 		for task := range w.tasks {
@@ -168,14 +168,15 @@
 			}
 		}
 		if isolated > 0 {
-			isolatedWorkers++
+			isolatedWorkers[w.info.Pool]++
 		}
 		if w.suspects != suspects || w.isolated != isolated {
 			c.Errorf("worker %s counts %d suspects and %d isolated ones, but has %d and %d", id, w.suspects, w.isolated, suspects, isolated)
 		}
 	}
-	if c.core.isolatedWorkers != isolatedWorkers {
-		c.Errorf("%d workers count as isolated, but %d are", c.core.isolatedWorkers, isolatedWorkers)
+	maps.DeleteFunc(c.core.isolatedWorkers, func(_ string, n int) bool { return n == 0 })
+	if !maps.Equal(c.core.isolatedWorkers, isolatedWorkers) {
+		c.Errorf("workers that count as isolated, by pool: %v, but are: %v", c.core.isolatedWorkers, isolatedWorkers)
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -29,6 +29,7 @@
 	unreachableSince time.Time
 	suspects         int       // runs of tasks with crashes that have not outlived crashWindow
 	isolated         int       // those of them beside which nothing starts
+	isolatedIn       string    // pool in which it counts as isolated
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
 	health
