--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -25,9 +25,10 @@
 	// at one time, counting those that are away after a crash. Load pattern: many tasks that
 	// crash their workers; tried all at once, they take the cell from all others.
 	maxIsolatedShare = 0.1
-	// A job fails after crashLimit crashes in a row under one of its tasks if provenCrashes
-	// of them are proven. Workers that are cut off look like crashed ones, so otherwise the
-	// limit is unprovenCrashLimit.
+	// A job fails after crashLimit crashes in a row under one of its tasks, if provenCrashes
+	// of them are proven and the task ran isolated at the last one: before that, suspects
+	// that crash their workers may start beside it. Workers that are cut off look like
+	// crashed ones, so otherwise the limit is unprovenCrashLimit.
 	crashLimit         = 3
 	provenCrashes      = 2
 	unprovenCrashLimit = 5
@@ -49,9 +50,10 @@
 	proven int
 }
 
-// conclusive reports whether the task is taken for the cause of the crashes.
-func (n crashCount) conclusive() bool {
-	return n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
+// conclusive reports whether a task is taken for the cause of the crashes, given whether it
+// ran isolated at the last one.
+func (n crashCount) conclusive(isolated bool) bool {
+	return isolated && n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
 }
 
 // isolates reports whether the task is to run beside no other new run.
@@ -65,12 +67,12 @@
 	if t.workerRestarted {
 		evidence = workerRestarted
 	}
-	crashed := c.crashedUnder(w, s, t, evidence)
+	crashed, isolated := c.crashedUnder(w, s, t, evidence), t.isolated
 	if crashed {
 		c.countCrash(w, s, i, evidence, now)
 	}
 	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
-	if crashed && t.conclusive() {
+	if crashed && t.conclusive(isolated) {
 		c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes, "proven", t.proven)
 		c.finish(s.job, workload.Failed, now)
 	}
