--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,7 +31,7 @@
 	// crashed ones, so otherwise the limit is unprovenCrashLimit.
 	crashLimit         = 3
 	provenCrashes      = 2
-	unprovenCrashLimit = 5
+	unprovenCrashLimit = 4
 )
 
 // crashEvidence is how the end of a worker without notice became known.
