--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -25,12 +25,13 @@
 	// at one time, counting those that are away after a crash. Load pattern: many tasks that
 	// crash their workers; tried all at once, they take the cell from all others.
 	maxIsolatedShare = 0.1
-	// A job fails after crashLimit crashes in a row under one of its tasks if provenCrashes
-	// of them are proven. Workers that are cut off look like crashed ones, so otherwise the
-	// limit is unprovenCrashLimit.
+	// A job fails after crashLimit crashes in a row under one of its tasks, if provenCrashes
+	// of them are proven and the task ran isolated at the last one: before that, suspects
+	// that crash their workers may start beside it. Workers that are cut off look like
+	// crashed ones, so otherwise the limit is unprovenCrashLimit.
 	crashLimit         = 3
 	provenCrashes      = 2
-	unprovenCrashLimit = 5
+	unprovenCrashLimit = 4
 )
 
 // crashEvidence is how the end of a worker without notice became known.
@@ -49,9 +50,10 @@
 	proven int
 }
 
-// conclusive reports whether the task is taken for the cause of the crashes.
-func (n crashCount) conclusive() bool {
-	return n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
+// conclusive reports whether a task is taken for the cause of the crashes, given whether it
+// ran isolated at the last one.
+func (n crashCount) conclusive(isolated bool) bool {
+	return isolated && n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
 }
 
 // isolates reports whether the task is to run beside no other new run.
@@ -65,12 +67,12 @@
 	if t.workerRestarted {
 		evidence = workerRestarted
 	}
-	crashed := c.crashedUnder(w, s, t, evidence)
+	crashed, isolated := c.crashedUnder(w, s, t, evidence), t.isolates()
 	if crashed {
 		c.countCrash(w, s, i, evidence, now)
 	}
 	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
-	if crashed && t.conclusive() {
+	if crashed && t.conclusive(isolated) {
 		c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes, "proven", t.proven)
 		c.finish(s.job, workload.Failed, now)
 	}
@@ -157,7 +159,10 @@
 	before := w.isolated > 0
 	w.isolated += n
 	if before != (w.isolated > 0) {
-		c.isolatedWorkers += n
+		if n > 0 {
+			w.isolatedIn = w.info.Pool
+		}
+		c.isolatedWorkers[w.isolatedIn] += n
 	}
 }
 
@@ -193,7 +198,7 @@
 // mayIsolate reports whether another isolated suspect may start in the queue's pool now.
 func (c *Core) mayIsolate(q *workload.Queue) bool {
 	p := c.pass.pools[q.Pool]
-	return p != nil && c.isolatedWorkers < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+	return p != nil && c.isolatedWorkers[q.Pool] < max(1, int(maxIsolatedShare*float64(len(p.workers))))
 }
 
 // acceptsBesideSuspects reports whether a task may start on a worker: beside an isolated
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -105,9 +105,10 @@
 	return pass
 }
 
-// schedulable reports whether a worker accepts new tasks at all.
+// schedulable reports whether a worker accepts new tasks at all. One that has restarted
+// under its ID may be of another kind, until its registration is read.
 func (c *Core) schedulable(w *worker, now time.Time) bool {
-	return w.registered && w.reachable && !w.info.Draining && !c.evacuated[w.info.AZ] && !c.cordoned[w.info.ID] &&
+	return w.registered && w.reachable && w.registrationIsCurrent() && !w.info.Draining && !c.evacuated[w.info.AZ] && !c.cordoned[w.info.ID] &&
 		!now.Before(w.backoffUntil) && !now.Before(w.quarantineUntil) && !now.Before(c.suspectAZ[w.info.AZ])
 }
 
@@ -153,7 +154,7 @@
 		s.reservedFrom = time.Time{}
 		if c.placeGang(r) {
 			placed = true
-		} else if r.rank.group <= groupLate && !s.retriesLater(now) && c.fitInTeamLimit(s) >= len(s.tasks) {
+		} else if r.rank.group <= groupLate && !c.waitsAfterCrashes(s, c.queueOf(s.job)) && c.fitInTeamLimit(s) >= len(s.tasks) {
 			c.reserve(s, now)
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -29,6 +29,7 @@
 	unreachableSince time.Time
 	suspects         int       // tasks with crashes that may be running on the worker
 	isolated         int       // those of them beside which nothing starts
+	isolatedIn       string    // pool in which it counts as isolated
 	backoffUntil     time.Time // no tasks start on the worker before this time
 	unansweredAt     time.Time // when the worker last left an order unanswered
 	health
@@ -385,6 +386,12 @@
 	return ""
 }
 
+// registrationIsCurrent reports whether the registration is that of the incarnation that
+// answers, as far as it names one.
+func (w *worker) registrationIsCurrent() bool {
+	return w.info.Incarnation == 0 || w.info.Incarnation == w.incarnation
+}
+
 // free returns the unused capacity.
 func (w *worker) free() model.Resources {
 	f := w.info.Capacity.Sub(w.used)
