--- a/review/cell/store.go
+++ b/review/cell/store.go
@@ -102,9 +102,3 @@
 	_, err = s.Rows.Commit(context.Background(), platform.Tx{Puts: []platform.PartitionRow{{Table: table, Key: key, Value: data}}})
 	return err
 }
-
-// remove removes a row as the platform does.
-func (s *Store) remove(table, key string) error {
-	_, err := s.Rows.Commit(context.Background(), platform.Tx{Removes: []platform.PartitionRow{{Table: table, Key: key}}})
-	return err
-}
