--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,10 +22,10 @@
 type caseFunc func(dir string, trouble bool) (finding string, err error)
 
 var cases = map[string]caseFunc{
-	"lease":     leaseAfterRestart,
-	"schedule":  longSchedule,
-	"headroom":  wholeWorker,
-	"fills":     fillingTask,
+	"lease":    leaseAfterRestart,
+	"schedule": longSchedule,
+	"headroom": wholeWorker,
+	"fills":    fillingTask,
 }
 
 func main() {
