--- a/review/cell/cell.go
+++ b/review/cell/cell.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -116,6 +117,7 @@
 	if err := c.configure(o.Tenants); err != nil {
 		return c, err
 	}
+	go c.endOnSignal()
 	go c.registerAll()
 	for i := range entryHosts {
 		if err := c.startHost(i, store); err != nil {
@@ -230,10 +232,29 @@
 		_ = h.command.Wait() // how it ended is in the log
 		close(h.ended)
 	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.hosts = append(c.hosts, h)
 	return nil
 }
 
+// endOnSignal ends the entry processes if this process is told to stop.
+func (c *Cell) endOnSignal() {
+	const notRun = 2
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-c.stop:
+		signal.Stop(signals)
+	case <-signals:
+		c.mu.Lock()
+		for _, h := range c.hosts {
+			_ = h.command.Process.Kill() // fails only if it has ended
+		}
+		os.Exit(notRun)
+	}
+}
+
 const (
 	readyTimeout = 15 * time.Second
 	pollPause    = 50 * time.Millisecond
