--- a/review/cell/gate.go
+++ b/review/cell/gate.go
@@ -9,16 +9,17 @@
 // what is sent meanwhile is lost with its connection.
 type gate struct {
 	mu      sync.Mutex
-	closed  bool
+	closed  int // cuts in force
 	changed chan struct{}
 }
 
 func newGate() *gate { return &gate{changed: make(chan struct{})} }
 
-func (g *gate) set(closed bool) {
+// add begins a cut, or ends one. Cuts may overlap.
+func (g *gate) add(cuts int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = closed
+	g.closed += cuts
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
@@ -27,7 +28,7 @@
 func (g *gate) pass() bool {
 	for open := true; ; open = false {
 		g.mu.Lock()
-		closed, changed := g.closed, g.changed
+		closed, changed := g.closed > 0, g.changed
 		g.mu.Unlock()
 		if !closed {
 			return open
--- a/review/cell/worker.go
+++ b/review/cell/worker.go
@@ -126,10 +126,13 @@
 	return nil
 }
 
-// SetCut cuts the worker off from all hosts of the system, or ends that. It runs on.
-func (w *Worker) SetCut(cut bool) {
-	w.cell.Record.Add("worker %s: cut off from all hosts of the system: %v", w.ID, cut)
-	w.gate.set(cut)
+// Cut cuts the worker off from all hosts of the system for a time. It runs on.
+func (w *Worker) Cut(length time.Duration) {
+	w.cell.Record.Add("worker %s: cut off from all hosts of the system for %v", w.ID, length)
+	w.gate.add(1)
+	time.Sleep(length)
+	w.gate.add(-1)
+	w.cell.Record.Add("worker %s: the cut of %v ends", w.ID, length)
 }
 
 // register writes the worker's registry entry.
