--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -141,17 +141,22 @@
 	f.ended[task] = time.Now()
 }
 
+// longestLease is the longest lease that a worker gives its runs, on its own clock.
+const longestLease = 10 * time.Second
+
 // extend renews the lease of all runs. The caller holds mu.
 func (f *fleet) extend(w *fleetWorker, until int64) {
+	until = min(until, w.clock()+longestLease.Milliseconds())
 	end := w.began.Add(time.Duration(float64(time.Duration(until)*time.Millisecond) / slowClock))
 	if !end.After(w.lease) {
 		return
 	}
 	w.lease = end
+	incarnation := w.Incarnation
 	time.AfterFunc(time.Until(end), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if time.Now().Before(w.lease) {
+		if time.Now().Before(w.lease) || w.Incarnation != incarnation {
 			return
 		}
 		for task := range w.runs {
@@ -160,13 +165,16 @@
 	})
 }
 
-// call finds the worker that a command is for, raises its fence and renews its lease.
-// The caller holds mu.
-func (f *fleet) call(ctx context.Context, target *workload.Worker, fence, lease int64) (*fleetWorker, error) {
+// call finds the worker that a command is for, raises its fence and renews its lease. An
+// incarnation of 0 is any. The caller holds mu.
+func (f *fleet) call(ctx context.Context, target *workload.Worker, incarnation, fence, lease int64) (*fleetWorker, error) {
 	w := f.workers[target.ID]
 	if target.Address != w.Address {
 		return nil, workload.ErrReplaced
 	}
+	if incarnation != 0 && incarnation != w.Incarnation && !w.unreachable {
+		return nil, workload.ErrRestarted
+	}
 	if w.unreachable || w.fencedOff != 0 && fence > w.fencedOff {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -191,7 +199,7 @@
 		reached.unreachable = false
 		defer func() { reached.unreachable = true }()
 	}
-	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Incarnation, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return workload.Inventory{}, err
 	}
@@ -222,7 +230,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target, o.Fence, o.LeaseUntil)
+	w, err := f.call(ctx, target, o.Incarnation, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return 0, err
 	}
@@ -255,7 +263,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, err := f.call(ctx, target, fence, 0)
+	w, err := f.call(ctx, target, 0, fence, 0)
 	if err != nil {
 		return err
 	}
@@ -283,6 +291,21 @@
 	f.publish(w)
 }
 
+// restart begins a new incarnation of a worker, which knows nothing of the earlier one and
+// whose clock starts anew. The registry still lists the earlier one.
+func (f *fleet) restart(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	for task := range w.runs {
+		delete(f.running, task)
+		f.ended[task] = time.Now()
+	}
+	w.Incarnation++
+	w.began, w.lease, w.fence, w.seq, w.ends = time.Now(), time.Time{}, 0, 0, nil
+	w.runs, w.highest = map[workload.TaskID]int{}, map[workload.TaskID]int{}
+}
+
 // setUnreachable cuts a worker off from the coordinators, or ends that state.
 func (f *fleet) setUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -111,10 +111,10 @@
 	ack            int64 // ends of runs up to this sequence number are stored
 	ackIncarnation int64 // incarnation whose sequence numbers ack refers to
 	ackSent        int64 // sent with the latest heartbeat that was answered
-	incarnation    int64 // incarnation that answered the latest heartbeat
+	incarnation    int64 // incarnation that answered the latest heartbeat; 0 if it has ended
 	tasks          int
 	shortTasks     bool      // a short task may be running
-	clock          int64     // latest reading of the worker's clock, milliseconds
+	clock          int64     // latest reading of the incarnation's clock, milliseconds; 0 if there is none
 	clockReceived  time.Time // when clock was received; the reading may be older, not newer
 	leasesEndBy    time.Time // all leases given by this link have expired then
 	grantedAt      time.Time // when a lease was last given
@@ -195,25 +195,44 @@
 	return true
 }
 
-// setClock records a reading of the worker's clock.
-func (l *link) setClock(clockMS int64) {
-	if clockMS <= 0 {
-		return
+// setClock records a reading of an incarnation's clock. The caller holds mu.
+func (l *link) setClock(incarnation, clockMS int64) {
+	if clockMS > 0 && incarnation == l.incarnation {
+		l.clock, l.clockReceived = clockMS, time.Now()
 	}
+}
+
+// restarted records that an incarnation has ended. A heartbeat is due: the next incarnation
+// and its clock are not known.
+func (l *link) restarted(incarnation int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.clock, l.clockReceived = clockMS, time.Now()
+	if l.incarnation == incarnation {
+		l.incarnation, l.clock = 0, 0
+		signal(l.notIdle)
+	}
 }
 
-// newLeaseEnd returns the end of a lease given now, on the worker's clock. It returns 0
-// if the clock is not known, if the leadership was last renewed takeoverBound ago, if the
-// bound of the worker's leases is stored, or if the worker did not answer the latest
-// heartbeats: offering further leases to an unreachable worker would keep extending the
-// time by which its leases have expired.
-func (l *link) newLeaseEnd() int64 {
-	now := time.Now()
+// lease is a lease for all runs of one incarnation of a worker.
+type lease struct {
+	until       int64 // on the incarnation's clock, in milliseconds; 0 is no lease
+	incarnation int64 // 0 if the worker names none
+}
+
+// newLease returns a lease given now.
+func (l *link) newLease() lease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return lease{l.leaseUntil(time.Now()), l.incarnation}
+}
+
+// leaseUntil returns the end of a lease given now, on the clock of the incarnation known.
+// Another one must not get it: on its clock the lease may end after leasesEndBy. It returns
+// 0 if the clock is not known, if the leadership was last renewed takeoverBound ago, if the
+// bound of the worker's leases is stored, or if the worker did not answer the latest
+// heartbeats: offering further leases to an unreachable worker would keep extending the
+// time by which its leases have expired. The caller holds mu.
+func (l *link) leaseUntil(now time.Time) int64 {
 	if l.clock == 0 || !l.answered || l.withheld {
 		return 0
 	}
@@ -293,15 +312,12 @@
 // heartbeat makes one heartbeat call and posts its result to the event loop.
 func (l *link) heartbeat(ctx context.Context, first bool) (workload.Inventory, error) {
 	l.mu.Lock()
-	order := workload.Heartbeat{Fence: l.set.fence, AckSeq: l.ackSeq()}
+	order := workload.Heartbeat{Fence: l.set.fence}
 	failures := l.failures
-	if l.tasks > 0 && failures == 0 {
+	if l.tasks > 0 && failures == 0 && !first {
 		order.Wait = l.busyWait()
 	}
 	l.mu.Unlock()
-	if first {
-		order.Wait, order.AckSeq = 0, 0
-	}
 	if order.Wait == 0 {
 		select {
 		case l.set.shortHeartbeats <- struct{}{}:
@@ -310,8 +326,15 @@
 			return workload.Inventory{}, ctx.Err()
 		}
 	}
-	order.LeaseUntil = l.newLeaseEnd()
 	l.mu.Lock()
+	known := l.incarnation
+	if !first {
+		order.AckSeq = l.ackSeq()
+	}
+	order.LeaseUntil = l.leaseUntil(time.Now())
+	if order.AckSeq != 0 || order.LeaseUntil != 0 {
+		order.Incarnation = known
+	}
 	l.leaseless = order.LeaseUntil == 0
 	l.mu.Unlock()
 	sentAt := time.Now()
@@ -319,12 +342,15 @@
 	inv, err := l.set.coordinator.Commander.Heartbeat(call, &l.worker, order)
 	cancel()
 	if err == nil {
-		l.setClock(inv.ClockMS)
 		if took := time.Since(sentAt); took >= order.Wait { // otherwise the worker has waited for an unknown time
 			l.set.answerTimes.add(took - order.Wait)
 		}
 	}
-	if l.recordHeartbeat(order, inv, err) {
+	if errors.Is(err, workload.ErrRestarted) {
+		l.restarted(order.Incarnation)
+		return inv, err
+	}
+	if l.recordHeartbeat(order, known, inv, err) {
 		l.post(ctx, heartbeatResult{l.worker.ID, l.worker.Address, inv, sentAt, err})
 	}
 	return inv, err
@@ -343,14 +369,22 @@
 	}
 }
 
-// recordHeartbeat records the outcome of a heartbeat and reports whether it is to be
-// passed on: a single one without an answer is not.
-func (l *link) recordHeartbeat(order workload.Heartbeat, inv workload.Inventory, err error) bool {
+// recordHeartbeat records the outcome of a heartbeat that was sent when the given
+// incarnation was the latest one known. It reports whether the outcome is to be passed on: a
+// single heartbeat without an answer is not, nor is the answer of an incarnation that was
+// not known before and may have ended since.
+func (l *link) recordHeartbeat(order workload.Heartbeat, known int64, inv workload.Inventory, err error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
-		l.answered, l.failures = true, 0
-		l.incarnation, l.ackSent = inv.Incarnation, order.AckSeq
+		if inv.Incarnation != l.incarnation {
+			if l.incarnation != known {
+				return false
+			}
+			l.incarnation, l.clock = inv.Incarnation, 0
+		}
+		l.setClock(inv.Incarnation, inv.ClockMS)
+		l.answered, l.failures, l.ackSent = true, 0, order.AckSeq
 		return true
 	}
 	l.failures++
@@ -406,19 +440,23 @@
 // order that waits behind others until its run counts as over is refused by the worker. It
 // is repeated if its answer is lost: a worker that already runs the task answers as if it
 // had just started it.
-func (l *link) start(ctx context.Context, st dispatch.Start, leaseUntil int64) {
+func (l *link) start(ctx context.Context, st dispatch.Start, given lease) {
+	st.Order.Fence, st.Order.LeaseUntil, st.Order.Incarnation = l.set.fence, given.until, given.incarnation
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		if time.Since(st.DecidedAt) > maxStartAge {
 			return workload.ErrStartExpired
 		}
-		order := st.Order
-		order.Fence = l.set.fence
-		order.LeaseUntil = leaseUntil
-		if order.LeaseUntil == 0 {
+		if given.until == 0 {
 			return workload.ErrUnhealthy
 		}
-		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, order)
-		l.setClock(clock)
+		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, st.Order)
+		if errors.Is(err, workload.ErrRestarted) {
+			l.restarted(given.incarnation)
+			return err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.setClock(given.incarnation, clock)
 		return err
 	}, startAttempts)
 	st.Worker.Address = l.worker.Address // to which the order was sent
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -76,7 +76,7 @@
 		f.mu.Unlock()
 		time.Sleep(time.Duration(clockDriftFactor*float64(leaseDuration)) + 4*time.Second)
 		is.True(l.leasesEnd().Before(time.Now()))
-		is.Equal(l.newLeaseEnd(), int64(0)) // no start order is sent there meanwhile
+		is.Equal(l.newLease().until, int64(0)) // no start order is sent there meanwhile
 		cancel()
 		<-ended
 	})
@@ -302,19 +302,19 @@
 		running.Go(func() { l.run(ctx) })
 		time.Sleep(time.Second) // the worker's clock is known
 		const starts, committedLate = 20, 5
-		decided, lease := time.Now(), l.newLeaseEnd()
+		decided, given := time.Now(), l.newLease()
 		for range starts {
-			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}, lease) })
+			running.Go(func() { l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: decided}, given) })
 		}
 		time.Sleep(10 * time.Second)
 		arrived := f.arrivals()
 		for _, a := range arrived {
 			is.True(a.at.Sub(decided) <= maxStartAge)
-			is.Equal(a.leaseUntil, lease)
+			is.Equal(a.leaseUntil, given.until)
 		}
 		for range committedLate {
 			running.Go(func() {
-				l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now().Add(-maxStartAge - time.Millisecond)}, l.newLeaseEnd())
+				l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now().Add(-maxStartAge - time.Millisecond)}, l.newLease())
 			})
 		}
 		time.Sleep(time.Second)
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -69,8 +69,8 @@
 func (s *linkSet) start(ctx context.Context, starts []dispatch.Start) {
 	for _, st := range starts {
 		if l := s.links[st.Worker.ID]; l != nil {
-			leaseUntil := l.newLeaseEnd()
-			s.spawn(func() { l.start(ctx, st, leaseUntil) })
+			given := l.newLease()
+			s.spawn(func() { l.start(ctx, st, given) })
 		}
 	}
 }
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -34,13 +34,12 @@
 		return
 	}
 	c.emit("start refused", "task", run.Task.String(), "run", run.Number, "worker", st.Worker.ID, "cause", err.Error())
-	c.handleStartError(s, run.Task.Index, w, st.Worker.Address, err, now)
+	c.handleStartError(s, run.Task.Index, w, st, err, now)
 }
 
 // handleStartError handles a start that was refused or not answered. A run whose start
-// was not answered is stopped, so that a delayed start order has no effect. The order was
-// sent to the given address.
-func (c *Core) handleStartError(s *step, i int, w *worker, address string, err error, now time.Time) {
+// was not answered is stopped, so that a delayed start order has no effect.
+func (c *Core) handleStartError(s *step, i int, w *worker, st Start, err error, now time.Time) {
 	if errors.Is(err, workload.ErrNoAnswer) {
 		c.stop(s, i)
 		return
@@ -49,8 +48,13 @@
 	case errors.Is(err, workload.ErrReplaced):
 		// Unless an earlier order was lost, this one did not reach the worker.
 		s.tasks[i].startSent = !w.unansweredAt.IsZero()
-		c.HandleReplaced(w.info.ID, address, now)
+		c.HandleReplaced(w.info.ID, st.Worker.Address, now)
 		return
+	case errors.Is(err, workload.ErrRestarted):
+		if w.reachable && w.incarnation == st.Order.Incarnation {
+			w.reachable, w.unreachableSince = false, now
+			c.emit("worker restarted unnoticed", "worker", w.info.ID, "born", w.incarnation, "tasks", len(w.tasks))
+		}
 	case errors.Is(err, workload.ErrBadTicket):
 		s.advice.dropTicket(s.tasks[i].worker)
 		c.adviceStats.TicketsRefused++
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -529,6 +529,31 @@
 	})
 }
 
+// Guards against an answer of an earlier incarnation that is read after one of a later one:
+// the worker's runs would count as lost, and the numbers of its ends as those of the earlier
+// one.
+func TestInventoryOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	const later = testIncarnation + 1
+	c := newCell(t)
+	c.addWorker("w", 8)
+	requestedBefore := c.now
+	c.now = c.now.Add(time.Second)
+	c.setEntry("w:1", later)
+	c.reportInventory("w", workload.Inventory{Incarnation: later})
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	is.Equal(len(c.startTasks(nil)), 1)
+	c.now = c.now.Add(time.Millisecond)
+	c.core.HandleInventory("w", workload.Inventory{Incarnation: testIncarnation}, requestedBefore, c.now)
+	view, _ := c.core.ViewWorker("w")
+	is.Equal(view.Incarnation, int64(later))
+	is.Equal(view.Tasks, 1)
+	c.now = c.now.Add(time.Second)
+	c.reportInventory("w", workload.Inventory{Incarnation: later + 1}) // it has restarted again
+	view, _ = c.core.ViewWorker("w")
+	is.Equal(view.Incarnation, int64(later+1))
+}
+
 func TestOccurrencesOpenWhenDue(t *testing.T) {
 	is := is.New(t)
 	c := newCell(t)
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -13,11 +13,19 @@
 		return
 	}
 	if inv.Incarnation != w.incarnation {
+		if requestedAt.Before(w.incarnationSeenAt) {
+			// Answers may overtake each other: either incarnation may be the later one.
+			c.emit("inventory of another incarnation ignored", "worker", id, "born", inv.Incarnation, "current", w.incarnation)
+			return
+		}
 		if inv.Incarnation < w.incarnation {
 			w.refutedIncarnation = w.incarnation
 		}
 		c.startIncarnation(w, inv.Incarnation)
 	}
+	if w.incarnationSeenAt.IsZero() {
+		w.incarnationSeenAt = now
+	}
 	if requestedAt.After(w.unansweredAt) && !w.unansweredAt.IsZero() {
 		w.unansweredAt, w.backoffUntil = time.Time{}, now
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -15,7 +15,8 @@
 	reachable            bool // answered the latest heartbeat under this core's fence
 	lostContact          bool // did not answer the latest heartbeat
 	incarnation          int64
-	refutedIncarnation   int64 // the latest one that the registry named and the worker itself did not
+	incarnationSeenAt    time.Time // when an inventory first showed the incarnation; zero if only the registry did
+	refutedIncarnation   int64     // the latest one that the registry named and the worker itself did not
 	used                 model.Resources
 	bestEffortMilliCores int64 // thousandths of a core that best-effort tasks would use
 	throttle             throttle
@@ -183,14 +184,14 @@
 }
 
 // startIncarnation handles a restart of the worker under the same ID. The runs of the old
-// incarnation have ended, but a start that was sent to it may have reached the new one,
-// since orders do not distinguish the incarnations. So the tasks count as possibly running
-// until an inventory of the new incarnation shows whether they run.
+// incarnation have ended, but a start that a coordinator of an older build sent may have
+// reached the new one, since its orders do not distinguish the incarnations. So the tasks
+// count as possibly running until an inventory of the new incarnation shows whether they run.
 func (c *Core) startIncarnation(w *worker, incarnation int64) {
 	if w.incarnation != 0 {
 		c.emit("worker started anew", "worker", w.info.ID, "born", incarnation, "tasks", len(w.tasks))
 	}
-	w.incarnation, w.appliedSeq, w.ackedSeq = incarnation, 0, 0
+	w.incarnation, w.incarnationSeenAt, w.appliedSeq, w.ackedSeq = incarnation, time.Time{}, 0, 0
 	delete(c.unacked, w.info.ID)
 	c.changedWorkers[w.info.ID] = true
 	w.reachable = false
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -370,11 +370,16 @@
 	omitJobs  bool // notifications to this host leave out the job
 }
 
-// StartRuns sends start orders to workers on behalf of the coordinator.
+// StartRuns sends start orders to workers on behalf of a coordinator of an older build.
 func (s *peerService) StartRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
 	return s.starts.startRuns(ctx, r), nil
 }
 
+// StartIncarnationRuns sends start orders to workers on behalf of the coordinator.
+func (s *peerService) StartIncarnationRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
+	return s.starts.startRuns(ctx, r), nil
+}
+
 // Probe reports whether this host is the coordinator.
 func (s *peerService) Probe(context.Context, *rpc.ProbeRequest) (*rpc.ProbeReply, error) {
 	status, leads := s.local.Status()
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -173,7 +173,7 @@
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
 	defer cancel()
-	reply, err := h.relay.client(h.address).StartRuns(ctx, request)
+	reply, err := h.relay.client(h.address).StartIncarnationRuns(ctx, request)
 	if err == nil && len(reply.Results) != len(batch) {
 		err = fmt.Errorf("%d results for %d start orders", len(reply.Results), len(batch))
 	}
@@ -232,7 +232,7 @@
 		request.Starts = append(request.Starts, &rpc.RunStart{
 			Worker: p.worker.ID, Address: p.worker.Address, Job: task.Job, Occurrence: int32(task.Occurrence),
 			Step: int32(task.Step), Index: int32(task.Index), Run: int64(o.Run.Number),
-			LeaseUntil: o.LeaseUntil, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+			LeaseUntil: o.LeaseUntil, Incarnation: o.Incarnation, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 		})
 	}
 	return request, added
@@ -293,7 +293,7 @@
 	step := workload.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}
 	clock, err := s.commander.Start(ctx, &workload.Worker{ID: r.Worker, Address: r.Address}, workload.StartOrder{
 		Run:  workload.Run{Task: workload.TaskID{StepID: step, Index: int(r.Index)}, Number: int(r.Run)},
-		Spec: spec, LeaseUntil: r.LeaseUntil, Fence: fence, Checkpoint: r.Checkpoint, Ticket: r.Ticket,
+		Spec: spec, LeaseUntil: r.LeaseUntil, Incarnation: r.Incarnation, Fence: fence, Checkpoint: r.Checkpoint, Ticket: r.Ticket,
 	})
 	return &rpc.RunStartResult{Error: encodeStartError(err), ClockMs: clock}
 }
@@ -306,7 +306,7 @@
 
 // startErrors are the errors of a worker that prove that an order was not carried out.
 var startErrors = map[string]error{
-	"replaced": workload.ErrReplaced, "fenced": workload.ErrFenced, "old": workload.ErrRunTooOld,
+	"replaced": workload.ErrReplaced, "restarted": workload.ErrRestarted, "fenced": workload.ErrFenced, "old": workload.ErrRunTooOld,
 	"late": workload.ErrLeaseInPast, "capacity": workload.ErrInsufficientCapacity, "ticket": workload.ErrBadTicket,
 	"unhealthy": workload.ErrUnhealthy, "malformed": workload.ErrMalformedOrder, startNotRelayed: errNotRelayed,
 }
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -51,7 +51,7 @@
 	calls     int
 }
 
-func (s *relayService) StartRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
+func (s *relayService) StartIncarnationRuns(ctx context.Context, r *rpc.StartRunsRequest) (*rpc.StartRunsReply, error) {
 	s.mu.Lock()
 	s.calls++
 	for _, spec := range r.Specs {
@@ -95,7 +95,7 @@
 func order(job string, index int) workload.StartOrder {
 	return workload.StartOrder{
 		Run:  workload.Run{Task: workload.TaskID{StepID: workload.StepID{Job: job, Occurrence: 1, Step: 2}, Index: index}, Number: 3},
-		Spec: job + strings.Repeat("x", 1000), LeaseUntil: 5, Fence: 6, Checkpoint: "c", Ticket: "t",
+		Spec: job + strings.Repeat("x", 1000), LeaseUntil: 5, Incarnation: 7, Fence: 6, Checkpoint: "c", Ticket: "t",
 	}
 }
 
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -75,6 +75,9 @@
 	MaxConnsPerHost int           // default: unlimited
 	// OpenConns counts the client's open connections; may be nil.
 	OpenConns *atomic.Int64
+	// OnDial is called with each new connection and returns the one to use; may be nil. Its
+	// context has the values of the call for which the connection is opened.
+	OnDial func(ctx context.Context, conn net.Conn) (net.Conn, error)
 }
 
 // NewClientWithOptions returns a client as NewClient does, with options.
@@ -97,6 +100,9 @@
 			return &countedConn{Conn: conn, open: o.OpenConns}, nil
 		}
 	}
+	if o.OnDial != nil {
+		dial = prepared(dial, o.OnDial)
+	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: MaxIdleConnsPerHost,
@@ -106,6 +112,24 @@
 	}}
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// prepared returns a dial function that passes each new connection through prepare. A
+// connection for which that fails is closed.
+func prepared(dial dialFunc, prepare func(context.Context, net.Conn) (net.Conn, error)) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		ready, err := prepare(ctx, conn)
+		if err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+		return ready, nil
+	}
+}
+
 // countedConn is a connection that decrements open when it is closed.
 type countedConn struct {
 	net.Conn
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -56,12 +56,13 @@
 
 // StartOrder is the command to start a run.
 type StartOrder struct {
-	Run        Run
-	Spec       string
-	LeaseUntil int64 // end of the lease on the worker's clock, in milliseconds
-	Fence      int64
-	Checkpoint string
-	Ticket     string
+	Run         Run
+	Spec        string
+	LeaseUntil  int64 // end of the lease on the worker's clock, in milliseconds
+	Incarnation int64 // the one whose clock LeaseUntil refers to; 0 if workers name none
+	Fence       int64
+	Checkpoint  string
+	Ticket      string
 }
 
 // Outcome is the way in which a run ended on its worker.
@@ -112,13 +113,17 @@
 	AckSeq     int64         // ends up to this sequence number are acknowledged
 	LeaseUntil int64         // end of the leases on the worker's clock; 0 leaves them unchanged
 	Wait       time.Duration // how long the worker waits for an end before it answers
+	// Incarnation is the one that AckSeq and LeaseUntil refer to; 0 if both are 0, or if
+	// workers name none.
+	Incarnation int64
 }
 
 // Errors of a command to a worker. After ErrNoAnswer the command may have been or may
 // yet be carried out; every other error proves that it was not.
 var (
 	ErrNoAnswer             = errors.New("worker did not answer")
-	ErrReplaced             = errors.New("another incarnation of the worker answered")
+	ErrReplaced             = errors.New("another worker answered")
+	ErrRestarted            = errors.New("the worker has restarted under its ID")
 	ErrFenced               = errors.New("fence is lower than the worker's")
 	ErrRunTooOld            = errors.New("run number is not higher than that of an ended run of the task")
 	ErrLeaseInPast          = errors.New("lease end lies in the past of the worker's clock")
@@ -133,9 +138,10 @@
 )
 
 // Commander sends commands to workers. Each command names the worker's ID; it fails with
-// ErrReplaced if the receiver answers that it is not that worker any more. A receiver that
-// checks only the ID accepts commands to an earlier incarnation with the same ID; the
-// inventory names the receiver's incarnation.
+// ErrReplaced if the receiver answers that it is not that worker any more. A worker may
+// restart under its ID, and its clock and the numbers of its ends then start anew: a
+// command that names an incarnation reaches no other one, and fails with ErrRestarted
+// instead.
 type Commander interface {
 	// Start starts a run; it succeeds if the run has been started already. clockMS is
 	// the reading of the worker's clock in milliseconds; 0 if it was not reported.
