--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -18,12 +18,13 @@
 	WaitsForGangReservation WaitReason = "room kept for a gang"
 	WaitsForUrgentHeadroom  WaitReason = "room kept for better work"
 	WaitsForAdvice          WaitReason = "advice"
+	WaitsForRow             WaitReason = "room in the progress row"
 	WaitsForPass            WaitReason = "next look for places"
 )
 
 // WaitReasons lists all reasons.
 var WaitReasons = [...]WaitReason{
-	WaitsForTeamLimit, WaitsForCapacity, WaitsAfterCrashes, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice, WaitsForPass,
+	WaitsForTeamLimit, WaitsForCapacity, WaitsAfterCrashes, WaitsForGangReservation, WaitsForUrgentHeadroom, WaitsForAdvice, WaitsForRow, WaitsForPass,
 }
 
 // Waiting sums up the waiting work.
@@ -141,6 +142,9 @@
 			return reason
 		}
 	}
+	if s.job.bytes()+need*(taskBytes+endGrowthBytes) > maxProgressBytes {
+		return WaitsForRow
+	}
 	return WaitsForPass
 }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -10,7 +10,7 @@
 		return false
 	}
 	plan := c.gangPlan(r, workers)
-	if plan == nil {
+	if plan == nil || !c.gangFitsRow(s, plan) {
 		return false
 	}
 	run := 0
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -79,12 +79,7 @@
 	if t.startConfirmed.IsZero() {
 		t.startConfirmed = now
 	}
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
-		if s.spec.Gang {
-			s.gangCheckpoint = r.Checkpoint
-		}
-	}
+	c.keepCheckpoint(s, r.Run.Task.Index, r.Checkpoint)
 	t.tailLatencyMS = r.Load
 	c.recordSlowdown(w, s, t, r, now)
 	c.recordProgress(s, t, r.Percent, now)
@@ -145,14 +140,9 @@
 func (c *Core) runEnded(s *step, i int, outcome workload.Outcome, checkpoint string, now time.Time) {
 	j, t := s.job, &s.tasks[i]
 	run, began := t.run, t.startConfirmed
+	c.keepCheckpoint(s, i, checkpoint)
 	c.releaseTask(s, i)
 	c.markDirty(j)
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-		if s.spec.Gang {
-			s.gangCheckpoint = checkpoint
-		}
-	}
 	gangDone := s.spec.Gang && s.finished()
 	switch {
 	case t.state == taskDone || gangDone:
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -52,6 +52,9 @@
 	startSent       bool      // the start of the run was sent, or may have been
 	outlived        bool      // the run was seen running for crashWindow
 	workerRestarted bool      // a new incarnation of the worker answered and has not listed the run
+
+	reservedCheckpoint int  // room kept for the checkpoint in the stored progress
+	checkpointRefused  bool // a checkpoint of this run was not kept
 }
 
 // step is a step of one occurrence.
@@ -104,6 +107,10 @@
 	endedAt        int64   // when the final state was decided, in Unix milliseconds
 	// restored is set for a job that was taken over from an earlier term.
 	restored bool
+	// rowBytes bounds the size of the stored progress, with the room that runs in progress
+	// may take; 0 until it is measured. rowWorkers are the workers that the row names.
+	rowBytes   int
+	rowWorkers map[workerLife]bool
 }
 
 // reportedState returns the state for callers: the stored state, except that a job counts
@@ -159,17 +166,20 @@
 	j.overRate = m.exceeds(team.Weight, j.spec.AcceptedAt)
 }
 
-// openOccurrences opens the occurrences that are due, within the tasks whose progress fits
-// into one row of the store; the others open as earlier ones end.
+// openOccurrences opens the occurrences that are due, within the bounds of the tasks and of
+// the stored progress; the others open as earlier ones end.
 func (c *Core) openOccurrences(j *job, now time.Time) {
 	tasks := 0
 	for i := range j.spec.Steps {
 		tasks += j.spec.Steps[i].Tasks
 	}
 	for j.nextOccurrence < j.spec.Occurrences() && !now.Before(timeOfMillis(j.spec.Due(j.nextOccurrence))) {
-		if open := len(j.occurrences); open > 0 && (open+1)*tasks > workload.MaxTasks {
+		if open := len(j.occurrences); open > 0 && (open+1)*tasks > workload.MaxTasks || !j.mayOpen() {
 			return
 		}
+		if j.rowBytes > 0 {
+			j.rowBytes += j.newOccurrenceBytes()
+		}
 		j.occurrences = append(j.occurrences, newOccurrence(j, j.nextOccurrence))
 		j.nextOccurrence++
 		c.needsScheduling = true
@@ -355,7 +365,8 @@
 	s.busy--
 	t.worker, t.incarnation, t.address = "", 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
-	t.startSent, t.outlived, t.workerRestarted = false, false, false
+	t.startSent, t.outlived, t.workerRestarted, t.checkpointRefused = false, false, false, false
+	t.reservedCheckpoint = 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -286,7 +286,10 @@
 		if best == nil {
 			break
 		}
-		c.assign(s, i, best, s.tasks[i].run+1, s.tasks[i].checkpoint)
+		if !c.fitsRow(s, t, best) {
+			break
+		}
+		c.assign(s, i, best, t.run+1, t.checkpoint)
 		left--
 		placed = true
 	}
@@ -338,6 +341,7 @@
 func (c *Core) assign(s *step, i int, w *worker, run int, checkpoint string) {
 	now := c.pass.now
 	t := &s.tasks[i]
+	s.reserveStart(t, w)
 	t.state, t.run, t.worker, t.incarnation, t.address = taskAssigned, run, w.info.ID, w.incarnation, w.info.Address
 	t.startConfirmed, t.percent, t.progressedAt = time.Time{}, 0, time.Time{}
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -21,7 +21,8 @@
 	EndedAt int64 `json:"ended_at,omitempty"`
 }
 
-// maxStoredAddresses bounds the addresses in a row, which holds 64 KB.
+// maxStoredAddresses bounds the addresses in a row, which has no room for those of all
+// workers of a large cell.
 const maxStoredAddresses = 256
 
 // WorkerIncarnation identifies an incarnation of a worker.
@@ -108,7 +109,8 @@
 	return json.Unmarshal(progress, &p) == nil && p.State.Final()
 }
 
-// encode returns the stored form of the job's current progress.
+// encode returns the stored form of the job's current progress. It leaves out the addresses
+// of workers if the row would be too large with them.
 func (j *job) encode() []byte {
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
@@ -117,9 +119,21 @@
 			p.Occurrences = append(p.Occurrences, o.progress(&p, incarnations))
 		}
 	}
+	data := p.marshal(j.spec.ID)
+	j.measure(&p, len(data))
+	if len(data) > maxProgressBytes {
+		for i := range p.Workers {
+			p.Workers[i].Address = ""
+		}
+		data = p.marshal(j.spec.ID)
+	}
+	return data
+}
+
+func (p *Progress) marshal(job string) []byte {
 	data, err := json.Marshal(p)
 	if err != nil {
-		panic(fmt.Sprintf("encode progress of job %s: %v", j.spec.ID, err)) // cannot happen: the fields have plain types
+		panic(fmt.Sprintf("encode progress of job %s: %v", job, err)) // cannot happen: the fields have plain types
 	}
 	return data
 }
@@ -130,7 +144,11 @@
 		sp := StepProgress{GangFailures: s.gangFailures, LastFailedGangRun: s.lastFailedGangRun, GangCheckpoint: s.gangCheckpoint, AllDone: s.finished()}
 		if !sp.AllDone || s.busy > 0 {
 			for i := range s.tasks {
-				sp.Tasks = append(sp.Tasks, s.tasks[i].progress(p, incarnations))
+				tp := s.tasks[i].progress(p, incarnations)
+				if s.spec.Gang {
+					tp.Checkpoint = "" // that of the step is valid for all
+				}
+				sp.Tasks = append(sp.Tasks, tp)
 			}
 		}
 		out.Steps = append(out.Steps, sp)
@@ -239,6 +257,7 @@
 		j.occurrences = append(j.occurrences, o)
 	}
 	if !j.state.Final() {
+		c.closeUntouched(j)
 		c.openOccurrences(j, now)
 	}
 	if !j.state.Final() || !j.idle() {
@@ -260,6 +279,9 @@
 			tp = p.Tasks[i]
 		}
 		t.run, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
+		if s.spec.Gang && t.run > 0 {
+			t.checkpoint = p.GangCheckpoint
+		}
 		c.setCrashes(s, t, crashCount{tp.Crashes, tp.Proven})
 		placed := tp.Worker > 0 && tp.Worker <= len(incarnations)
 		if tp.Done || p.AllDone {
@@ -284,5 +306,6 @@
 		t.state = taskStopping
 	}
 	s.busy++
+	t.reservedCheckpoint = s.storedCheckpoint(t)
 	c.chargeTask(c.ensureWorker(incarnation.ID), s, i)
 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -16,9 +16,11 @@
 const (
 	MaxSpecBytes = 4000
 	MaxSteps     = 64
-	// MaxTasks bounds the tasks of all steps together; the progress of this many
-	// tasks fits into one row of the store.
+	// MaxTasks bounds the tasks of all steps together.
 	MaxTasks = 1500
+	// MaxRowBytes is the size of a row that the platform's store accepts. Jobs and their
+	// progress take one row each.
+	MaxRowBytes = 64 << 10
 )
 
 // Job is an accepted submission. It is stored once and never changes.
