--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"cuminloft/internal/dispatch"
@@ -34,6 +35,8 @@
 	batches []*dispatch.Batch // none if the commit only renews the leadership
 	puts    []platform.PartitionRow
 	removes []platform.PartitionRow
+	// placement is where puts store the progress of jobs.
+	placement jobstore.Placement
 	// leaseBounds are stored with the commit; nil leaves those of the last one.
 	leaseBounds leaseBounds
 	// index is set if the rows are the progress of all jobs, which may be stored in
@@ -54,23 +57,61 @@
 		t.wakeAfter(ctx, left)
 		return
 	}
-	batch := t.core.TakeBatch(maxCommitJobs, maxCommitBytes)
+	batch := t.nextBatch()
 	var puts []platform.PartitionRow
+	var placement jobstore.Placement
 	if batch != nil {
-		puts = t.index.Put(batch.Progress)
+		puts, placement = t.index.Rows(batch.Progress)
 	}
 	removes := t.index.TakeRemovals()
 	if batch == nil && len(removes) == 0 && !t.commitDue && now.Sub(t.lastCommit()) < renewInterval {
 		return
 	}
 	t.committing, t.commitBeganAt, t.commitDue = true, now, false
-	request := commitRequest{puts: puts, removes: removes, leaseBounds: maps.Clone(t.leaseBounds)}
+	request := commitRequest{puts: puts, removes: removes, placement: placement, leaseBounds: maps.Clone(t.leaseBounds)}
 	if batch != nil {
 		request.batches = []*dispatch.Batch{batch}
 	}
 	t.commits <- request
 }
 
+// nextBatch returns the next batch to commit, or nil.
+func (t *termLoop) nextBatch() *dispatch.Batch {
+	if n := len(t.rejected); n > 0 {
+		next := t.rejected[n-1]
+		t.rejected = t.rejected[:n-1]
+		return next
+	}
+	return t.core.TakeBatch(maxCommitJobs, maxCommitBytes)
+}
+
+// handleRejected handles a commit that the store rejects and would reject again. The jobs in
+// it are stored in ever smaller parts, until only those are left out whose own progress is
+// rejected: one job must not keep the others from being stored. It returns an error if no
+// job is the cause.
+func (t *termLoop) handleRejected(r commitRequest, cause error, now time.Time) error {
+	t.committing = false
+	t.Log.Error(cause, "commit rejected", "epoch", t.term.Epoch, "rows", len(r.puts), "removals", len(r.removes))
+	t.index.Keep(r.removes)
+	jobs := 0
+	for _, b := range r.batches {
+		jobs += len(b.Progress)
+	}
+	if jobs == 0 || r.index != nil {
+		return cause
+	}
+	for _, b := range r.batches {
+		if len(b.Progress) == 1 {
+			t.core.Suspend(b, now)
+			continue
+		}
+		first, second := b.Split()
+		t.rejected = append(t.rejected, second, first)
+	}
+	t.commitDue = true
+	return nil
+}
+
 // moveProgress requests that the progress of all jobs be stored in another partition,
 // in place of a commit that the active partition refused.
 func (t *termLoop) moveProgress(refused commitRequest) {
@@ -78,7 +119,9 @@
 	index := jobstore.NewProgressIndex()
 	rows := index.Put(all.Progress)
 	t.Log.Info("progress moves", "from", t.term.Partition(), "epoch", t.term.Epoch, "jobs", len(all.Progress), "rows", len(rows))
-	t.commits <- commitRequest{batches: append(refused.batches, all), puts: rows, index: index, leaseBounds: refused.leaseBounds}
+	batches := slices.Concat(refused.batches, t.rejected, []*dispatch.Batch{all})
+	t.rejected = nil // the snapshot is newer than their progress
+	t.commits <- commitRequest{batches: batches, puts: rows, index: index, leaseBounds: refused.leaseBounds}
 }
 
 // commitLoop executes commit requests one after the other.
@@ -94,10 +137,12 @@
 			case errors.Is(err, errPartitionRefuses):
 				t.Log.Info("partition refuses commits", "partition", t.term.Partition(), "epoch", t.term.Epoch, "cause", err.Error())
 				t.post(ctx, commitRefused{r})
+			case errors.Is(err, platform.ErrRejected):
+				t.post(ctx, commitRejected{r, err})
 			case err != nil:
 				return err
 			default:
-				t.post(ctx, commitDone{r.batches, r.index, r.leaseBounds, time.Since(began)})
+				t.post(ctx, commitDone{r.batches, r.placement, r.index, r.leaseBounds, time.Since(began)})
 			}
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -243,14 +243,20 @@
 		err     error
 	}
 	commitDone struct {
-		batches []*dispatch.Batch
-		index   *jobstore.ProgressIndex // set after a move to another partition
+		batches   []*dispatch.Batch
+		placement jobstore.Placement
+		index     *jobstore.ProgressIndex // set after a move to another partition
 		// leaseBounds are the stored ones.
 		leaseBounds leaseBounds
 		took        time.Duration
 	}
 	// commitRefused reports a commit that the active partition refused.
-	commitRefused     struct{ request commitRequest }
+	commitRefused struct{ request commitRequest }
+	// commitRejected reports a commit that the store rejects, however often it is repeated.
+	commitRejected struct {
+		request commitRequest
+		cause   error
+	}
 	wakeUp            struct{}
 	tombstonesStored  map[string]jobstore.Tombstone // jobs whose rows were replaced by tombstones
 	tombstonesRemoved []string                      // jobs whose tombstones were removed
--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -145,7 +145,8 @@
 func (t *Term) Loaded() { t.renewal.loading = false }
 
 // MovePartition stores the progress of all jobs in the first partition that accepts it,
-// trying the active one last.
+// trying the active one last. While all refuse it, it returns errLeadershipLost once another
+// host has taken the leadership.
 func (t *Term) MovePartition(ctx context.Context, rows []platform.PartitionRow) error {
 	for {
 		for i := range jobstore.ProgressPartitions {
@@ -161,7 +162,26 @@
 				return err
 			}
 		}
+		if err := t.awaitNextMove(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// movePause is the pause after all partitions have refused the progress.
+const movePause = 100 * time.Millisecond
+
+// awaitNextMove pauses between two attempts to store the progress anew. It returns
+// errLeadershipLost if another host has taken the leadership: a partition that refuses the
+// progress does not tell.
+func (t *Term) awaitNextMove(ctx context.Context) error {
+	read, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	current, err := readLeaderRows(read, t.chain.store)
+	if err == nil && current.active().Epoch > t.record.Epoch {
+		return errLeadershipLost
 	}
+	return wait.For(ctx, movePause)
 }
 
 // resign clears the leader record, so that another host can take the leadership at
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -230,7 +230,8 @@
 }
 
 // commit applies changes of the active partition together with the next leader record.
-// It retries until the outcome is known: nil, errLeadershipLost or the context's error.
+// It retries until the outcome is known: nil, errLeadershipLost, platform.ErrRejected or the
+// context's error.
 func (c *commitChain) commit(ctx context.Context, next LeaderRecord, puts []platform.PartitionRow) error {
 	return c.commitOrRefuse(ctx, next, puts, nil, 0)
 }
@@ -342,6 +343,9 @@
 			w.from = current
 			continue
 		}
+		if errors.Is(err, platform.ErrRejected) {
+			return leaderRow{}, err
+		}
 		switch {
 		case !errors.Is(err, platform.ErrRefused) || w.refusalTimeout == 0 || !w.replacesAll && !platform.RecentlyServed(c.store, time.Now()):
 			refused = time.Time{}
--- a/internal/coordinator/leasebounds.go
+++ b/internal/coordinator/leasebounds.go
@@ -16,9 +16,23 @@
 // commit without it has to succeed first.
 type leaseBounds map[string]int64
 
-// maxLeaseBounds limits the size of the leader record, which each commit writes. On other
-// workers out of reach a successor waits for the leases of its predecessor.
-const maxLeaseBounds = 512
+// maxLeaseBounds and maxLeaseBoundBytes limit the size of the leader record, which each commit
+// writes and the store limits. On other workers out of reach a successor waits for the leases
+// of its predecessor.
+const (
+	maxLeaseBounds     = 512
+	maxLeaseBoundBytes = 32 << 10
+)
+
+// size returns about the encoded size of the bounds in bytes.
+func (b leaseBounds) size() int {
+	const perBound = len(`"":1796467519632,`)
+	n := 0
+	for id := range b {
+		n += perBound + len(id)
+	}
+	return n
+}
 
 // ceilMillis returns a duration in milliseconds, rounded up.
 func ceilMillis(d time.Duration) int64 {
@@ -60,7 +74,7 @@
 		return
 	}
 	for id, end := range t.core.LeasesOutOfReach() {
-		if _, listed := t.leaseBounds[id]; listed || len(t.leaseBounds) >= maxLeaseBounds {
+		if _, listed := t.leaseBounds[id]; listed || len(t.leaseBounds) >= maxLeaseBounds || t.leaseBounds.size() >= maxLeaseBoundBytes {
 			continue
 		}
 		granted, linkEnd := t.links.withhold(id)
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -49,6 +49,7 @@
 	advice      *advicePool
 	maintenance *maintenanceController
 	commits     chan commitRequest
+	rejected    []*dispatch.Batch // parts of a rejected commit that are still to be stored, the next one last
 	// committing is set while a commit is in progress; committedAt is when the last one
 	// that succeeded began, in nanoseconds since term.Since.
 	committing      bool
@@ -192,6 +193,7 @@
 		t.committing = false
 		t.commitTime += time.Duration(commitTimeWeight * float64(e.took-t.commitTime))
 		t.core.SetStartDelay(t.commitTime)
+		t.index.Placed(e.placement)
 		if e.index != nil {
 			t.index = e.index
 		}
@@ -203,6 +205,8 @@
 		t.endWaiters.notify(t.core, now)
 	case commitRefused:
 		t.moveProgress(e.request)
+	case commitRejected:
+		return t.handleRejected(e.request, e.cause, now)
 	default:
 		return fmt.Errorf("event of type %T is not handled by the coordinator", event)
 	}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cuminloft/internal/workload"
@@ -20,8 +21,10 @@
 // most maxJobs jobs and about maxBytes bytes.
 func (c *Core) TakeBatch(maxJobs, maxBytes int) *Batch {
 	if len(c.dirtyJobs) == 0 {
-		for _, w := range c.unacked {
-			c.ackEnds(w, w.appliedSeq)
+		for id, w := range c.unacked {
+			if seq := min(w.appliedSeq, c.ackLimit(id)); seq > w.ackedSeq || seq == w.appliedSeq {
+				c.ackEnds(w, seq)
+			}
 		}
 		return nil
 	}
@@ -41,12 +44,38 @@
 	if len(c.dirtyJobs) == 0 {
 		b.acks = make(map[string]int64, len(c.unacked))
 		for id, w := range c.unacked {
-			b.acks[id] = w.appliedSeq
+			b.acks[id] = min(w.appliedSeq, c.ackLimit(id))
 		}
 	}
 	return b
 }
 
+// Split returns the batch in two halves. Ends are not acknowledged with either: some of them
+// are in the other half.
+func (b *Batch) Split() (first, second *Batch) {
+	half := len(b.Progress) / 2
+	inFirst := map[string]bool{}
+	for _, p := range b.Progress[:half] {
+		inFirst[p.Job] = true
+	}
+	first = &Batch{Progress: b.Progress[:half], storedStates: map[*job]workload.State{}}
+	second = &Batch{Progress: b.Progress[half:], storedStates: map[*job]workload.State{}}
+	part := func(job string) *Batch {
+		if inFirst[job] {
+			return first
+		}
+		return second
+	}
+	for j, state := range b.storedStates {
+		part(j.spec.ID).storedStates[j] = state
+	}
+	for _, st := range b.starts {
+		p := part(st.Order.Run.Task.Job)
+		p.starts = append(p.starts, st)
+	}
+	return first, second
+}
+
 // TakeSnapshot returns the progress of all jobs without a tombstone. It replaces all
 // progress stored before.
 func (c *Core) TakeSnapshot() *Batch {
@@ -59,12 +88,22 @@
 	if b == nil {
 		b = &Batch{}
 	}
+	for id := range c.suspended {
+		if !b.holds(id) {
+			b.Progress = append(b.Progress, workload.JobProgress{Job: id, Data: []byte(unreadableProgress)})
+		}
+	}
 	for id, progress := range c.held {
 		b.Progress = append(b.Progress, workload.JobProgress{Job: id, Data: progress})
 	}
 	return b
 }
 
+// holds reports whether the batch has the progress of a job.
+func (b *Batch) holds(job string) bool {
+	return slices.ContainsFunc(b.Progress, func(p workload.JobProgress) bool { return p.Job == job })
+}
+
 // ackEnds records that a worker's ends up to sequence number seq are stored.
 func (c *Core) ackEnds(w *worker, seq int64) {
 	w.ackedSeq = seq
@@ -79,6 +118,7 @@
 func (c *Core) HandleStored(b *Batch) []Start {
 	for j, state := range b.storedStates {
 		j.storedState = state
+		c.resume(j)
 	}
 	for id, seq := range b.acks {
 		if w := c.workers[id]; w != nil && seq > w.ackedSeq && seq <= w.appliedSeq {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,8 +21,10 @@
 	cordoned       map[string]bool      // workers that accept no new tasks
 	suspectAZ      map[string]time.Time // by AZ: the end of the period in which the AZ is suspected to be unreachable
 	jobs           map[string]*job
-	held           map[string][]byte // by job ID: stored progress of jobs that must not run, see Hold
-	active         map[string]*job   // jobs without a final state, or with tasks that may be running
+	held           map[string][]byte    // by job ID: stored progress of jobs that must not run, see Hold
+	suspended      map[string]time.Time // by job ID: when the store last rejected the job's progress, see Suspend
+	heldAcks       map[string]int64     // by worker: ends after this sequence number are not acknowledged, see Suspend
+	active         map[string]*job      // jobs without a final state, or with tasks that may be running
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
 	changedWorkers map[string]bool            // workers whose WorkerView may have changed
@@ -58,6 +60,8 @@
 		suspectAZ:       map[string]time.Time{},
 		jobs:            map[string]*job{},
 		held:            map[string][]byte{},
+		suspended:       map[string]time.Time{},
+		heldAcks:        map[string]int64{},
 		active:          map[string]*job{},
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -132,6 +132,9 @@
 		s.failuresByWorker[w.info.ID]++
 	default: // other outcomes say nothing about the worker
 	}
+	if c.isSuspended(s.job) {
+		c.holdAcks(w.info.ID, e.Seq-1)
+	}
 	c.emit("run ended", "task", e.Run.Task.String(), "run", e.Run.Number, "worker", w.info.ID, "outcome", e.Outcome)
 	c.runEnded(s, e.Run.Task.Index, e.Outcome, e.Checkpoint, now)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,7 +19,7 @@
 func (c *Core) readySteps(now time.Time) []rankedStep {
 	var out []rankedStep
 	for _, j := range c.active {
-		if j.state.Final() {
+		if j.state.Final() || c.isSuspended(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -193,6 +193,7 @@
 	}
 	w.incarnation, w.incarnationSeenAt, w.appliedSeq, w.ackedSeq = incarnation, time.Time{}, 0, 0
 	delete(c.unacked, w.info.ID)
+	delete(c.heldAcks, w.info.ID)
 	c.changedWorkers[w.info.ID] = true
 	w.reachable = false
 	w.health, w.slowdown = health{}, 0
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -315,6 +315,8 @@
 		s.states.put(id, workload.Queued, time.Now())
 		s.Dispatcher.Notify(jobstore.Entry{ID: id, Job: &stored})
 		return Reply{Outcome: Accepted}
+	case errors.Is(err, platform.ErrRejected):
+		return Reply{Outcome: Malformed, Reason: fmt.Sprintf("job cannot be stored: %v", err)}
 	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, jobstore.ErrOutcomeUnknown):
 		return Reply{Outcome: NotRun, RetryAfter: retryStore, Reason: fmt.Sprintf("job not stored: %v", err)}
 	default:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -172,6 +173,9 @@
 		"no tasks":  {func(r *Request) { r.Job.Steps[0].Tasks = 0 }, Malformed},
 		"cycle":     {func(r *Request) { r.Job.Steps[0].After = []int{0} }, Malformed},
 		"long spec": {func(r *Request) { r.Job.Spec = string(make([]byte, workload.MaxSpecBytes+1)) }, Malformed},
+		// It would never fit into a row of the store: "not run", as in an outage, would have
+		// the caller try again without end.
+		"long row": {func(r *Request) { r.Job.Steps[0].Label = strings.Repeat("x", workload.MaxRowBytes) }, Malformed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -113,13 +113,16 @@
 }
 
 // Insert stores a job. It succeeds if the job is stored already. Errors wrap
-// platform.ErrUnavailable (the job is not stored and never will be by this call) or
-// ErrOutcomeUnknown.
+// platform.ErrUnavailable (the job is not stored and never will be by this call),
+// platform.ErrRejected (neither will it be by another one) or ErrOutcomeUnknown.
 func (j Jobs) Insert(ctx context.Context, job *workload.Job) error {
 	data, err := json.Marshal(job)
 	if err != nil {
 		return fmt.Errorf("job cannot be encoded: %w", err)
 	}
+	if len(data) > workload.MaxRowBytes {
+		return fmt.Errorf("%w: the job takes %d bytes in stored form, the limit is %d", platform.ErrRejected, len(data), workload.MaxRowBytes)
+	}
 	partition := PartitionOf(job.ID)
 	err = j.commit(ctx, platform.Tx{
 		Conditions: []platform.Condition{{Table: JobTable, Partition: partition, Key: job.ID, Version: platform.MustBeAbsent}},
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -43,15 +43,21 @@
 	return &ProgressIndex{bundleOf: map[string]string{}, jobsIn: map[string]int{}}
 }
 
-// Put returns the rows that store the progress of jobs and records them in the index.
-func (x *ProgressIndex) Put(progress []workload.JobProgress) []platform.PartitionRow {
+// Placement is where the progress of jobs is stored: by job, the key of the bundle, or "" for
+// a row of the job's own.
+type Placement map[string]string
+
+// Rows returns the rows that store the progress of jobs, and their placement, which Placed
+// records once they are stored.
+func (x *ProgressIndex) Rows(progress []workload.JobProgress) ([]platform.PartitionRow, Placement) {
+	placement := make(Placement, len(progress))
 	if len(progress) <= maxSingleRows {
 		rows := make([]platform.PartitionRow, 0, len(progress))
 		for _, p := range progress {
-			x.setLocation(p.Job, "")
+			placement[p.Job] = ""
 			rows = append(rows, progressRow(p.Job, p.Data))
 		}
-		return rows
+		return rows, placement
 	}
 	var rows []platform.PartitionRow
 	for len(progress) > 0 {
@@ -64,7 +70,7 @@
 			progress = progress[1:]
 			bundle[p.Job] = p.Data
 			size += len(p.Data) + len(p.Job) + len(`"":,`)
-			x.setLocation(p.Job, key)
+			placement[p.Job] = key
 		}
 		value, err := json.Marshal(bundle)
 		if err != nil {
@@ -72,6 +78,22 @@
 		}
 		rows = append(rows, progressRow(key, value))
 	}
+	return rows, placement
+}
+
+// Placed records where the progress of jobs is stored. Bundles that hold nothing else are
+// removed later: until then they hold the newest progress, if the store rejects that of a
+// job.
+func (x *ProgressIndex) Placed(p Placement) {
+	for job, bundle := range p {
+		x.setLocation(job, bundle)
+	}
+}
+
+// Put is Rows and Placed.
+func (x *ProgressIndex) Put(progress []workload.JobProgress) []platform.PartitionRow {
+	rows, placement := x.Rows(progress)
+	x.Placed(placement)
 	return rows
 }
 
@@ -109,6 +131,13 @@
 	return out
 }
 
+// Keep schedules rows anew that TakeRemovals has returned and that were not removed.
+func (x *ProgressIndex) Keep(rows []platform.PartitionRow) {
+	for _, r := range rows {
+		x.obsolete = append(x.obsolete, r.Key)
+	}
+}
+
 func progressRow(key string, value []byte) platform.PartitionRow {
 	return platform.PartitionRow{Table: ProgressTable, Partition: DefaultProgressPartition, Key: key, Value: value}
 }
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -156,7 +156,7 @@
 // resultOf classifies a call's error.
 func resultOf(err error) callResult {
 	switch {
-	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrHistoryLost):
+	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrRejected), errors.Is(err, ErrHistoryLost):
 		return resultServed
 	case errors.Is(err, ErrRefused):
 		return resultRefused
--- a/internal/platform/hedge.go
+++ b/internal/platform/hedge.go
@@ -66,7 +66,7 @@
 			check.Reset(pause())
 		case r := <-answers:
 			open--
-			if r.err == nil || errors.Is(r.err, ErrConflict) {
+			if r.err == nil || errors.Is(r.err, ErrConflict) || errors.Is(r.err, ErrRejected) {
 				return r.version, r.err
 			}
 			if failed == nil || errors.Is(r.err, ErrAmbiguous) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,9 @@
 	// ErrRefused: the platform answered that it does not serve the call now. It wraps
 	// ErrUnavailable.
 	ErrRefused = fmt.Errorf("%w: call refused", ErrUnavailable)
+	// ErrRejected: the platform does not accept a transaction such as this one, now or
+	// later, and has not applied it.
+	ErrRejected = errors.New("platform rejects the transaction")
 	// ErrAmbiguous: the answer was lost; a write may have taken effect. The writer
 	// finds out by reading back its own nonce.
 	ErrAmbiguous = errors.New("platform answer lost")
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -55,8 +55,9 @@
 }
 
 // Store is the platform's store of partitioned tables. Errors wrap ErrUnavailable (the
-// call had no effect), ErrAmbiguous (a transaction may have been or may yet be applied),
-// ErrConflict (as *RowConflictError) or ErrHistoryLost.
+// call had no effect), ErrRejected (it had none, and a repeat has none either), ErrAmbiguous
+// (a transaction may have been or may yet be applied), ErrConflict (as *RowConflictError) or
+// ErrHistoryLost.
 type Store interface {
 	// Commit applies a transaction and returns its version.
 	Commit(ctx context.Context, tx Tx) (int64, error)
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -21,8 +21,28 @@
 	Refused                // not applied; the caller gets ErrRefused
 	AppliedReplyLost       // applied; the reply is lost and the caller gets ErrAmbiguous
 	DelayedReplyLost       // the reply is lost; ApplyDelayed applies the transaction later
+	Rejected               // not applied; the caller gets ErrRejected
 )
 
+// Limits of the store: a transaction beyond them gets ErrRejected.
+const (
+	MaxRowBytes  = 64 << 10
+	maxTxEntries = 100
+)
+
+// check returns an error for a transaction beyond the limits.
+func check(tx platform.Tx) error {
+	if n := len(tx.Conditions) + len(tx.Puts) + len(tx.Removes); n > maxTxEntries {
+		return fmt.Errorf("%w: %d entries, the limit is %d", platform.ErrRejected, n, maxTxEntries)
+	}
+	for _, r := range tx.Puts {
+		if len(r.Value) > MaxRowBytes {
+			return fmt.Errorf("%w: row %q of table %q has %d bytes, the limit is %d", platform.ErrRejected, r.Key, r.Table, len(r.Value), MaxRowBytes)
+		}
+	}
+	return nil
+}
+
 type rowKey struct{ table, partition, key string }
 
 // Store is the in-memory store. Create it with New; its zero value is not usable.
@@ -112,7 +132,12 @@
 	if s.down || s.refusing[partitionOf(tx)] {
 		fault = Refused
 	}
+	if err := check(tx); err != nil && fault == None {
+		return 0, err
+	}
 	switch fault {
+	case Rejected:
+		return 0, platform.ErrRejected
 	case Refused:
 		return 0, platform.ErrRefused
 	case DelayedReplyLost:
