--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -200,7 +200,7 @@
 		t.releaseLeases(e.leaseBounds)
 		t.links.renewLeaseless(ctx)
 		for _, batch := range e.batches {
-			t.links.start(ctx, t.core.HandleStored(batch))
+			t.links.start(ctx, t.core.HandleStored(batch, now))
 		}
 		t.endWaiters.notify(t.core, now)
 	case commitRefused:
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// HandleStored handles a stored batch. It returns the starts to send, without those whose
+// HandleStored handles a stored batch. It returns the starts to send now, without those whose
 // task has been stopped or reassigned since, or no longer fits its worker.
-func (c *Core) HandleStored(b *Batch) []Start {
+func (c *Core) HandleStored(b *Batch, now time.Time) []Start {
 	for j, state := range b.storedStates {
 		j.storedState = state
 		c.resume(j)
@@ -138,7 +138,7 @@
 			continue
 		}
 		if t.state == taskAssigned {
-			t.startSent = true
+			t.startSent, t.startSentAt = true, now
 			out = append(out, st)
 		}
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,6 +15,10 @@
 	// crashWindow is how long after its start a run is seen running before it is cleared of
 	// a later crash of its worker.
 	crashWindow = 2 * time.Second
+	// startCrashWindow is how long after a start that it does not answer a worker counts as
+	// crashed under the task. A process that ends is noticed at once: its connections are
+	// reset.
+	startCrashWindow = 500 * time.Millisecond
 	// From isolationProven proven crashes in a row, or isolationCrashes of any kind, nothing
 	// else starts on a task's worker within the window, and its next start waits for
 	// crashRetryPause. A neighbour of such a task seldom has two proven ones.
@@ -85,7 +89,19 @@
 	if w.info.Draining || c.cordoned[w.info.ID] || evidence == workerSilent && w.registered {
 		return false
 	}
-	return t.startSent && !t.outlived && !s.job.state.Final()
+	return t.startSent && !t.outlived && !s.job.state.Final() && !w.outlivedStart(t)
+}
+
+// outlivedStart reports whether the worker was in contact for longer than startCrashWindow
+// after the start of a run was sent that it has neither confirmed nor listed. It has ended for
+// another cause then: the start never reached it, or it has kept it back. Load pattern:
+// workers end one after the other, and starts are sent to them before that is noticed; or
+// orders are left unanswered meanwhile.
+func (w *worker) outlivedStart(t *task) bool {
+	if !t.startConfirmed.IsZero() || t.startSentAt.IsZero() {
+		return false
+	}
+	return t.unlistedAfterStart || w.unreachableSince.Sub(t.startSentAt) > startCrashWindow
 }
 
 // countCrash counts a crash under a task.
@@ -102,7 +118,7 @@
 		t.retryAt = now.Add(crashRetryPause)
 	}
 	c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
-		"start answered", started, "out of reach for", w.outOfReachFor(now), "crashes", t.crashes, "proven", t.proven)
+		"start answered", started, "contact after start", w.unreachableSince.Sub(t.startSentAt), "out of reach for", w.outOfReachFor(now), "crashes", t.crashes, "proven", t.proven)
 }
 
 // clearOutlived clears a task whose run a worker listed in an inventory that was requested
--- /dev/null
+++ b/internal/dispatch/crashstart_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminloft/internal/workload"
+)
+
+// Guards against a job that is given up although none of its tasks has begun on a worker that
+// crashed: the start was not answered, and the worker ended for another cause. The stand-in
+// sets the order of events: the worker is still in contact after the start was sent, or does
+// not answer any more and takes a while to count as out of reach.
+func TestJobIsNotGivenUpForStartsThatNeverBegan(t *testing.T) {
+	for name, test := range map[string]struct {
+		inContact time.Duration // how long the worker answers heartbeats after the start
+		detection time.Duration // from its end until it counts as out of reach
+		restarts  bool
+		gang      bool
+	}{
+		"order kept back, replaced":   {inContact: 1500 * time.Millisecond, detection: 30 * time.Millisecond},
+		"order kept back, restarted":  {inContact: 1500 * time.Millisecond, detection: 30 * time.Millisecond, restarts: true},
+		"order kept back, unnoticed":  {inContact: 1500 * time.Millisecond, restarts: true},
+		"order kept back, gang":       {inContact: 1500 * time.Millisecond, detection: 30 * time.Millisecond, gang: true},
+		"worker without power":        {detection: 1200 * time.Millisecond},
+		"worker without power, again": {detection: 1200 * time.Millisecond, restarts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1), Gang: test.gang})
+			const ends = 8
+			for n := range ends {
+				id := fmt.Sprint("w", n)
+				c.addWorker(id, 8)
+				starts := c.startUnanswered()
+				if len(starts) != 1 {
+					t.Fatalf("%d starts after %d ends of workers, job %s", len(starts), n, c.jobState())
+				}
+				sent := c.now
+				c.core.HandleUnansweredOrder(id, c.now)
+				for c.now.Sub(sent) < test.inContact {
+					c.now = c.now.Add(300 * time.Millisecond)
+					c.reportInventory(id, workload.Inventory{})
+				}
+				c.core.HandleStartResult(starts[0], workload.ErrNoAnswer, c.now)
+				if test.detection > 0 {
+					c.now = c.now.Add(test.detection)
+					c.core.HandleLostContact(id, c.now)
+				}
+				c.now = c.now.Add(3 * time.Second)
+				if test.restarts {
+					// It leaves for good once the run is over.
+					c.reportInventory(id, workload.Inventory{Incarnation: testIncarnation + 1})
+					c.core.Tick(c.now)
+					for _, o := range c.core.TakeStopOrders() {
+						c.core.HandleStopResult(o, nil, c.now)
+					}
+					c.now = c.now.Add(time.Millisecond)
+					c.reportInventory(id, workload.Inventory{Incarnation: testIncarnation + 1})
+				} else {
+					c.core.HandleReplaced(id, id+":1", c.now)
+				}
+				c.core.SetWorker(workload.WorkerChange{ID: id})
+				c.now = c.now.Add(crashRetryPause)
+			}
+			is.True(c.jobState() != workload.Failed)
+		})
+	}
+}
+
+// startUnanswered runs a scheduling pass, stores its result and returns the starts to send.
+func (c *testCell) startUnanswered() []Start {
+	c.core.Schedule(c.now)
+	var out []Start
+	for b := c.core.TakeBatch(100, 1<<20); b != nil; b = c.core.TakeBatch(100, 1<<20) {
+		out = append(out, c.core.HandleStored(b, c.now)...)
+	}
+	return out
+}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -21,6 +21,9 @@
 		if inv.Incarnation < w.incarnation {
 			w.refutedIncarnation = w.incarnation
 		}
+		if w.reachable {
+			w.unreachableSince = now // the end of the earlier incarnation was not noticed
+		}
 		c.startIncarnation(w, inv.Incarnation)
 	}
 	if w.incarnationSeenAt.IsZero() {
@@ -95,6 +98,9 @@
 		if t == nil || listed[id] {
 			continue
 		}
+		if !t.workerRestarted && requestedAt.Sub(t.startSentAt) > startCrashWindow {
+			t.unlistedAfterStart = true
+		}
 		confirmed := t.state == taskRunning && t.startConfirmed.Before(requestedAt) ||
 			t.state == taskStopping && !t.stopConfirmed.IsZero() && t.stopConfirmed.Before(requestedAt)
 		if confirmed {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -48,10 +48,14 @@
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
 
 	crashCount
-	retryAt         time.Time // it does not start before this time
-	startSent       bool      // the start of the run was sent, or may have been
-	outlived        bool      // the run was seen running for crashWindow
-	workerRestarted bool      // a new incarnation of the worker answered and has not listed the run
+	retryAt     time.Time // it does not start before this time
+	startSent   bool      // the start of the run was sent, or may have been
+	startSentAt time.Time // when this term sent it; zero if an earlier one may have
+	// unlistedAfterStart is set if the worker answered without the run, startCrashWindow after
+	// its start was sent.
+	unlistedAfterStart bool
+	outlived           bool // the run was seen running for crashWindow
+	workerRestarted    bool // a new incarnation of the worker answered and has not listed the run
 
 	reservedCheckpoint int  // room kept for the checkpoint in the stored progress
 	checkpointRefused  bool // a checkpoint of this run was not kept
@@ -366,6 +370,7 @@
 	t.worker, t.incarnation, t.address = "", 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startSent, t.outlived, t.workerRestarted, t.checkpointRefused = false, false, false, false
+	t.startSentAt, t.unlistedAfterStart = time.Time{}, false
 	t.reservedCheckpoint = 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -239,7 +239,9 @@
 	}
 	c.emit("worker replaced by another life", "worker", id, "address", address, "lost tasks", len(w.tasks)-kept, "tasks elsewhere", kept)
 	if w.info.Address == address {
-		w.reachable, w.unreachableSince = false, now
+		if w.reachable {
+			w.reachable, w.unreachableSince = false, now
+		}
 		w.registered = false
 		if kept > 0 {
 			w.info.Address = elsewhere
