--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -57,13 +57,16 @@
 		t.wakeAfter(ctx, left)
 		return
 	}
+	var removes []platform.PartitionRow
+	if len(t.rejected) == 0 {
+		removes = t.index.TakeRemovals()
+	}
 	batch := t.nextBatch()
 	var puts []platform.PartitionRow
 	var placement jobstore.Placement
 	if batch != nil {
 		puts, placement = t.index.Rows(batch.Progress)
 	}
-	removes := t.index.TakeRemovals()
 	if batch == nil && len(removes) == 0 && !t.commitDue && now.Sub(t.lastCommit()) < renewInterval {
 		return
 	}
@@ -92,7 +95,15 @@
 func (t *termLoop) handleRejected(r commitRequest, cause error, now time.Time) error {
 	t.committing = false
 	t.Log.Error(cause, "commit rejected", "epoch", t.term.Epoch, "rows", len(r.puts), "removals", len(r.removes))
-	t.index.Keep(r.removes)
+	if len(r.removes) > 0 {
+		// Without the removals, which are left undone if they are the cause.
+		if len(r.batches) > 0 {
+			t.index.Keep(r.removes)
+		}
+		t.rejected = append(t.rejected, r.batches...)
+		t.commitDue = true
+		return nil
+	}
 	jobs := 0
 	for _, b := range r.batches {
 		jobs += len(b.Progress)
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -440,8 +440,14 @@
 // order that waits behind others until its run counts as over is refused by the worker. It
 // is repeated if its answer is lost: a worker that already runs the task answers as if it
 // had just started it.
+//
+// A start that was decided for another incarnation is not sent: that one's capacity and
+// tickets say nothing about this one.
 func (l *link) start(ctx context.Context, st dispatch.Start, given lease) {
-	st.Order.Fence, st.Order.LeaseUntil, st.Order.Incarnation = l.set.fence, given.until, given.incarnation
+	st.Order.Fence, st.Order.LeaseUntil = l.set.fence, given.until
+	if st.Order.Incarnation == 0 {
+		st.Order.Incarnation = given.incarnation
+	}
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		if time.Since(st.DecidedAt) > maxStartAge {
 			return workload.ErrStartExpired
@@ -449,6 +455,9 @@
 		if given.until == 0 {
 			return workload.ErrUnhealthy
 		}
+		if st.Order.Incarnation != given.incarnation {
+			return workload.ErrRestarted
+		}
 		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, st.Order)
 		if errors.Is(err, workload.ErrRestarted) {
 			l.restarted(given.incarnation)
--- a/internal/coordinator/restart_test.go
+++ b/internal/coordinator/restart_test.go
@@ -1,11 +1,17 @@
 package coordinator
 
 import (
+	"context"
+	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cuminloft/internal/dispatch"
+	"cuminloft/internal/workload"
 )
 
 // Guards against leases that are given to a restarted worker by the clock of its earlier
@@ -51,3 +57,29 @@
 		})
 	}
 }
+
+// A start that was decided for an incarnation is not sent to the next one, which may be of
+// another kind: its capacity is read with its registration.
+func TestStartIsNotSentToALaterIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &silentStarts{fakeWorker: fakeWorker{began: time.Now(), incarnation: 2}}
+		events := make(chan any, 10_000)
+		l := newLink(newLinkSet(&Coordinator{Commander: f}, 1, renewedNow, events),
+			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { l.run(ctx) })
+		time.Sleep(time.Second) // the link knows the later incarnation
+		l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now(), Order: workload.StartOrder{Incarnation: 1}}, l.newLease())
+		is.Equal(len(f.arrivals()), 0)
+		for {
+			if r, ok := (<-events).(startResult); ok {
+				is.True(errors.Is(r.err, workload.ErrRestarted))
+				return
+			}
+		}
+	})
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -79,7 +79,7 @@
 // Start is a decision to start a run. It is sent once the row that records it is stored.
 type Start struct {
 	Worker workload.Worker
-	Order  workload.StartOrder // without lease, incarnation and fence, which are set when it is sent
+	Order  workload.StartOrder // without lease and fence, which are set when it is sent
 	// DecidedAt is when the worker was chosen, by what was known of it then.
 	DecidedAt time.Time
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -353,7 +353,7 @@
 	j.homeAZ = w.info.AZ
 	token := c.useTicket(&s.advice, w, now)
 	j.starts = append(j.starts, Start{Worker: w.info, DecidedAt: now, Order: workload.StartOrder{
-		Run: workload.Run{Task: s.taskID(i), Number: run}, Spec: j.spec.Spec, Checkpoint: checkpoint, Ticket: token,
+		Run: workload.Run{Task: s.taskID(i), Number: run}, Incarnation: w.incarnation, Spec: j.spec.Spec, Checkpoint: checkpoint, Ticket: token,
 	}})
 	c.markDirty(j)
 	c.emit("run assigned", "task", s.taskID(i).String(), "run", run, "worker", w.info.ID,
