--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,6 +81,7 @@
 	maxFailedTime    time.Duration
 	failuresByWorker map[string]int // by worker
 	suspects         int            // tasks with crashes
+	closed           bool           // its occurrence was closed before it began, see closeUntouched
 	advice           adviceState
 	durations        measuredDurations
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -56,7 +56,7 @@
 // startable reports whether the step has tasks to start. A gang has none while members of
 // its previous run may still be running.
 func (s *step) startable() bool {
-	return s.pending > 0 && (!s.spec.Gang || s.busy == 0) && !s.job.state.Final()
+	return s.pending > 0 && !s.closed && (!s.spec.Gang || s.busy == 0) && !s.job.state.Final()
 }
 
 // schedulingPass holds what one scheduling pass computes once for all steps.
@@ -147,6 +147,9 @@
 	c.clearReservations()
 	for _, r := range c.ready {
 		s := r.step
+		if s.closed {
+			continue
+		}
 		if !s.spec.Gang {
 			placed = c.placeTasks(r) || placed
 			continue
--- a/internal/dispatch/rowbudget.go
+++ b/internal/dispatch/rowbudget.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	c.makeRoom(j, s.startBytes(t, w))
-	return j.bytes()+s.startBytes(t, w) <= maxProgressBytes
+	return !s.closed && j.bytes()+s.startBytes(t, w) <= maxProgressBytes
 }
 
 // gangFitsRow is fitsRow for all tasks of a gang.
@@ -164,7 +164,7 @@
 	if j.bytes()+size > maxProgressBytes && j.idle() {
 		c.makeRoom(j, size)
 	}
-	return j.bytes()+size <= maxProgressBytes
+	return !s.closed && j.bytes()+size <= maxProgressBytes
 }
 
 // makeRoom shortens the stored progress of a job of which nothing runs, by the given size
@@ -201,6 +201,9 @@
 	for len(j.occurrences) > 1 && j.bytes() > openBytes && j.occurrences[len(j.occurrences)-1].untouched() {
 		last := len(j.occurrences) - 1
 		j.nextOccurrence = j.occurrences[last].index
+		for _, s := range j.occurrences[last].steps {
+			s.closed = true // a pass in progress may still list it
+		}
 		j.occurrences[last] = nil
 		j.occurrences = j.occurrences[:last]
 		j.rowBytes -= leastOccurrenceBytes
--- a/internal/dispatch/rowbudget_test.go
+++ b/internal/dispatch/rowbudget_test.go
@@ -50,6 +50,13 @@
 			c.running[st.Worker.ID][st.Order.Run.Task] = workload.RunStatus{Run: st.Order.Run, Checkpoint: c.checkpoint(st.Order.Run.Task)}
 		}
 	}
+	for id, w := range c.core.workers {
+		for task := range w.tasks {
+			if _, task := c.core.findTask(task); task == nil || !task.state.mayRun() || task.worker != id {
+				c.Fatalf("worker %s holds a task that does not run there", id)
+			}
+		}
+	}
 	c.now = c.now.Add(time.Second)
 	for id := range c.running {
 		c.reportInventory(id, workload.Inventory{})
@@ -76,6 +83,10 @@
 	checkpoint string
 }{
 	"schedule": {12, shortID, workload.Job{Repeats: 3600, Period: time.Second, Steps: []workload.Step{{Tasks: 1, Resources: smallTask, Checkpoints: true}}}, "00000bb87a21d94b"},
+	"schedule, long checkpoints": {12, shortID,
+		workload.Job{Repeats: 2000, Period: time.Second, Steps: []workload.Step{{Tasks: 1, Resources: smallTask, Checkpoints: true}}}, strings.Repeat("x", 900)},
+	"schedule, gangs": {12, shortID,
+		workload.Job{Repeats: 300, Period: time.Second, Steps: []workload.Step{{Tasks: 6, Resources: smallTask, Checkpoints: true, Gang: true}}}, strings.Repeat("x", 500)},
 	"wide step on many workers": {928, shortID,
 		workload.Job{Steps: []workload.Step{{Tasks: workload.MaxTasks, Resources: model.Resources{MilliCores: 16_000}, Checkpoints: true}}}, "00000bb87a21d94b"},
 	"wide gang":         {350, shortID, workload.Job{Steps: []workload.Step{{Tasks: workload.MaxTasks, Resources: model.Resources{MilliCores: 6000}, Checkpoints: true, Gang: true}}}, "00000bb87a21d94b"},
@@ -181,3 +192,23 @@
 		})
 	}
 }
+
+// Guards against runs of occurrences that a scheduling pass has closed to make room: the
+// steps were ready when the pass began.
+func TestClosedOccurrencesStartNothing(t *testing.T) {
+	is := is.New(t)
+	c := newRowCell(t, 12, shortID)
+	c.checkpoint = func(workload.TaskID) string { return "" }
+	c.core.AddJob(&workload.Job{ID: bigJob, Queue: "batch", Team: "team", Repeats: 3600, Period: time.Second,
+		FirstDue: c.now.Add(-3600 * time.Second).UnixMilli(), Steps: []workload.Step{{Tasks: 1, Resources: smallTask, Checkpoints: true}}}, c.now)
+	j := c.core.jobs[bigJob]
+	open := len(j.occurrences)
+	for _, o := range j.occurrences[:70] {
+		o.steps[0].tasks[0].run, o.steps[0].tasks[0].checkpoint = 1, strings.Repeat("x", 900)
+	}
+	j.rowBytes = 0 // it is measured anew
+	c.step()
+	is.True(len(j.occurrences) < open)
+	is.True(c.largest <= workload.MaxRowBytes)
+	is.True(c.starts > 0)
+}
