--- a/internal/dispatch/rowbudget_test.go
+++ b/internal/dispatch/rowbudget_test.go
@@ -66,10 +66,12 @@
 // endAll ends all runs with an outcome.
 func (c *rowCell) endAll(outcome workload.Outcome) {
 	for id, runs := range c.running {
+		var ended []workload.RunEnd
 		for _, r := range runs {
 			c.seq[id]++
-			c.reportInventory(id, workload.Inventory{Ended: []workload.RunEnd{{Seq: c.seq[id], Run: r.Run, Outcome: outcome, Checkpoint: r.Checkpoint}}})
+			ended = append(ended, workload.RunEnd{Seq: c.seq[id], Run: r.Run, Outcome: outcome, Checkpoint: r.Checkpoint})
 		}
+		c.reportInventory(id, workload.Inventory{Ended: ended})
 	}
 }
 
