--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -107,18 +107,28 @@
 // countCrash counts a crash under a task.
 func (c *Core) countCrash(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
 	t := &s.tasks[i]
-	started := !t.startConfirmed.IsZero()
 	n := t.crashCount
 	n.crashes++
-	if started && evidence != workerSilent {
+	if !t.startConfirmed.IsZero() && evidence != workerSilent {
 		n.proven++
 	}
 	c.setCrashes(s, t, n)
 	if t.isolates() {
 		t.retryAt = now.Add(crashRetryPause)
 	}
-	c.emit("worker crashed under task", "task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "evidence", string(evidence),
-		"start answered", started, "contact after start", w.unreachableSince.Sub(t.startSentAt), "out of reach for", w.outOfReachFor(now), "crashes", t.crashes, "proven", t.proven)
+	c.emit("worker crashed under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.incarnation,
+		"evidence", string(evidence), "crashes", t.crashes, "proven", t.proven}, w.contactFields(t, now)...)...)
+}
+
+// contactFields returns what is known, for the log, of a worker's contact with this term
+// during a task's run.
+func (w *worker) contactFields(t *task, now time.Time) []any {
+	sentHere := !t.startSentAt.IsZero()
+	fields := []any{"start answered", !t.startConfirmed.IsZero(), "started in this term", sentHere, "out of reach for", w.outOfReachFor(now)}
+	if sentHere {
+		fields = append(fields, "contact after start", w.unreachableSince.Sub(t.startSentAt))
+	}
+	return fields
 }
 
 // clearOutlived clears a task whose run a worker listed in an inventory that was requested
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -36,7 +36,7 @@
 	if !w.reachable {
 		w.reachable = true
 		c.needsScheduling = true
-		c.emit("worker in reach", "worker", id, "running", len(inv.Running), "ended", len(inv.Ended))
+		c.emit("worker in reach", "worker", id, "born", w.incarnation, "running", len(inv.Running), "ended", len(inv.Ended))
 	}
 	for _, e := range inv.Ended {
 		if e.Seq > w.appliedSeq {
