--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -55,6 +55,8 @@
 	lease  time.Time
 	report time.Time // of its next inventory
 	ends   []workload.RunEnd
+	// cutUntil is when a worker that is cut off is reached again; zero if it is in reach.
+	cutUntil time.Time
 }
 
 type crashRun struct {
@@ -134,7 +136,7 @@
 		}
 		c.core.Tick(c.now)
 		for _, o := range c.core.TakeStopOrders() {
-			if w := c.workers[o.Worker.ID]; w != nil && w.backAt.IsZero() {
+			if w := c.workers[o.Worker.ID]; w != nil && w.backAt.IsZero() && w.cutUntil.IsZero() {
 				if r, ok := w.runs[o.Run.Task]; ok && r.run == o.Run {
 					w.end(r.run, workload.RunStopped)
 				}
@@ -193,6 +195,9 @@
 		w.goneAt = time.Time{}
 		c.core.SetWorker(workload.WorkerChange{ID: w.info.ID})
 	}
+	if !w.cutUntil.IsZero() && c.runsOnBehindCut(w) {
+		return
+	}
 	if !w.backAt.IsZero() {
 		if c.now.Before(w.backAt) {
 			return
@@ -239,7 +244,7 @@
 // start carries out a start order.
 func (c *crashCell) start(st Start) {
 	w, task := c.workers[st.Worker.ID], st.Order.Run.Task
-	if w == nil || !w.backAt.IsZero() {
+	if w == nil || !w.backAt.IsZero() || !w.cutUntil.IsZero() {
 		c.core.HandleStartResult(st, workload.ErrNoAnswer, c.now)
 		return
 	}
@@ -293,10 +298,14 @@
 func (c *crashCell) takeOver() {
 	c.takeover = time.Time{}
 	c.core = c.newCore()
+	leases := map[string]time.Time{}
 	for _, w := range c.sorted() {
-		if w.goneAt.IsZero() {
+		if w.cutUntil.IsZero() && w.goneAt.IsZero() || !w.cutUntil.IsZero() && !w.goneAt.IsZero() {
 			c.setWorker(w)
 		}
+		if !w.cutUntil.IsZero() {
+			leases[w.info.ID] = w.lease
+		}
 		w.report = time.Time{}
 	}
 	for _, spec := range c.specs {
@@ -304,7 +313,7 @@
 			c.Fatal(err)
 		}
 	}
-	c.core.SetLeaseBounds(c.now.Add(crashLease), nil, c.now)
+	c.core.SetLeaseBounds(c.now.Add(crashLease), leases, c.now)
 }
 
 func (c *crashCell) state(job string) workload.State {
