--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,8 +31,8 @@
 	maxIsolatedShare = 0.1
 	// A job fails after crashLimit crashes in a row under one of its tasks, if provenCrashes
 	// of them are proven and the task ran isolated at the last one: before that, suspects
-	// that crash their workers may start beside it. Workers that are cut off look like
-	// crashed ones, so otherwise the limit is unprovenCrashLimit.
+	// that crash their workers may start beside it. Otherwise the limit is
+	// unprovenCrashLimit. Suspected crashes do not count until they are settled.
 	crashLimit         = 3
 	provenCrashes      = 2
 	unprovenCrashLimit = 4
@@ -49,15 +49,16 @@
 
 // crashCount counts the workers that crashed in a row under a task.
 type crashCount struct {
-	crashes int
+	crashes int // with the suspected ones, see silentLoss
 	// proven counts those that are known to have ended and to have started the run.
 	proven int
 }
 
-// conclusive reports whether a task is taken for the cause of the crashes, given whether it
-// ran isolated at the last one.
-func (n crashCount) conclusive(isolated bool) bool {
-	return isolated && n.crashes >= crashLimit && n.proven >= provenCrashes || n.crashes >= unprovenCrashLimit
+// conclusive reports whether a task is taken for the cause of the crashes, given how many of
+// them are only suspected and whether it ran isolated at the last one.
+func (n crashCount) conclusive(suspected int, isolated bool) bool {
+	known := n.crashes - suspected
+	return isolated && known >= crashLimit && n.proven >= provenCrashes || known >= unprovenCrashLimit
 }
 
 // isolates reports whether the task is to run beside no other new run.
@@ -72,14 +73,29 @@
 		evidence = workerRestarted
 	}
 	crashed, isolated := c.crashedUnder(w, s, t, evidence), t.isolates()
-	if crashed {
+	switch {
+	case crashed && evidence == workerSilent:
+		crashed = c.recordSilence(w, s, i, now)
+	case crashed:
 		c.countCrash(w, s, i, evidence, now)
 	}
+	if crashed && t.isolates() {
+		t.retryAt = now.Add(crashRetryPause)
+	}
 	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
-	if crashed && t.conclusive(isolated) {
-		c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes, "proven", t.proven)
-		c.finish(s.job, workload.Failed, now)
+	if crashed {
+		c.giveUpAfterCrashes(s, i, isolated, now)
+	}
+}
+
+// giveUpAfterCrashes ends the job if one of its tasks is taken for the cause of crashes.
+func (c *Core) giveUpAfterCrashes(s *step, i int, isolated bool, now time.Time) {
+	t := &s.tasks[i]
+	if s.job.state.Final() || !t.conclusive(len(t.silent), isolated) {
+		return
 	}
+	c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes-len(t.silent), "proven", t.proven)
+	c.finish(s.job, workload.Failed, now)
 }
 
 // crashedUnder reports whether the end of the worker counts as a crash under the task's
@@ -109,15 +125,12 @@
 	t := &s.tasks[i]
 	n := t.crashCount
 	n.crashes++
-	if !t.startConfirmed.IsZero() && evidence != workerSilent {
+	if !t.startConfirmed.IsZero() {
 		n.proven++
 	}
 	c.setCrashes(s, t, n)
-	if t.isolates() {
-		t.retryAt = now.Add(crashRetryPause)
-	}
 	c.emit("worker crashed under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.incarnation,
-		"evidence", string(evidence), "crashes", t.crashes, "proven", t.proven}, w.contactFields(t, now)...)...)
+		"evidence", string(evidence), "suspected crashes", len(t.silent), "crashes", t.crashes, "proven", t.proven}, w.contactFields(t, now)...)...)
 }
 
 // contactFields returns what is known, for the log, of a worker's contact with this term
@@ -153,6 +166,7 @@
 		return
 	}
 	c.emit("task cleared of crashes", "task", s.taskID(i).String(), "run", t.run, "crashes", t.crashes)
+	t.silent = nil
 	c.setCrashes(s, t, crashCount{})
 	t.retryAt = time.Time{}
 	c.markDirty(s.job)
@@ -204,11 +218,14 @@
 	return false
 }
 
+// retriesLater reports whether a task waits after crashes.
+func (t *task) retriesLater(now time.Time) bool { return now.Before(t.retryAt) || t.awaitsEvidence() }
+
 // retriesLater reports whether a member of a gang waits after crashes.
 func (s *step) retriesLater(now time.Time) bool {
 	if s.suspects > 0 {
 		for i := range s.tasks {
-			if now.Before(s.tasks[i].retryAt) {
+			if s.tasks[i].retriesLater(now) {
 				return true
 			}
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -48,9 +48,10 @@
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
 
 	crashCount
-	retryAt     time.Time // it does not start before this time
-	startSent   bool      // the start of the run was sent, or may have been
-	startSentAt time.Time // when this term sent it; zero if an earlier one may have
+	silent      []silentLoss // suspected crashes
+	retryAt     time.Time    // it does not start before this time
+	startSent   bool         // the start of the run was sent, or may have been
+	startSentAt time.Time    // when this term sent it; zero if an earlier one may have
 	// unlistedAfterStart is set if the worker answered without the run, startCrashWindow after
 	// its start was sent.
 	unlistedAfterStart bool
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -279,7 +279,7 @@
 			break
 		}
 		t := &s.tasks[i]
-		if c.pass.now.Before(t.retryAt) || t.isolates() && !c.mayIsolate(c.queueOf(s.job)) {
+		if t.retriesLater(c.pass.now) || t.isolates() && !c.mayIsolate(c.queueOf(s.job)) {
 			continue
 		}
 		best := c.bestWorker(r, t, workers)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -53,16 +53,42 @@
 
 // TaskProgress is the stored form of a task. Its JSON is 1 if the task is done, 0 before
 // its first run, and otherwise an array of the fields after Done, since a row holds
-// thousands of tasks. Without crashes it has none of the last two; builds that do not know
-// these ignore and drop them.
+// thousands of tasks. Without crashes it has none of those from Crashes on; builds that do
+// not know some of these ignore and drop them.
 type TaskProgress struct {
 	Done       bool
 	Run        int
 	Worker     int // 1-based index in Progress.Workers of the worker where it may run; 0 if it does not run
 	Failures   int
 	Checkpoint string
-	Crashes    int // crashes in a row under the task, and those of them that are proven
+	Crashes    int // crashes in a row under the task without the suspected ones, and those of them that are proven
 	Proven     int
+	Silent     []SilentLoss
+}
+
+// SilentLoss is the stored form of a run that was lost with a silent worker.
+type SilentLoss struct {
+	Worker  int // 1-based index in Progress.Workers
+	Started bool
+}
+
+// MarshalJSON implements json.Marshaler. The JSON is an array, since a row holds many.
+func (l SilentLoss) MarshalJSON() ([]byte, error) {
+	started := 0
+	if l.Started {
+		started = 1
+	}
+	return json.Marshal([2]int{l.Worker, started})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *SilentLoss) UnmarshalJSON(data []byte) error {
+	var fields [2]int
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	*l = SilentLoss{Worker: fields[0], Started: fields[1] != 0}
+	return nil
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -70,8 +96,10 @@
 	switch {
 	case t.Done:
 		return []byte("1"), nil
-	case t == (TaskProgress{}):
+	case t.isNew():
 		return []byte("0"), nil
+	case len(t.Silent) > 0:
+		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint, t.Crashes, t.Proven, t.Silent})
 	case t.Crashes > 0:
 		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint, t.Crashes, t.Proven})
 	default:
@@ -79,6 +107,11 @@
 	}
 }
 
+// isNew reports whether nothing of the task is to be stored.
+func (t *TaskProgress) isNew() bool {
+	return t.Run == 0 && t.Worker == 0 && t.Failures == 0 && t.Checkpoint == "" && t.Crashes == 0 && t.Proven == 0 && len(t.Silent) == 0
+}
+
 // taskFields is the number of fields that every build stores of a task that is neither done
 // nor new. A later build may store more.
 const taskFields = 4
@@ -93,13 +126,17 @@
 		*t = TaskProgress{Done: true}
 		return nil
 	}
-	fields := []any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint, &t.Crashes, &t.Proven}
+	var silent json.RawMessage
+	fields := []any{&t.Run, &t.Worker, &t.Failures, &t.Checkpoint, &t.Crashes, &t.Proven, &silent}
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return err
 	}
 	if len(fields) < taskFields || slices.Contains(fields[:taskFields], nil) {
 		return fmt.Errorf("progress of a task has fewer than %d fields", taskFields)
 	}
+	if json.Unmarshal(silent, &t.Silent) != nil {
+		t.Silent = nil // of another build; suspicions only
+	}
 	return nil
 }
 
@@ -157,21 +194,30 @@
 }
 
 func (t *task) progress(p *Progress, incarnations map[WorkerIncarnation]int) TaskProgress {
-	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes, Proven: t.proven}
+	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes - len(t.silent), Proven: t.proven}
 	if t.state.mayRun() {
-		incarnation := WorkerIncarnation{t.worker, t.incarnation, t.address}
-		if len(p.Workers) >= maxStoredAddresses && incarnations[incarnation] == 0 {
-			incarnation.Address = ""
-		}
-		if incarnations[incarnation] == 0 {
-			p.Workers = append(p.Workers, incarnation)
-			incarnations[incarnation] = len(p.Workers)
+		out.Worker = p.indexOf(WorkerIncarnation{t.worker, t.incarnation, t.address}, incarnations)
+	}
+	if !out.Done {
+		for _, l := range t.silent {
+			out.Silent = append(out.Silent, SilentLoss{p.indexOf(l.worker, incarnations), l.started})
 		}
-		out.Worker = incarnations[incarnation]
 	}
 	return out
 }
 
+// indexOf returns the 1-based index of an incarnation in p.Workers, to which it adds new ones.
+func (p *Progress) indexOf(w WorkerIncarnation, incarnations map[WorkerIncarnation]int) int {
+	if len(p.Workers) >= maxStoredAddresses && incarnations[w] == 0 {
+		w.Address = ""
+	}
+	if incarnations[w] == 0 {
+		p.Workers = append(p.Workers, w)
+		incarnations[w] = len(p.Workers)
+	}
+	return incarnations[w]
+}
+
 // decodeProgress decodes the stored progress of a job. It returns an error unless the
 // progress tells of each task whether it has been started.
 func decodeProgress(spec *workload.Job, data []byte) (Progress, error) {
@@ -251,7 +297,7 @@
 		o := newOccurrence(j, op.Index)
 		for i := range o.steps {
 			if i < len(op.Steps) {
-				c.restoreStep(o.steps[i], op.Steps[i], p.Workers)
+				c.restoreStep(o.steps[i], op.Steps[i], p.Workers, now)
 			}
 		}
 		j.occurrences = append(j.occurrences, o)
@@ -270,7 +316,7 @@
 	return nil
 }
 
-func (c *Core) restoreStep(s *step, p StepProgress, incarnations []WorkerIncarnation) {
+func (c *Core) restoreStep(s *step, p StepProgress, incarnations []WorkerIncarnation, now time.Time) {
 	s.gangFailures, s.lastFailedGangRun, s.gangCheckpoint = p.GangFailures, p.LastFailedGangRun, p.GangCheckpoint
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -282,7 +328,12 @@
 		if s.spec.Gang && t.run > 0 {
 			t.checkpoint = p.GangCheckpoint
 		}
-		c.setCrashes(s, t, crashCount{tp.Crashes, tp.Proven})
+		for _, l := range tp.Silent {
+			if l.Worker > 0 && l.Worker <= len(incarnations) {
+				c.addSilentLoss(s, i, silentLoss{worker: incarnations[l.Worker-1], started: l.Started, since: now})
+			}
+		}
+		c.setCrashes(s, t, crashCount{tp.Crashes + len(t.silent), tp.Proven})
 		placed := tp.Worker > 0 && tp.Worker <= len(incarnations)
 		if tp.Done || p.AllDone {
 			s.done++
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -23,6 +23,7 @@
 		c.stopsDue, c.tasksCheckedAt = false, now
 		c.moveServices(now)
 		c.tickTasks(now)
+		c.settleUnseen(now)
 	}
 	for _, j := range c.active {
 		if j.nextOccurrence < j.spec.Occurrences() && !j.state.Final() {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -223,6 +223,7 @@
 // worker: its life at that address has ended. It says nothing about runs that were sent to
 // another address, since another writer may have changed the worker's entry.
 func (c *Core) HandleReplaced(id, address string, now time.Time) {
+	c.settleReplaced(id, address, now)
 	w := c.workers[id]
 	if w == nil {
 		return
