--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -146,7 +146,7 @@
 
 // clearOutlived clears a task whose run a worker listed in an inventory that was requested
 // crashWindow after its start.
-func (c *Core) clearOutlived(w *worker, run workload.Run, requestedAt time.Time) {
+func (c *Core) clearOutlived(w *worker, run workload.Run, requestedAt, now time.Time) {
 	s, t := c.findTask(run.Task)
 	if t == nil || t.run != run.Number || t.worker != w.info.ID || !t.state.mayRun() {
 		return
@@ -156,9 +156,16 @@
 		return
 	}
 	t.outlived = true
+	if s.job.unstoredSince.IsZero() {
+		s.job.unstoredSince = now
+	}
 	c.clearCrashes(s, run.Task.Index)
 }
 
+// outlivedStoreDelay is how long it takes at most until it is stored that runs have outlived
+// crashWindow, if nothing else of their job is stored before.
+const outlivedStoreDelay = time.Second
+
 // clearCrashes forgets the crashes under a task.
 func (c *Core) clearCrashes(s *step, i int) {
 	t := &s.tasks[i]
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -50,7 +50,7 @@
 	for _, r := range inv.Running {
 		listed[r.Run.Task] = true
 		c.applyRunning(w, r, now)
-		c.clearOutlived(w, r.Run, requestedAt)
+		c.clearOutlived(w, r.Run, requestedAt, now)
 	}
 	if len(inv.Ended) < workload.MaxEndsPerInventory {
 		c.dropUnlisted(w, listed, requestedAt, now)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -108,9 +108,10 @@
 	overRate       bool           // exceeds its team's rate
 	homeAZ         string         // AZ of the task that was placed last
 	dirty          bool
-	starts         []Start // to be sent after the next commit
-	hasTombstone   bool    // its row is replaced by a tombstone
-	endedAt        int64   // when the final state was decided, in Unix milliseconds
+	unstoredSince  time.Time // since when a run is known to have outlived crashWindow that is not stored as such; zero if there is none
+	starts         []Start   // to be sent after the next commit
+	hasTombstone   bool      // its row is replaced by a tombstone
+	endedAt        int64     // when the final state was decided, in Unix milliseconds
 	// restored is set for a job that was taken over from an earlier term.
 	restored bool
 	// rowBytes bounds the size of the stored progress, with the room that runs in progress
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -46,6 +46,9 @@
 	LastFailedGangRun int    `json:"failed_run,omitempty"`
 	GangCheckpoint    string `json:"saved,omitempty"`
 	AllDone           bool   `json:"done,omitempty"`
+	// Outlived has a bit, from the lowest of the first byte on, for each task whose run was
+	// seen running for crashWindow.
+	Outlived []byte `json:"outlived,omitempty"`
 	// Tasks is omitted if all are done and none may be running. A gang is done when its
 	// first member ends successfully, while other members may still be running.
 	Tasks []TaskProgress `json:"tasks,omitempty"`
@@ -186,6 +189,9 @@
 					tp.Checkpoint = "" // that of the step is valid for all
 				}
 				sp.Tasks = append(sp.Tasks, tp)
+				if s.tasks[i].outlived {
+					sp.setOutlived(i, len(s.tasks))
+				}
 			}
 		}
 		out.Steps = append(out.Steps, sp)
@@ -193,6 +199,20 @@
 	return out
 }
 
+func (p *StepProgress) setOutlived(i, tasks int) {
+	if p.Outlived == nil {
+		p.Outlived = make([]byte, outlivedSetBytes(tasks))
+	}
+	p.Outlived[i/8] |= 1 << (i % 8)
+}
+
+func (p *StepProgress) hasOutlived(i int) bool {
+	return i/8 < len(p.Outlived) && p.Outlived[i/8]&(1<<(i%8)) != 0
+}
+
+// outlivedSetBytes is the size of StepProgress.Outlived for a number of tasks.
+func outlivedSetBytes(tasks int) int { return (tasks + 7) / 8 }
+
 func (t *task) progress(p *Progress, incarnations map[WorkerIncarnation]int) TaskProgress {
 	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes - len(t.silent), Proven: t.proven}
 	if t.state.mayRun() {
@@ -344,6 +364,7 @@
 		}
 		if placed {
 			c.restoreAssignment(s, i, incarnations[tp.Worker-1])
+			t.outlived = p.hasOutlived(i)
 		}
 	}
 }
--- a/internal/dispatch/rowbudget.go
+++ b/internal/dispatch/rowbudget.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"strconv"
 	"strings"
@@ -76,6 +77,9 @@
 			if s.busy == 0 {
 				continue
 			}
+			if !s.storesOutlived() {
+				j.rowBytes += s.outlivedBytes()
+			}
 			if s.spec.Gang {
 				j.rowBytes += gangEndBytes + max(0, checkpointReserve-storedLength(s.gangCheckpoint))
 			}
@@ -100,6 +104,31 @@
 	return j.rowBytes
 }
 
+// outlivedBytes is an upper bound of the stored size of which tasks of the step outlived
+// crashWindow.
+func (s *step) outlivedBytes() int {
+	return len(`,"outlived":""`) + base64.StdEncoding.EncodedLen(outlivedSetBytes(len(s.tasks)))
+}
+
+// storesOutlived reports whether a run of the step has outlived crashWindow.
+func (s *step) storesOutlived() bool {
+	for i := range s.tasks {
+		if s.tasks[i].outlived {
+			return true
+		}
+	}
+	return false
+}
+
+// firstStartBytes returns by how much the stored progress may grow besides when the first run
+// of a step that does not run starts.
+func (s *step) firstStartBytes() int {
+	if s.busy > 0 {
+		return 0
+	}
+	return s.outlivedBytes()
+}
+
 // startBytes returns by how much the stored progress may grow with a run of a task on a
 // worker.
 func (s *step) startBytes(t *task, w *worker) int {
@@ -130,7 +159,7 @@
 
 // reserveStart adds a run to the size of the stored progress.
 func (s *step) reserveStart(t *task, w *worker) {
-	s.job.rowBytes = s.job.bytes() + s.startBytes(t, w)
+	s.job.rowBytes = s.job.bytes() + s.firstStartBytes() + s.startBytes(t, w)
 	s.job.rowWorkers[w.life()] = true
 	t.reservedCheckpoint = s.storedCheckpoint(t)
 }
@@ -139,20 +168,21 @@
 // nothing of the job runs that would leave room when it ends, it makes room.
 func (c *Core) fitsRow(s *step, t *task, w *worker) bool {
 	j := s.job
-	if j.bytes()+s.startBytes(t, w) <= maxProgressBytes {
+	size := s.firstStartBytes() + s.startBytes(t, w)
+	if j.bytes()+size <= maxProgressBytes {
 		return true
 	}
 	if !j.idle() {
 		return false
 	}
-	c.makeRoom(j, s.startBytes(t, w))
-	return !s.closed && j.bytes()+s.startBytes(t, w) <= maxProgressBytes
+	c.makeRoom(j, size)
+	return !s.closed && j.bytes()+s.firstStartBytes()+s.startBytes(t, w) <= maxProgressBytes
 }
 
 // gangFitsRow is fitsRow for all tasks of a gang.
 func (c *Core) gangFitsRow(s *step, plan []*worker) bool {
 	j := s.job
-	size := gangEndBytes + checkpointReserve
+	size := gangEndBytes + checkpointReserve + s.firstStartBytes()
 	counted := map[*worker]bool{}
 	for i, w := range plan {
 		size += s.startBytes(&s.tasks[i], w)
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -26,6 +26,9 @@
 		c.settleUnseen(now)
 	}
 	for _, j := range c.active {
+		if !j.unstoredSince.IsZero() && now.Sub(j.unstoredSince) >= outlivedStoreDelay {
+			c.markDirty(j)
+		}
 		if j.nextOccurrence < j.spec.Occurrences() && !j.state.Final() {
 			c.openOccurrences(j, now)
 		}
