--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,9 +40,9 @@
 	// tasks were last checked.
 	stopsDue        bool
 	tasksCheckedAt  time.Time
-	reservedWorkers map[string]*worker       // workers with capacity reserved for gangs, as of the latest scheduling pass
-	isolatedWorkers map[string]int           // by pool: workers beside whose suspects nothing starts
-	silent          map[string]*silentWorker // by worker ID
+	reservedWorkers map[string]*worker     // workers with capacity reserved for gangs, as of the latest scheduling pass
+	isolatedWorkers map[string]int         // by pool: workers beside whose suspects nothing starts
+	silent          map[string]silentTasks // by worker ID
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
@@ -74,7 +74,7 @@
 		durationModels:  map[string]*durationModel{},
 		reservedWorkers: map[string]*worker{},
 		isolatedWorkers: map[string]int{},
-		silent:          map[string]*silentWorker{},
+		silent:          map[string]silentTasks{},
 	}
 }
 
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -37,7 +37,6 @@
 		w.reachable = true
 		c.needsScheduling = true
 		c.emit("worker in reach", "worker", id, "born", w.incarnation, "running", len(inv.Running), "ended", len(inv.Ended))
-		c.settleByAnswer(id, w.info.Address, w.incarnation, now)
 	}
 	for _, e := range inv.Ended {
 		if e.Seq > w.appliedSeq {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -17,6 +17,9 @@
 	// silenceLimit is how long after the end of its leases a worker that neither answers nor
 	// is registered counts as ended.
 	silenceLimit = 45 * time.Second
+	// registeredProof is how long after the end of its leases a worker that is registered
+	// counts as alive: the entry of one that has ended lapses before.
+	registeredProof = 15 * time.Second
 	// silentLossBytes is the stored size of a silent loss without the number of its worker;
 	// firstSilentLossBytes is by how much a task grows besides with its first one.
 	silentLossBytes      = len(`[,1],`)
@@ -35,24 +38,28 @@
 	since time.Time
 }
 
-// evidenceFrom returns what an answer of a worker shows of the silent one: that it has
-// crashed, or, without evidence, that it has not. It returns false if it shows neither.
-func (l *silentLoss) evidenceFrom(id, address string, incarnation int64) (crashEvidence, bool) {
+// evidence returns what shows that the silent worker has crashed, or none if it has not, by
+// what is known of the worker with its ID and of the one that answers at its address. It
+// returns false if it is not known yet.
+func (l *silentLoss) evidence(same, atAddress *worker, now time.Time) (crashEvidence, bool) {
+	silentFor := now.Sub(l.since)
 	switch {
-	case l.worker.ID == id && (l.worker.Incarnation == incarnation || l.worker.Incarnation == 0):
-		return "", true
-	case l.worker.ID == id:
-		return workerRestarted, l.worker.Incarnation < incarnation
+	case same != nil && same.reachable:
+		if same.incarnation <= l.worker.Incarnation {
+			return "", true
+		}
+		return workerRestarted, true
+	case atAddress != nil && atAddress != same:
+		return workerReplaced, true
+	case same != nil && same.registered && same.info.Incarnation <= l.worker.Incarnation:
+		return "", silentFor >= registeredProof
 	default:
-		return workerReplaced, l.worker.Address == address && address != ""
+		return workerUnseen, silentFor >= silenceLimit
 	}
 }
 
-// silentWorker lists the tasks with losses on a silent worker. It may list some without.
-type silentWorker struct {
-	address string // of the latest loss
-	tasks   map[workload.TaskID]struct{}
-}
+// silentTasks are the tasks with losses on a silent worker, and maybe some without.
+type silentTasks map[workload.TaskID]struct{}
 
 // recordSilence records that a run is lost with a silent worker, unless the stored progress
 // has no room for that.
@@ -79,72 +86,72 @@
 func (c *Core) addSilentLoss(s *step, i int, l silentLoss) {
 	t := &s.tasks[i]
 	t.silent = append(t.silent, l)
-	w := c.silent[l.worker.ID]
-	if w == nil {
-		w = &silentWorker{tasks: map[workload.TaskID]struct{}{}}
-		c.silent[l.worker.ID] = w
-	}
-	w.address = l.worker.Address
-	w.tasks[s.taskID(i)] = struct{}{}
-}
-
-// settleByAnswer settles the losses of which the answer of a worker shows whether theirs has
-// crashed.
-func (c *Core) settleByAnswer(id, address string, incarnation int64, now time.Time) {
-	for silentID, w := range c.silent {
-		if silentID == id || w.address == address && address != "" {
-			c.settle(silentID, w, now, func(l *silentLoss) (crashEvidence, bool) { return l.evidenceFrom(id, address, incarnation) })
-		}
+	if c.silent[l.worker.ID] == nil {
+		c.silent[l.worker.ID] = silentTasks{}
 	}
+	c.silent[l.worker.ID][s.taskID(i)] = struct{}{}
 }
 
 // settleReplaced settles the losses on a worker at whose address another one answers.
 func (c *Core) settleReplaced(id, address string, now time.Time) {
-	if w := c.silent[id]; w != nil {
-		c.settle(id, w, now, func(l *silentLoss) (crashEvidence, bool) { return workerReplaced, l.worker.Address == address })
-	}
+	c.settle(id, now, func(l *silentLoss) (crashEvidence, bool) { return workerReplaced, l.worker.Address == address })
 }
 
-// settleUnseen settles the losses on workers that have been silent for silenceLimit.
-func (c *Core) settleUnseen(now time.Time) {
-	for id, w := range c.silent {
-		known := c.workers[id]
-		registered := known != nil && known.registered
-		c.settle(id, w, now, func(l *silentLoss) (crashEvidence, bool) {
-			return workerUnseen, !registered && now.Sub(l.since) >= silenceLimit
+// settleSilence settles the losses of which it is known by now whether their worker has
+// crashed.
+func (c *Core) settleSilence(now time.Time) {
+	if len(c.silent) == 0 {
+		return
+	}
+	answering := make(map[string]*worker, len(c.workers)) // by address
+	for _, w := range c.workers {
+		if w.reachable {
+			answering[w.info.Address] = w
+		}
+	}
+	for id := range c.silent {
+		c.settle(id, now, func(l *silentLoss) (crashEvidence, bool) {
+			return l.evidence(c.workers[id], answering[l.worker.Address], now)
 		})
 	}
 }
 
 // settle settles the losses on a silent worker for which evidence returns true: with
 // evidence that the worker has crashed, or without.
-func (c *Core) settle(id string, w *silentWorker, now time.Time, evidence func(*silentLoss) (crashEvidence, bool)) {
-	for task := range w.tasks {
+func (c *Core) settle(id string, now time.Time, evidence func(*silentLoss) (crashEvidence, bool)) {
+	tasks := c.silent[id]
+	for task := range tasks {
 		s, t := c.findTask(task)
-		if t == nil || s.job.state.Final() {
-			delete(w.tasks, task)
-			continue
-		}
-		open := 0
-		for k := len(t.silent) - 1; k >= 0; k-- {
-			if t.silent[k].worker.ID != id {
-				continue
-			}
-			if found, settled := evidence(&t.silent[k]); settled {
-				c.settleLoss(s, task.Index, k, found, now)
-			} else {
-				open++
-			}
+		open := false
+		if t != nil && !s.job.state.Final() {
+			open = c.settleTask(s, task.Index, id, now, evidence)
 		}
-		if open == 0 {
-			delete(w.tasks, task)
+		if !open {
+			delete(tasks, task)
 		}
 	}
-	if len(w.tasks) == 0 {
+	if len(tasks) == 0 {
 		delete(c.silent, id)
 	}
 }
 
+// settleTask is settle for one task. It reports whether the task has losses on the worker
+// that are not settled.
+func (c *Core) settleTask(s *step, i int, id string, now time.Time, evidence func(*silentLoss) (crashEvidence, bool)) (open bool) {
+	t := &s.tasks[i]
+	for k := len(t.silent) - 1; k >= 0; k-- {
+		if t.silent[k].worker.ID != id {
+			continue
+		}
+		if found, settled := evidence(&t.silent[k]); settled {
+			c.settleLoss(s, i, k, found, now)
+		} else {
+			open = true
+		}
+	}
+	return open
+}
+
 // settleLoss settles the k-th silent loss of a task. Without evidence its worker has not
 // crashed.
 func (c *Core) settleLoss(s *step, i, k int, evidence crashEvidence, now time.Time) {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -56,16 +56,17 @@
 		"an order is answered by another": {evidence: func(c *testCell) { c.core.HandleReplaced("w", "w:1", c.now) }, crashes: 1, proven: 1},
 		"it is registered only": {evidence: func(c *testCell) {
 			c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Incarnation: testIncarnation, Address: "w:1", AZ: "a", Pool: "pool"}})
-			c.now = c.now.Add(silenceLimit)
-			c.core.Tick(c.now)
+			c.now = c.now.Add(registeredProof)
+		}},
+		"it is registered after a restart only": {evidence: func(c *testCell) {
+			c.core.SetWorker(workload.WorkerChange{ID: "w", Worker: &workload.Worker{ID: "w", Incarnation: testIncarnation + 1, Address: "w:1", AZ: "a", Pool: "pool"}})
+			c.now = c.now.Add(registeredProof)
 		}, open: true, crashes: 1},
 		"it is not seen again": {evidence: func(c *testCell) {
 			c.now = c.now.Add(silenceLimit)
-			c.core.Tick(c.now)
 		}, crashes: 1},
 		"it is not seen for a while": {evidence: func(c *testCell) {
 			c.now = c.now.Add(silenceLimit - time.Second)
-			c.core.Tick(c.now)
 		}, open: true, crashes: 1},
 	} {
 		for _, takeover := range []bool{false, true} {
@@ -85,6 +86,8 @@
 					c.takeOver(j.spec, j.encode())
 				}
 				test.evidence(c)
+				c.now = c.now.Add(taskCheckInterval)
+				c.core.Tick(c.now)
 				_, task = c.core.findTask(id)
 				is.Equal(len(task.silent), map[bool]int{true: 1}[test.open])
 				is.Equal(task.crashes, test.crashes)
@@ -114,6 +117,8 @@
 			is.Equal(c.jobState(), workload.Running)
 			if alive {
 				c.addWorker("w2", 4) // the same incarnation
+				c.now = c.now.Add(taskCheckInterval)
+				c.core.Tick(c.now)
 				is.Equal(len(c.startTasks(nil)), 1)
 				return
 			}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -23,7 +23,7 @@
 		c.stopsDue, c.tasksCheckedAt = false, now
 		c.moveServices(now)
 		c.tickTasks(now)
-		c.settleUnseen(now)
+		c.settleSilence(now)
 	}
 	for _, j := range c.active {
 		if !j.unstoredSince.IsZero() && now.Sub(j.unstoredSince) >= outlivedStoreDelay {
