--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -69,8 +69,8 @@
 // loseRun ends a run that was lost with its worker.
 func (c *Core) loseRun(w *worker, s *step, i int, evidence crashEvidence, now time.Time) {
 	t := &s.tasks[i]
-	if t.workerRestarted {
-		evidence = workerRestarted
+	if t.workerRestarted && (evidence != workerSilent || !w.incarnationSeenAt.IsZero()) {
+		evidence = workerRestarted // known from the worker, not from its entry only
 	}
 	crashed, isolated := c.crashedUnder(w, s, t, evidence), t.isolates()
 	switch {
@@ -129,7 +129,7 @@
 		n.proven++
 	}
 	c.setCrashes(s, t, n)
-	c.emit("worker crashed under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.incarnation,
+	c.emit("worker crashed under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.startedOn,
 		"evidence", string(evidence), "suspected crashes", t.suspected(), "crashes", t.crashes, "proven", t.proven}, w.contactFields(t, now)...)...)
 }
 
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -77,7 +77,7 @@
 	if t.state == taskAssigned {
 		t.state = taskRunning
 	}
-	t.address = w.info.Address
+	t.address, t.startedOn = w.info.Address, w.incarnation
 	s.job.begin()
 	if t.startConfirmed.IsZero() {
 		t.startConfirmed = now
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,7 +28,8 @@
 	state       taskState
 	run         int // number of the latest run
 	worker      string
-	incarnation int64  // incarnation of the worker
+	incarnation int64  // incarnation of the worker that is waited for
+	startedOn   int64  // incarnation of the worker that the run was started on or is listed by
 	address     string // of the worker at the start; empty if the run was restored and not reported since
 	failures    int
 	failedTime  time.Duration // total duration of its failed runs
@@ -370,7 +371,7 @@
 		c.urgentUsed -= s.spec.RequiredCapacity().MilliCores
 	}
 	s.busy--
-	t.worker, t.incarnation, t.address = "", 0, ""
+	t.worker, t.incarnation, t.startedOn, t.address = "", 0, 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startSent, t.outlived, t.workerRestarted, t.checkpointRefused = false, false, false, false
 	t.startSentAt, t.unlistedAfterStart = time.Time{}, false
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -346,7 +346,7 @@
 	t := &s.tasks[i]
 	s.reserveStart(t, w)
 	t.state, t.run, t.worker, t.address = taskAssigned, run, w.info.ID, w.info.Address
-	t.incarnation = w.incarnation
+	t.incarnation, t.startedOn = w.incarnation, w.incarnation
 	t.startConfirmed, t.percent, t.progressedAt = time.Time{}, 0, time.Time{}
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.tailLatencyMS, t.throttlePercent = 0, fullSpeed
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -217,7 +217,7 @@
 func (t *task) progress(p *Progress, incarnations map[WorkerIncarnation]int) TaskProgress {
 	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes - len(t.silent), Proven: t.proven}
 	if t.state.mayRun() {
-		out.Worker = p.indexOf(WorkerIncarnation{t.worker, t.incarnation, t.address}, incarnations)
+		out.Worker = p.indexOf(WorkerIncarnation{t.worker, t.startedOn, t.address}, incarnations)
 	}
 	for i := range t.silent {
 		if l := &t.silent[i]; l.stored && !out.Done {
@@ -378,7 +378,7 @@
 func (c *Core) restoreAssignment(s *step, i int, incarnation WorkerIncarnation) {
 	t := &s.tasks[i]
 	t.state, t.worker, t.address = taskRunning, incarnation.ID, incarnation.Address
-	t.incarnation = incarnation.Incarnation
+	t.incarnation, t.startedOn = incarnation.Incarnation, incarnation.Incarnation
 	t.startSent = true
 	if s.job.state.Final() {
 		t.state = taskStopping
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -94,7 +94,7 @@
 // recordSilence records that a run is lost with a silent worker.
 func (c *Core) recordSilence(w *worker, s *step, i int, now time.Time) {
 	t := &s.tasks[i]
-	l := silentLoss{worker: WorkerIncarnation{w.info.ID, t.incarnation, t.address}, started: !t.startConfirmed.IsZero(), since: now, observedSince: now}
+	l := silentLoss{worker: WorkerIncarnation{w.info.ID, t.startedOn, t.address}, started: !t.startConfirmed.IsZero(), since: now, observedSince: now}
 	size := silentLossBytes + digits(len(s.job.rowWorkers)+1)
 	if len(t.silent) == 0 {
 		size += firstSilentLossBytes
@@ -106,7 +106,7 @@
 	n := t.crashCount
 	n.crashes++
 	c.setCrashes(s, t, n)
-	c.emit("worker silent under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.incarnation,
+	c.emit("worker silent under task", append([]any{"task", s.taskID(i).String(), "run", t.run, "worker", w.info.ID, "born", t.startedOn,
 		"suspected crashes", t.suspected(), "crashes", t.crashes, "proven", t.proven, "stored", l.stored}, w.contactFields(t, now)...)...)
 }
 
--- a/internal/dispatch/silencecases_test.go
+++ b/internal/dispatch/silencecases_test.go
@@ -110,6 +110,51 @@
 	is.Equal(len(c.firstTask().silent), 0) // known at once
 }
 
+// Guards against an entry of another writer, with an odd time of birth, that is taken for a
+// restart.
+func TestOddBirthInAnEntryIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	for n := range unprovenCrashLimit {
+		id := fmt.Sprint("w", n)
+		c.addWorker(id, 4)
+		if len(c.startTasks(nil)) == 0 {
+			break
+		}
+		c.entry(id, id+":1", 1<<52)
+		c.loseSilently(id)
+		c.now = c.now.Add(crashRetryPause)
+	}
+	c.startTasks(nil)
+	is.Equal(c.firstTask().crashes-len(c.firstTask().silent), 0) // nothing has ended
+	is.Equal(c.jobState(), workload.Running)
+}
+
+// Guards against an odd time of birth that outlives the term in the row of a job.
+func TestOddBirthBeforeATakeoverIsRefuted(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 4)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	c.startTasks(nil)
+	c.entry("w", "w:1", 1<<52)
+	c.core.HandleLostContact("w", c.now)
+	j := c.core.jobs["j"]
+	c.takeOver(j.spec, j.encode())
+	c.now = c.now.Add(crashLease + time.Millisecond)
+	c.core.Tick(c.now)
+	is.Equal(len(c.firstTask().silent), 1)
+	c.entry("w", "w:1", testIncarnation)
+	for range 120 {
+		c.reportInventory("w", workload.Inventory{})
+		c.now = c.now.Add(time.Second)
+		c.core.Tick(c.now)
+	}
+	is.Equal(c.firstTask().crashes, 0)
+	is.Equal(len(c.firstTask().silent), 0)
+}
+
 // Guards against a task without a limit in a job whose row is more than half full.
 func TestTaskThatCrashesWorkersHasALimitInALargeRow(t *testing.T) {
 	for name, o := range map[string]outage{"silent": {silent: true}, "silent, takeovers": {silent: true, unanswered: true, takeovers: true}} {
@@ -133,3 +178,23 @@
 		})
 	}
 }
+
+// Guards against a crash that is missed since a coordinator takes over between the new
+// incarnation's entry and its first answer.
+func TestRestartIsCountedAcrossATakeoverBeforeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 4)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	is.Equal(len(c.startTasks(nil)), 1)
+	delete(c.running, "w")
+	c.core.HandleLostContact("w", c.now) // it has crashed
+	c.entry("w", "w:1", testIncarnation+1)
+	j := c.core.jobs["j"]
+	c.takeOver(j.spec, j.encode()) // stored for another task of the job
+	c.entry("w", "w:1", testIncarnation+1)
+	c.now = c.now.Add(time.Second)
+	c.reportInventory("w", workload.Inventory{Incarnation: testIncarnation + 1})
+	is.Equal(c.firstTask().state, taskPending)
+	is.Equal(c.firstTask().crashes, 1)
+}
