--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -150,8 +150,8 @@
 	return json.Unmarshal(progress, &p) == nil && p.State.Final()
 }
 
-// encode returns the stored form of the job's current progress. It leaves out the addresses
-// of workers if the row would be too large with them.
+// encode returns the stored form of the job's current progress. If the row would be too large
+// with them, it leaves out the addresses of workers and which runs outlived crashWindow.
 func (j *job) encode() []byte {
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
@@ -166,6 +166,11 @@
 		for i := range p.Workers {
 			p.Workers[i].Address = ""
 		}
+		for _, o := range p.Occurrences {
+			for i := range o.Steps {
+				o.Steps[i].Outlived = nil
+			}
+		}
 		data = p.marshal(j.spec.ID)
 	}
 	return data
--- a/internal/dispatch/silencecases_test.go
+++ b/internal/dispatch/silencecases_test.go
@@ -179,6 +179,41 @@
 	}
 }
 
+// Guards against a row that outgrows the store since an older build has reserved no room for the
+// bits of Outlived.
+func TestOutlivedRunsOfAFullRowOfAnOlderBuild(t *testing.T) {
+	is := is.New(t)
+	const occurrences = 455
+	checkpoint := strings.Repeat("x", 92)
+	c := newRowCell(t, 12, shortID)
+	c.checkpoint = func(workload.TaskID) string { return checkpoint }
+	var workers, open []string
+	for i := range 12 {
+		workers = append(workers, fmt.Sprintf(`{"id":%q,"born":%d}`, shortID(i), testIncarnation))
+	}
+	for k := range occurrences {
+		open = append(open, fmt.Sprintf(`{"k":%d,"steps":[{"tasks":[[1,%d,0,%q]]}]}`, k, k%12+1, checkpoint))
+	}
+	row := fmt.Sprintf(`{"state":"running","begun":true,"next":%d,"workers":[%s],"occ":[%s]}`, len(open), strings.Join(workers, ","), strings.Join(open, ","))
+	is.True(len(row)+occurrences*endGrowthBytes <= maxProgressBytes) // so the older build allows it
+	job := workload.Job{ID: bigJob, Queue: "batch", Team: "team", Repeats: 3600, Period: time.Second,
+		FirstDue: c.now.Add(-3600 * time.Second).UnixMilli(), Steps: []workload.Step{{Tasks: 1, Resources: smallTask, Checkpoints: true}}}
+	is.NoErr(c.core.Restore(&job, []byte(row), false, c.now))
+	for k := range open {
+		id := shortID(k % 12)
+		if c.running[id] == nil {
+			c.running[id] = map[workload.TaskID]workload.RunStatus{}
+		}
+		task := workload.TaskID{StepID: workload.StepID{Job: bigJob, Occurrence: k}}
+		c.running[id][task] = workload.RunStatus{Run: workload.Run{Task: task, Number: 1}, Checkpoint: checkpoint}
+	}
+	for range 8 {
+		c.step()
+	}
+	t.Logf("%d runs, row before %d bytes, largest %d of %d", len(open), len(row), c.largest, workload.MaxRowBytes)
+	is.True(c.largest <= workload.MaxRowBytes)
+}
+
 // Guards against a crash that is missed since a coordinator takes over between the new
 // incarnation's entry and its first answer.
 func TestRestartIsCountedAcrossATakeoverBeforeTheAnswer(t *testing.T) {
