--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -95,7 +95,7 @@
 		r := c.ready[p.next]
 		p.next++
 		s := r.step
-		if !s.startable() {
+		if !s.startable() || s.awaitsEvidence() {
 			continue
 		}
 		q := c.queueOf(s.job)
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -91,6 +91,21 @@
 	return t.crashes >= unprovenCrashLimit && t.suspected() > 0
 }
 
+// awaitsEvidence reports whether nothing of the step may start before more is known of its
+// silent workers.
+func (s *step) awaitsEvidence() bool {
+	if s.suspects == 0 {
+		return false
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if waits := t.awaitsEvidence(); t.state == taskPending && waits == s.spec.Gang {
+			return waits
+		}
+	}
+	return !s.spec.Gang
+}
+
 // recordSilence records that a run is lost with a silent worker.
 func (c *Core) recordSilence(w *worker, s *step, i int, now time.Time) {
 	t := &s.tasks[i]
--- a/internal/dispatch/silencecases_test.go
+++ b/internal/dispatch/silencecases_test.go
@@ -233,3 +233,56 @@
 	is.Equal(c.firstTask().state, taskPending)
 	is.Equal(c.firstTask().crashes, 1)
 }
+
+// Guards against calls for advice for a task that waits until it is known whether its workers
+// have crashed.
+func TestTaskThatAwaitsEvidenceCallsForNoAdvice(t *testing.T) {
+	is := is.New(t)
+	advice := &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 3 * time.Second}
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Advice: advice})
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	calls := 0
+	call := func() {
+		for p := c.core.NewAdvicePass(c.now); ; {
+			call, ok := p.Next(AdviceCapacity{MaxDuration: time.Second})
+			if !ok {
+				return
+			}
+			calls++
+			var tickets []workload.Ticket
+			for _, id := range call.Workers {
+				tickets = append(tickets, workload.Ticket{Worker: id, Token: "t"})
+			}
+			c.core.HandleAdvice(call, tickets, nil, c.now)
+		}
+	}
+	for n := range unprovenCrashLimit {
+		id := fmt.Sprint("w", n)
+		c.addWorker(id, 4)
+		started := 0
+		for range 20 {
+			c.now = c.now.Add(500 * time.Millisecond)
+			c.reportInventory(id, workload.Inventory{})
+			started = len(c.startTasks(nil))
+			if started > 0 {
+				break
+			}
+			call()
+		}
+		is.Equal(started, 1)
+		c.loseSilently(id)
+		c.now = c.now.Add(crashRetryPause)
+	}
+	for n := range 10 {
+		c.addWorker(fmt.Sprint("spare", n), 4)
+	}
+	calls = 0
+	for range 60 { // 30 s
+		c.now = c.now.Add(500 * time.Millisecond)
+		c.core.Tick(c.now)
+		is.Equal(len(c.startTasks(nil)), 0)
+		call()
+	}
+	t.Logf("%d calls in 30 s", calls)
+	is.True(calls <= 1)
+}
