--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -93,10 +93,12 @@
 	return c
 }
 
-// callFailed handles a failed call. Unless the host answered, it suspends calls to the host
-// for peerBackoff and closes idle connections, which may be dead as well.
-func (p *peers) callFailed(address string, err error) {
-	if wasAnswered(err) {
+// callFailed handles a failed call that was made with ctx. Unless the host answered, it
+// suspends calls to the host for peerBackoff and closes idle connections, which may be dead
+// as well. A call that was cancelled says nothing about the host. Load pattern: callers
+// that leave while the host is at work for them.
+func (p *peers) callFailed(ctx context.Context, address string, err error) {
+	if wasAnswered(err) || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	p.http.CloseIdleConnections()
@@ -178,7 +180,7 @@
 		defer cancel()
 		reply, err := client.Notify(ctx, request)
 		if err != nil {
-			p.callFailed(address, err)
+			p.callFailed(ctx, address, err)
 			return
 		}
 		p.admission.setLeader(reply.RefusePermille)
@@ -232,7 +234,7 @@
 	}
 	reply, err := client.StateOf(ctx, &rpc.StateOfRequest{Job: id, WaitMs: wait.Milliseconds()})
 	if err != nil {
-		p.callFailed(address, err)
+		p.callFailed(ctx, address, err)
 		return "", false, err
 	}
 	if !reply.Coordinator {
@@ -252,7 +254,7 @@
 	}
 	reply, err := client.CountPending(ctx, &rpc.CountPendingRequest{Queue: queue})
 	if err != nil {
-		p.callFailed(address, err)
+		p.callFailed(ctx, address, err)
 		return 0, err
 	}
 	if !reply.Coordinator {
@@ -288,7 +290,9 @@
 				Configuration: reply.Configuration,
 			}, nil
 		}
-		p.callFailed(other.Address, err)
+		if ctx.Err() == nil { // otherwise the host had less than relayTimeout
+			p.callFailed(ctx, other.Address, err)
+		}
 		if r.Operation == intake.Submit && !notSent(err) {
 			return intake.Reply{Outcome: intake.Unknown, Reason: "relayed: " + err.Error()}, nil
 		}
@@ -346,7 +350,7 @@
 		Job: step.Job, Occurrence: int32(step.Occurrence), Step: int32(step.Step), Workers: workers,
 	})
 	if err != nil {
-		a.peers.callFailed(a.address, err)
+		a.peers.callFailed(ctx, a.address, err)
 		return nil, fmt.Errorf("%w: %w", workload.ErrAdviceFailed, err)
 	}
 	if reply.Busy {
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -56,7 +56,8 @@
 	workload.Commander
 	hosts  func() []peer // other hosts that may relay
 	client func(address string) rpc.Cell
-	failed func(address string, err error) // called when a relay did not answer
+	// failed is called when a relay did not answer a call made with ctx.
+	failed func(ctx context.Context, address string, err error)
 	log    logr.Logger
 	direct *rate.Limiter // bytes of start orders to workers; nil: no limit
 
@@ -178,7 +179,7 @@
 		err = fmt.Errorf("%d results for %d start orders", len(reply.Results), len(batch))
 	}
 	if err != nil {
-		h.sendFailed(batch, added, err)
+		h.sendFailed(ctx, batch, added, err)
 		return
 	}
 	for i, result := range reply.Results {
@@ -193,8 +194,8 @@
 }
 
 // sendFailed answers the orders of a batch for which the call failed.
-func (h *relayHost) sendFailed(batch []pendingStart, added []string, err error) {
-	h.relay.failed(h.address, err)
+func (h *relayHost) sendFailed(ctx context.Context, batch []pendingStart, added []string, err error) {
+	h.relay.failed(ctx, h.address, err)
 	h.mu.Lock()
 	for _, job := range added {
 		h.specs.Remove(job)
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -77,7 +77,7 @@
 		Commander: c.direct, log: logr.Discard(), direct: rate.NewLimiter(0, 0),
 		relays: map[string]*relayHost{}, noRelayFor: map[string]time.Time{},
 		client: func(address string) rpc.Cell { return rpc.NewCellProtobufClient("http://"+address, peerDoer{client}) },
-		failed: func(string, error) { c.failed++ },
+		failed: func(context.Context, string, error) { c.failed++ },
 	}
 	var all []peer
 	for range hosts {
