--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"path"
 	"sync"
@@ -36,11 +38,28 @@
 	peerBackoff      = 2 * time.Second // time without calls to a host that did not answer
 )
 
-// peerDoer sends twirp's requests. Its errors show whether a request was sent.
+// peerDoer sends twirp's requests. Its errors show whether a request was sent. It returns
+// complete answers only: twirp reports an answer that breaks off like an error that the
+// called host answered.
 type peerDoer struct{ client *http.Client }
 
 // Do implements twirp's HTTPClient.
-func (d peerDoer) Do(req *http.Request) (*http.Response, error) { return httpjson.Do(d.client, req) }
+func (d peerDoer) Do(req *http.Request) (*http.Response, error) {
+	resp, err := httpjson.Do(d.client, req)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxReplyBytes))
+	_ = resp.Body.Close()
+	if err == nil {
+		err = req.Context().Err() // twirp discards an answer that comes too late
+	}
+	if err != nil {
+		return nil, &httpjson.TransportError{Sent: true, Err: err}
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp, nil
+}
 
 // notSent reports whether a failed call was not sent, so that it had no effect.
 func notSent(err error) bool {
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -231,6 +233,29 @@
 	is.Equal(len(c.direct.take()), 0)
 }
 
+// An order that a host had relayed was sent again as one that no worker can have got, since only
+// the start of the host's answer arrived.
+func TestTruncatedAnswerOfRelay(t *testing.T) {
+	is := is.New(t)
+	c := newRelayCell(t, 1)
+	relayed := rpc.NewCellServer(c.hosts[0])
+	cut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		relayed.ServeHTTP(answer, r)
+		w.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
+		w.Header().Set("Content-Length", strconv.Itoa(answer.Body.Len()+1))
+		_, _ = w.Write(answer.Body.Bytes()) // the connection ends before the last byte
+	}))
+	defer cut.Close()
+	c.startRelay.hosts = func() []peer {
+		return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(cut.URL, "http://")}}}
+	}
+	_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+	is.Equal(len(c.workers.take()), 1)
+	is.True(errors.Is(err, workload.ErrNoAnswer))
+	is.Equal(len(c.direct.take()), 0)
+}
+
 // blockingStart answers a start order when released.
 type blockingStart struct{ release chan struct{} }
 
