--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -132,7 +132,7 @@
 	mc := t.maintenance
 	hosts := make(map[string]maintenance.Host, len(mc.hosts))
 	for _, h := range mc.hosts {
-		hosts[h.ID] = maintenance.Host{Up: h.Up, Worker: h.Worker, Tasks: t.core.TasksOn(h.Worker)}
+		hosts[h.ID] = maintenance.Host{Up: h.Up, InMaintenance: h.InMaintenance, Worker: h.Worker, Tasks: t.core.TasksOn(h.Worker)}
 	}
 	var cordoned []string
 	for id, c := range mc.campaigns {
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -29,9 +29,10 @@
 
 // Host is the current state of a host of the campaign.
 type Host struct {
-	Up     bool
-	Worker string
-	Tasks  int // tasks that may be running on its worker
+	Up            bool
+	InMaintenance bool
+	Worker        string
+	Tasks         int // tasks that may be running on its worker
 }
 
 // Campaign is the state of one campaign. Not safe for concurrent use.
@@ -112,7 +113,9 @@
 }
 
 // down counts the hosts that are down for this campaign: not up, or still listed in
-// their old state although their maintenance has started.
+// their old state although their maintenance has started. Those that are being drained are
+// counted apart. An order of an earlier coordinator that is not stored, or that got no
+// answer, shows only in the host's state.
 func (c *Campaign) down(hosts map[string]Host, now time.Time) int {
 	n := 0
 	for host, s := range c.started {
@@ -126,6 +129,13 @@
 			n++
 		}
 	}
+	for _, host := range c.Hosts {
+		_, hasStarted := c.started[host]
+		_, chosen := c.draining[host]
+		if !hasStarted && !chosen && hosts[host].InMaintenance {
+			n++
+		}
+	}
 	return n
 }
 
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -48,7 +48,7 @@
 
 // Checks with random campaigns that never more hosts are down than allowed and that a
 // campaign is completed only when every remaining host has had its maintenance. A
-// takeover replaces the campaign's state by what was stored.
+// takeover replaces the campaign's state by what was stored, which may not be the latest.
 func TestCampaignLimitsHostsDown(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "hosts")
@@ -59,6 +59,7 @@
 		hosts := map[string]Host{}
 		back := map[string]time.Time{}
 		began := map[string]bool{}
+		var stored []string
 		for _, h := range m.Hosts {
 			hosts[h] = Host{Up: true, Worker: h + "-0", Tasks: rapid.IntRange(0, 5).Draw(t, "tasks")}
 		}
@@ -75,7 +76,7 @@
 				}
 			}
 			if rapid.IntRange(0, 40).Draw(t, "takeover") == 0 {
-				c = New(m, c.Started(), time.UnixMilli(0), now)
+				c = New(m, stored, time.UnixMilli(0), now)
 			}
 			if h := m.Hosts[rapid.IntRange(0, n-1).Draw(t, "host")]; rapid.IntRange(0, 200).Draw(t, "gone") == 0 && hosts[h].Up {
 				delete(hosts, h)
@@ -94,9 +95,14 @@
 					t.Fatalf("maintenance of %s starts with %d tasks", h, hosts[h].Tasks)
 				}
 				c.MarkStarted(h, hosts[h].Worker, now)
-				began[h] = true
-				hosts[h] = Host{Worker: hosts[h].Worker}
-				back[h] = now.Add(2 * time.Second)
+				if !began[h] { // otherwise the order does nothing
+					began[h] = true
+					hosts[h] = Host{InMaintenance: true, Worker: hosts[h].Worker}
+					back[h] = now.Add(2 * time.Second)
+				}
+			}
+			if rapid.IntRange(0, 2).Draw(t, "stored") > 0 {
+				stored = c.Started()
 			}
 			if len(back) > atOnce {
 				t.Fatalf("%d hosts are down, the limit is %d", len(back), atOnce)
@@ -114,6 +120,19 @@
 	})
 }
 
+// A host whose maintenance an earlier coordinator had begun, and could not store, did not count
+// as down, so that more hosts were in maintenance than allowed.
+func TestMaintenanceThatIsNotStoredCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(0)
+	c := New(testCampaign(3, 2, 40*time.Second), []string{"h0"}, now, now)
+	hosts := map[string]Host{"h0": {InMaintenance: true}, "h1": {InMaintenance: true}, "h2": {Up: true, Worker: "w2"}}
+	p := c.Next(hosts, now)
+	is.Equal(len(p.Start)+len(p.Cordon), 0)
+	hosts["h0"] = Host{Up: true, Worker: "w0"}
+	is.Equal(c.Next(hosts, now).Start, []string{"h2"})
+}
+
 // Each takeover began anew to wait for the tasks of a host to end by themselves, so that a
 // campaign stood still while coordinators followed one another.
 func TestTakeoversDelayEvictions(t *testing.T) {
--- a/internal/workload/maintenance.go
+++ b/internal/workload/maintenance.go
@@ -17,9 +17,10 @@
 
 // WorkerHost is a host that runs one worker at a time.
 type WorkerHost struct {
-	ID     string
-	Up     bool   // neither moving, nor in maintenance, nor down
-	Worker string // ID of the host's current worker
+	ID            string
+	Up            bool // neither moving, nor in maintenance, nor down
+	InMaintenance bool
+	Worker        string // ID of the host's current worker
 }
 
 // Errors of an order to a host. After ErrNoAnswer the order may have been or may yet
