--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,8 +46,10 @@
 type campaign struct {
 	*maintenance.Campaign           // nil until its stored state has been read
 	begunMS               int64     // when it began, by the store's clock; 0 if that is not known
-	calling               bool      // its state is being loaded or reported
-	pausedUntil           time.Time // neither is tried before
+	version               int64     // of the stored state; 0 if there is none
+	unsaved               bool      // the state has changed since it was stored
+	calling               bool      // its state is being loaded, stored or reported
+	pausedUntil           time.Time // none of these is tried before
 	running, completed    bool      // as reported to the host API
 }
 
@@ -59,6 +62,12 @@
 	campaignLoaded struct {
 		campaign workload.Maintenance
 		row      campaignRow
+		version  int64 // of the row; 0 if there is none
+		err      error
+	}
+	campaignSaved struct {
+		campaign int64
+		version  int64
 		err      error
 	}
 	hostsListed struct {
@@ -97,6 +106,9 @@
 		case c.Campaign == nil:
 			c.calling = true
 			go t.loadCampaign(ctx, m)
+		case c.unsaved:
+			c.calling, c.unsaved = true, false
+			go t.saveCampaign(ctx, m.ID, campaignRow{c.Started(), c.begunMS}, c.version)
 		case !c.running:
 			c.calling = true
 			go t.reportCampaign(ctx, m.ID, false)
@@ -150,7 +162,7 @@
 				go t.orderMaintenance(ctx, id, host, hosts[host].Worker)
 			}
 		}
-		if plan.Completed && !c.calling && !now.Before(c.pausedUntil) {
+		if plan.Completed && !c.unsaved && !c.calling && !now.Before(c.pausedUntil) {
 			c.calling = true
 			go t.reportCampaign(ctx, id, true)
 		}
@@ -173,13 +185,12 @@
 }
 
 // beginCampaign takes over the stored state of a campaign, or begins it.
-func (t *termLoop) beginCampaign(ctx context.Context, c *campaign, e campaignLoaded, now time.Time) {
+func (t *termLoop) beginCampaign(c *campaign, e campaignLoaded, now time.Time) {
 	begun := now
-	c.begunMS = e.row.BegunMS
+	c.begunMS, c.version = e.row.BegunMS, e.version
 	if reading, ok := platform.StoreClock(t.Store); ok {
 		if c.begunMS == 0 {
-			c.begunMS = reading.Upper(now).Milliseconds()
-			go t.saveCampaign(ctx, e.campaign.ID, campaignRow{nil, c.begunMS}, true)
+			c.begunMS, c.unsaved = reading.Upper(now).Milliseconds(), true
 		}
 		begun = reading.Reached(time.Duration(c.begunMS) * time.Millisecond)
 	}
@@ -189,13 +200,20 @@
 func (t *termLoop) loadCampaign(ctx context.Context, m workload.Maintenance) {
 	key := strconv.FormatInt(m.ID, 10)
 	page, err := t.Store.Scan(ctx, maintenanceTable, "", key, key+"\x00")
-	var row campaignRow
+	loaded := campaignLoaded{campaign: m, err: err}
 	if err == nil && len(page.Rows) > 0 {
-		if err = json.Unmarshal(page.Rows[0].Value, &row); err != nil {
-			err = fmt.Errorf("state of maintenance campaign %d cannot be decoded: %w", m.ID, err)
-		}
+		loaded.version = page.Rows[0].Version
+		loaded.row, loaded.err = decodeCampaignRow(page.Rows[0])
+	}
+	t.post(ctx, loaded)
+}
+
+func decodeCampaignRow(r platform.PartitionRow) (campaignRow, error) {
+	var row campaignRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return row, fmt.Errorf("state of maintenance campaign %s cannot be decoded: %w", r.Key, err)
 	}
-	t.post(ctx, campaignLoaded{m, row, err})
+	return row, nil
 }
 
 func (t *termLoop) listHosts(ctx context.Context) {
@@ -217,29 +235,54 @@
 }
 
 // saveCampaign stores when the campaign began, and the hosts whose maintenance has started,
-// so that a successor does not evict their workers again. A second order for such a host
-// is harmless, so a failure is only logged. The first row of a campaign replaces no other
-// one: it may be stored late.
-func (t *termLoop) saveCampaign(ctx context.Context, id int64, row campaignRow, first bool) {
-	ctx, cancel := context.WithTimeout(ctx, campaignCallTimeout)
-	defer cancel()
+// so that a successor does not evict their workers again. The stored state must be that of
+// the given version: a call may be carried out late, after a successor's.
+func (t *termLoop) saveCampaign(ctx context.Context, id int64, row campaignRow, version int64) {
+	saved := campaignSaved{campaign: id}
 	value, err := json.Marshal(row)
 	if err == nil {
+		call, cancel := context.WithTimeout(ctx, campaignCallTimeout)
+		defer cancel()
 		put := platform.PartitionRow{Table: maintenanceTable, Key: strconv.FormatInt(id, 10), Value: value}
-		var conditions []platform.Condition
-		if first {
-			conditions = []platform.Condition{{Table: put.Table, Key: put.Key, Version: platform.MustBeAbsent}}
-		}
-		_, err = t.Store.Commit(ctx, platform.Tx{Conditions: conditions, Puts: []platform.PartitionRow{put}})
+		saved.version, err = t.Store.Commit(call, platform.Tx{
+			Conditions: []platform.Condition{{Table: put.Table, Key: put.Key, Version: version}}, Puts: []platform.PartitionRow{put},
+		})
 	}
-	if err == nil || first && errors.Is(err, platform.ErrConflict) {
-		return
+	saved.err = err
+	t.post(ctx, saved)
+}
+
+// handleSaved handles the outcome of saveCampaign. What it did not store is stored later, with
+// what another call has stored meanwhile.
+func (c *campaign) handleSaved(e campaignSaved, now time.Time) error {
+	if e.err == nil {
+		c.calling, c.version = false, e.version
+		return nil
+	}
+	c.unsaved = true
+	c.markFailed(now)
+	var conflict *platform.RowConflictError
+	if !errors.As(e.err, &conflict) {
+		return e.err
 	}
-	t.Log.Info("state of maintenance campaign not stored", "campaign", id, "cause", err.Error())
+	c.version = 0
+	for _, r := range conflict.Rows {
+		row, err := decodeCampaignRow(r)
+		if err != nil {
+			return err
+		}
+		c.version = r.Version
+		for _, host := range row.Started {
+			if !slices.Contains(c.Started(), host) {
+				c.MarkStarted(host, "", now) // by an earlier coordinator
+			}
+		}
+	}
+	return e.err
 }
 
 // handleMaintenance handles the events of the maintenance controller.
-func (t *termLoop) handleMaintenance(ctx context.Context, event any, now time.Time) {
+func (t *termLoop) handleMaintenance(event any, now time.Time) {
 	mc := t.maintenance
 	switch e := event.(type) {
 	case campaignLoaded:
@@ -250,7 +293,7 @@
 			c.markFailed(now)
 			t.Log.Info("maintenance campaign cannot begin yet", "campaign", e.campaign.ID, "cause", e.err.Error())
 		default:
-			t.beginCampaign(ctx, c, e, now)
+			t.beginCampaign(c, e, now)
 		}
 	case hostsListed:
 		mc.listing = false
@@ -271,7 +314,13 @@
 		t.Log.Info("maintenance of host begun", "campaign", e.campaign, "host", e.host, "worker", e.worker)
 		if c := mc.campaigns[e.campaign]; c != nil && c.Campaign != nil {
 			c.MarkStarted(e.host, e.worker, now)
-			go t.saveCampaign(ctx, e.campaign, campaignRow{c.Started(), c.begunMS}, false)
+			c.unsaved = true
+		}
+	case campaignSaved:
+		if c := mc.campaigns[e.campaign]; c != nil && c.Campaign != nil { // otherwise withdrawn meanwhile
+			if err := c.handleSaved(e, now); err != nil {
+				t.Log.Info("state of maintenance campaign not stored", "campaign", e.campaign, "cause", err.Error())
+			}
 		}
 	case campaignReported:
 		c := mc.campaigns[e.campaign]
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -185,8 +185,8 @@
 		for _, id := range e {
 			t.core.RemoveJob(id)
 		}
-	case campaignLoaded, hostsListed, maintenanceOrdered, campaignReported:
-		t.handleMaintenance(ctx, e, now)
+	case campaignLoaded, campaignSaved, hostsListed, maintenanceOrdered, campaignReported:
+		t.handleMaintenance(e, now)
 	case wakeUp:
 		t.wakeScheduled = false
 	case commitDone:
