--- a/internal/cellwatch/cellwatch.go
+++ b/internal/cellwatch/cellwatch.go
@@ -93,17 +93,24 @@
 	return w.status.Fresh(now, staleAfter) || w.status.Refused() && w.recentlyServed(now)
 }
 
-func (w *Watch) applyAll(ctx context.Context, all []workload.OperatorChange) error {
+func (w *Watch) applyAll(_ context.Context, all []workload.OperatorChange) error {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.evacuated = map[string]bool{}
 	w.campaigns = map[int64]workload.Maintenance{}
-	w.mu.Unlock()
-	return w.apply(ctx, all)
+	w.applyChanges(all)
+	return nil
 }
 
 func (w *Watch) apply(_ context.Context, changes []workload.OperatorChange) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.applyChanges(changes)
+	return nil
+}
+
+// applyChanges applies changes in turn. The caller holds mu, until all are applied.
+func (w *Watch) applyChanges(changes []workload.OperatorChange) {
 	for _, ch := range changes {
 		switch {
 		case ch.Cell != nil && (w.cell == nil || ch.Cell.Version > w.cell.Version):
@@ -124,5 +131,4 @@
 			w.log.Info("evacuation begins", "az", ch.EvacuatedAZ)
 		}
 	}
-	return nil
 }
