--- a/internal/coordinator/campaignstate_test.go
+++ b/internal/coordinator/campaignstate_test.go
@@ -146,3 +146,43 @@
 		})
 	}
 }
+
+// busyHosts are the hosts of a fleet's workers, one for each. Their API takes no orders.
+type busyHosts struct{ *fleet }
+
+func (h busyHosts) Hosts(context.Context) ([]workload.WorkerHost, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []workload.WorkerHost
+	for id := range h.workers {
+		out = append(out, workload.WorkerHost{ID: "host of " + id, Up: true, Worker: id})
+	}
+	return out, nil
+}
+
+func (busyHosts) StartMaintenance(context.Context, string, int64, string, int64) error {
+	return workload.ErrHostAPIUnavailable
+}
+
+func (busyHosts) ReportCampaign(context.Context, int64, bool) error { return nil }
+
+// A coordinator without the store took tasks away for a maintenance that it could not order, and
+// could not start them elsewhere.
+func TestNothingIsEvictedWhileNothingCanBeStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1)
+		f.hosts = busyHosts{f}
+		l, task, worker := f.leadService(1)
+		defer l.stop()
+		drain := 2 * time.Second
+		f.operators.add(workload.OperatorChange{Maintenance: &workload.Maintenance{ID: 7, Hosts: []string{"host of " + worker}, Window: 2 * drain, MaxConcurrent: 1}})
+		time.Sleep(drain / 2)
+		l.store.setCut(true)
+		time.Sleep(2 * drain)
+		is.Equal(f.placeOf(task), worker)
+		l.store.setCut(false)
+		time.Sleep(drain)
+		is.Equal(f.placeOf(task), "") // the campaign goes on
+	})
+}
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -35,6 +35,39 @@
 	longestGap time.Duration
 	listTime   time.Duration // how long a listing of the registry takes
 	log        logr.Logger   // of coordinators
+	operators  *operatorFeed
+	hosts      workload.HostOperator // nil: none
+}
+
+// operatorFeed is a feed of operators' changes that grows.
+type operatorFeed struct {
+	mu  sync.Mutex
+	all []workload.OperatorChange
+}
+
+func (f *operatorFeed) add(ch workload.OperatorChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, ch)
+}
+
+// List and Next implement platform.Feed.
+func (f *operatorFeed) List(context.Context) ([]workload.OperatorChange, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.all, int64(len(f.all)), nil
+}
+
+func (f *operatorFeed) Next(ctx context.Context, after int64, wait time.Duration) ([]workload.OperatorChange, int64, error) {
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		f.mu.Lock()
+		changes, version := f.all[after:], int64(len(f.all))
+		f.mu.Unlock()
+		if len(changes) > 0 {
+			return changes, version, nil
+		}
+	}
+	return nil, after, ctx.Err()
 }
 
 type fleetWorker struct {
@@ -60,6 +93,8 @@
 	for i := range n {
 		f.add(fmt.Sprint("w", i))
 	}
+	cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, []workload.Team{{Name: "team"}}, nil)
+	f.operators = &operatorFeed{all: []workload.OperatorChange{{Cell: cell}}}
 	return f
 }
 
@@ -435,12 +470,11 @@
 func (f *fleet) lead(host string) *leader {
 	path := &cutStore{SlowStore: f.store}
 	health := platform.NewHealth(path)
-	cell := workload.NewCell(1, []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, []workload.Team{{Name: "team"}}, nil)
-	watch := cellwatch.New(listFeed[workload.OperatorChange]{[]workload.OperatorChange{{Cell: cell}}}, health.RecentlyServed, logr.Discard())
+	watch := cellwatch.New(f.operators, health.RecentlyServed, logr.Discard())
 	c := New(Coordinator{
 		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
 		Advisers: func() []Adviser { return nil }, Log: f.log, Observer: nopObserver{},
-		Retention: time.Minute, Undersized: func() bool { return false },
+		Retention: time.Minute, Undersized: func() bool { return false }, Hosts: f.hosts, OrderLease: 3 * time.Second,
 	})
 	e := &Elector{Store: health, Host: host, Address: host + ":1", Log: logr.Discard(), Rank: func() int { return 0 },
 		Undersized: func() bool { return false }, Lead: c.Lead,
--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -153,8 +153,10 @@
 		}
 		plan := c.Next(hosts, now)
 		cordoned = append(cordoned, plan.Cordon...)
-		for _, w := range plan.Evict {
-			t.core.EvictTasks(w)
+		if t.leadershipConfirmed(now) { // evicted tasks cannot start again before a commit
+			for _, w := range plan.Evict {
+				t.core.EvictTasks(w)
+			}
 		}
 		for _, host := range plan.Start {
 			if t.mayOrder(now) && !mc.ordering[host] && !now.Before(mc.pausedUntil[host]) {
@@ -173,7 +175,13 @@
 // mayOrder reports whether no other coordinator can be sending orders: the previous one
 // has stopped and no later one has begun.
 func (t *termLoop) mayOrder(now time.Time) bool {
-	return now.Sub(t.term.Since) >= t.OrderLease && now.Sub(t.lastCommit()) <= t.OrderLease/confirmedDivisor
+	return now.Sub(t.term.Since) >= t.OrderLease && t.leadershipConfirmed(now)
+}
+
+// leadershipConfirmed reports whether the leadership was renewed recently enough to send a
+// maintenance order.
+func (t *termLoop) leadershipConfirmed(now time.Time) bool {
+	return now.Sub(t.lastCommit()) <= t.OrderLease/confirmedDivisor
 }
 
 // campaignRow is the stored state of a campaign.
