--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -48,7 +48,7 @@
 	listed := make(map[workload.TaskID]bool, len(inv.Running))
 	for _, r := range inv.Running {
 		listed[r.Run.Task] = true
-		c.applyRunning(w, r, now)
+		c.applyRunning(w, r, requestedAt, now)
 		c.clearOutlived(w, r.Run, requestedAt, now)
 	}
 	if len(inv.Ended) < workload.MaxEndsPerInventory {
@@ -67,7 +67,7 @@
 
 // applyRunning applies the status of one run on the worker. A run that is not the task's
 // current one on this worker is stopped.
-func (c *Core) applyRunning(w *worker, r workload.RunStatus, now time.Time) {
+func (c *Core) applyRunning(w *worker, r workload.RunStatus, requestedAt, now time.Time) {
 	s, t := c.findTask(r.Run.Task)
 	if t == nil || t.run != r.Run.Number || t.worker != w.info.ID || !t.state.mayRun() {
 		c.emit("stray run stopped", "task", r.Run.Task.String(), "run", r.Run.Number, "worker", w.info.ID)
@@ -84,6 +84,7 @@
 	}
 	c.keepCheckpoint(s, r.Run.Task.Index, r.Checkpoint)
 	t.tailLatencyMS = r.Load
+	t.listedAt = requestedAt
 	c.recordSlowdown(w, s, t, r, now)
 	c.recordProgress(s, t, r.Percent, now)
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -40,6 +40,7 @@
 	stopConfirmed  time.Time // when the stop was confirmed; zero before that
 	percent        int
 	progressedAt   time.Time // when percent last changed
+	listedAt       time.Time // when the latest inventory that lists the run was requested
 	// The speed of the run is measured from this time and the percent at this time.
 	speedFrom        time.Time
 	speedFromPercent int
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -80,11 +80,12 @@
 		return // it waits for slower members
 	}
 	limit := max(minStall, time.Duration(stallShare*float64(s.spec.Estimate)))
-	if now.Sub(t.progressedAt) < limit {
+	still := t.listedAt.Sub(t.progressedAt) // as listed: without an inventory nothing is known of its progress
+	if still < limit {
 		return
 	}
 	c.emit("stalled run moved", "task", id.String(), "run", t.run, "worker", w.info.ID,
-		"percent", t.percent, "still for", now.Sub(t.progressedAt))
+		"percent", t.percent, "still for", still)
 	w.recordOutcome(true, now)
 	if s.failuresByWorker == nil {
 		s.failuresByWorker = map[string]int{}
