--- a/internal/dispatch/silence_elsewhere_test.go
+++ b/internal/dispatch/silence_elsewhere_test.go
@@ -49,3 +49,45 @@
 		})
 	}
 }
+
+// Guards against good workers that are avoided after a takeover: runs of an earlier term look
+// as if they had come as far as they are since the takeover, so all later ones look slow.
+func TestRunsOfAnEarlierTermMakeNoWorkerLookSlow(t *testing.T) {
+	for name, takeover := range map[string]bool{"same term": false, "takeover": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("earlier", 8)
+			estimate := 4 * time.Second
+			c.addJob("j", workload.Step{Tasks: 8, Resources: cores(1), Estimate: estimate})
+			earlier := c.startTasks(nil)
+			report := func(starts []Start, percent int) {
+				for _, st := range starts {
+					c.running[st.Worker.ID][st.Order.Run.Task] = workload.RunStatus{Run: st.Order.Run, Percent: percent}
+				}
+				c.reportInventory(starts[0].Worker.ID, workload.Inventory{})
+			}
+			c.now = c.now.Add(estimate * 3 / 4)
+			if takeover {
+				j := c.core.jobs["j"]
+				c.takeOver(j.spec, j.encode())
+				c.addWorker("earlier", 8)
+			}
+			report(earlier, 75)
+			c.now = c.now.Add(estimate / 8)
+			report(earlier, 87)
+			c.addWorker("good", 8)
+			c.addJob("k", workload.Step{Tasks: 4, Resources: cores(1), Estimate: estimate})
+			good := c.startTasks(nil)
+			is.Equal(len(good), 4)
+			is.Equal(good[0].Worker.ID, "good")
+			for percent := 25; percent < 100; percent += 25 {
+				c.now = c.now.Add(estimate / 4)
+				report(good, percent)
+			}
+			c.addWorker("empty", 8)
+			c.addJob("m", workload.Step{Tasks: 1, Resources: cores(1), Estimate: estimate})
+			is.Equal(c.startTasks(nil)[0].Worker.ID, "good") // the fullest worker with room
+		})
+	}
+}
--- a/internal/dispatch/slowdown.go
+++ b/internal/dispatch/slowdown.go
@@ -19,8 +19,12 @@
 	slowPenalty = 2.0
 )
 
-// recordSlowdown applies the speed of a running task.
+// recordSlowdown applies the speed of a running task. It is not known of a run that an
+// earlier term has started, since only its progress is.
 func (c *Core) recordSlowdown(w *worker, s *step, t *task, r workload.RunStatus, now time.Time) {
+	if t.startSentAt.IsZero() {
+		return
+	}
 	elapsed := now.Sub(t.startConfirmed)
 	if s.spec.Service || s.spec.BestEffort || s.spec.Estimate <= 0 || t.checkpoint != "" && t.run > 1 || r.Percent >= 100 {
 		return
