--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -33,7 +33,8 @@
 		w.unansweredAt, w.backoffUntil = time.Time{}, now
 	}
 	w.lostContact = false
-	if !w.reachable {
+	back := !w.reachable
+	if back {
 		w.reachable = true
 		c.needsScheduling = true
 		c.emit("worker in reach", "worker", id, "born", w.incarnation, "running", len(inv.Running), "ended", len(inv.Ended))
@@ -42,7 +43,7 @@
 		if e.Seq > w.appliedSeq {
 			w.appliedSeq = e.Seq
 			c.unacked[id] = w
-			c.applyEnd(w, e, now)
+			c.applyEnd(w, e, !back, now)
 		}
 	}
 	listed := make(map[workload.TaskID]bool, len(inv.Running))
@@ -115,8 +116,9 @@
 	}
 }
 
-// applyEnd applies the end of one run. Ends of runs that are not current are ignored.
-func (c *Core) applyEnd(w *worker, e workload.RunEnd, now time.Time) {
+// applyEnd applies the end of one run. Ends of runs that are not current are ignored. An end
+// is recent if its worker has been in reach since the inventory before.
+func (c *Core) applyEnd(w *worker, e workload.RunEnd, recent bool, now time.Time) {
 	s, t := c.findTask(e.Run.Task)
 	if t == nil || t.run != e.Run.Number || t.worker != w.info.ID || t.incarnation != w.incarnation || !t.state.mayRun() {
 		return
@@ -126,7 +128,9 @@
 	case workload.RunDone:
 		c.clearCrashes(s, e.Run.Task.Index)
 		w.recordOutcome(false, now)
-		c.learnFromEnd(s, t, now)
+		if recent {
+			c.learnFromEnd(s, t, now)
+		}
 	case workload.RunFailed:
 		c.clearCrashes(s, e.Run.Task.Index)
 		// Services may fail at any time, which says little about the worker.
--- a/internal/dispatch/silence_elsewhere_test.go
+++ b/internal/dispatch/silence_elsewhere_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,33 @@
 		})
 	}
 }
+
+// Guards against estimates learned from silence: a run may have ended long before its worker
+// was in reach again and listed the end.
+func TestDurationsAreNotLearnedFromSilence(t *testing.T) {
+	const took, cut = time.Second, 6 * time.Second
+	for name, silent := range map[string]bool{"in reach": false, "out of reach": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			step := workload.Step{Tasks: 1, Resources: cores(1), Estimate: took}
+			for n := range 8 {
+				c.addJob(fmt.Sprint("j", n), step)
+			}
+			starts := c.startTasks(nil)
+			is.Equal(len(starts), 8)
+			c.now = c.now.Add(took)
+			if silent {
+				c.core.HandleLostContact("w", c.now)
+				c.now = c.now.Add(cut)
+			}
+			var ends []workload.RunEnd
+			for n, st := range starts {
+				ends = append(ends, workload.RunEnd{Seq: int64(n + 1), Run: st.Order.Run, Outcome: workload.RunDone})
+			}
+			c.reportInventory("w", workload.Inventory{Ended: ends})
+			is.True(c.core.predictDuration("batch", &step) < 2*took)
+		})
+	}
+}
