--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -84,7 +84,7 @@
 		t.startConfirmed = now
 	}
 	c.keepCheckpoint(s, r.Run.Task.Index, r.Checkpoint)
-	t.tailLatencyMS = r.Load
+	t.load = r.Load
 	t.listedAt = requestedAt
 	c.recordSlowdown(w, s, t, r, now)
 	c.recordProgress(s, t, r.Percent, now)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -45,8 +45,8 @@
 	speedFrom        time.Time
 	speedFromPercent int
 	durationCounted  bool    // the task's duration is included in step.durations
-	tailLatencyMS    float64 // service tasks: tail latency in milliseconds
-	throttlePercent  int     // best-effort tasks: percent of full speed
+	load             float64 // as in workload.RunStatus
+	throttlePercent  int     // best-effort tasks: percent of full speed; 0 also if this term has not set it
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
 
 	crashCount
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -349,7 +349,7 @@
 	t.incarnation, t.startedOn = w.incarnation, w.incarnation
 	t.startConfirmed, t.percent, t.progressedAt = time.Time{}, 0, time.Time{}
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
-	t.tailLatencyMS, t.throttlePercent = 0, fullSpeed
+	t.load, t.throttlePercent = 0, fullSpeed
 	s.pending--
 	s.busy++
 	c.chargeTask(w, s, i)
--- a/internal/dispatch/silence_elsewhere_test.go
+++ b/internal/dispatch/silence_elsewhere_test.go
@@ -122,3 +122,57 @@
 		})
 	}
 }
+
+// Guards against services slowed down by a takeover: the coordinator before had throttled
+// the best-effort tasks beside them, and the next one lets these work at full speed at once.
+func TestBestEffortTasksStayThrottledAfterTakeover(t *testing.T) {
+	const request = 4
+	for name, test := range map[string]struct {
+		service bool
+		cores   float64 // that each best-effort task is listed with after the takeover
+		percent int
+	}{
+		"throttled":            {service: true, cores: 0.8, percent: 20},
+		"paused":               {service: true, cores: 0, percent: 0},
+		"at full speed":        {service: true, cores: request, percent: fullSpeed},
+		"beside other tasks":   {service: true, cores: request / 2, percent: 50},
+		"without any service":  {service: false, cores: 0.8, percent: fullSpeed},
+		"listed with too much": {service: true, cores: request * 1.2, percent: fullSpeed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 10)
+			steps := []workload.Step{{Tasks: 2, Resources: cores(request), BestEffort: true}}
+			if test.service {
+				steps = append(steps, workload.Step{Tasks: 1, Resources: cores(2), Service: true, TailTarget: 100 * time.Millisecond})
+			}
+			c.addJob("j", steps...)
+			is.Equal(len(c.startTasks(nil)), 1+len(steps))
+			j := c.core.jobs["j"]
+			c.takeOver(j.spec, j.encode())
+			setLoads := func(tailMS float64) {
+				for id, r := range c.running["w"] {
+					r.Load = tailMS
+					if id.Step == 0 {
+						r.Load = 1000 * test.cores
+					}
+					c.running["w"][id] = r
+				}
+			}
+			setLoads(75) // between the bounds: no change
+			c.addWorker("w", 10)
+			for id := range c.running["w"] {
+				if _, task := c.core.findTask(id); id.Step == 0 {
+					is.Equal(task.throttlePercent, test.percent)
+				}
+			}
+			setLoads(20) // well below the target
+			for range fullSpeed / speedStep {
+				c.now = c.now.Add(speedUpInterval)
+				c.reportInventory("w", workload.Inventory{})
+			}
+			is.Equal(c.core.workers["w"].throttle.speed(), fullSpeed)
+		})
+	}
+}
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -70,9 +70,12 @@
 		case s.spec.BestEffort:
 			bestEffort = append(bestEffort, id)
 		case s.spec.TailTarget > 0:
-			worstRatio = max(worstRatio, t.tailLatencyMS/float64(s.spec.TailTarget.Milliseconds()))
+			worstRatio = max(worstRatio, t.load/float64(s.spec.TailTarget.Milliseconds()))
 		}
 	}
+	if !w.throttle.set && worstRatio > 0 {
+		w.throttle = c.inheritedThrottle(bestEffort, now)
+	}
 	if speed, changed := w.throttle.next(worstRatio, now); changed {
 		w.throttle = throttle{percent: speed, set: true, changedAt: now}
 		c.emit("filling tasks paced", "worker", w.info.ID, "percent", speed, "tail over target", worstRatio, "tasks", len(bestEffort))
@@ -85,6 +88,21 @@
 	}
 }
 
+// inheritedThrottle returns the speed of a worker's best-effort tasks as an earlier term has
+// left it; it is not set if this term has set their speed, or has started them all. Workers
+// do not list the speed but the cores in use, which are at most that share of the request.
+func (c *Core) inheritedThrottle(bestEffort []workload.TaskID, now time.Time) throttle {
+	var inherited throttle
+	for _, id := range bestEffort {
+		s, t := c.findTask(id)
+		if t.startSentAt.IsZero() && t.throttlePercent == 0 && s.spec.Resources.MilliCores > 0 {
+			share := int(fullSpeed * t.load / float64(s.spec.Resources.MilliCores))
+			inherited = throttle{percent: min(fullSpeed, max(inherited.percent, share)), set: true, changedAt: now}
+		}
+	}
+	return inherited
+}
+
 // TakeThrottleOrders returns the throttle orders decided since the previous call.
 func (c *Core) TakeThrottleOrders() []ThrottleOrder {
 	out := c.throttleOrders
