--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -117,3 +117,15 @@
 	}
 	return plan
 }
+
+// allPresent reports whether all members of a gang are known to have started, on workers in
+// reach. Without one of them the others make no progress.
+func (c *Core) allPresent(s *step) bool {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if w := c.workers[t.worker]; w == nil || !w.reachable || t.startConfirmed.IsZero() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/dispatch/silence_elsewhere_test.go
+++ b/internal/dispatch/silence_elsewhere_test.go
@@ -176,3 +176,48 @@
 		})
 	}
 }
+
+// Guards against good workers that are avoided for the silence of another one: the members of
+// a gang make no progress until all of them are present.
+func TestGangThatWaitsForAMemberBlamesNoWorker(t *testing.T) {
+	for name, lost := range map[string]func(c *testCell, st Start){
+		"start not answered": func(c *testCell, st Start) { c.core.HandleStartResult(st, workload.ErrNoAnswer, c.now) },
+		"out of reach since": func(c *testCell, st Start) {
+			c.core.HandleStartResult(st, nil, c.now)
+			c.core.HandleLostContact(st.Worker.ID, c.now)
+		},
+		"none": func(c *testCell, st Start) { c.core.HandleStartResult(st, nil, c.now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("good", 4)
+			c.addWorker("silent", 2)
+			c.addJob("j", workload.Step{Tasks: 3, Resources: cores(2), Estimate: time.Second, Gang: true})
+			c.core.Schedule(c.now)
+			starts := c.core.HandleStored(c.core.TakeBatch(10, 1<<20), c.now)
+			is.Equal(len(starts), 3)
+			inv := workload.Inventory{Incarnation: testIncarnation}
+			var silent Start
+			for _, st := range starts {
+				if st.Worker.ID == "silent" {
+					silent = st
+					continue
+				}
+				c.core.HandleStartResult(st, nil, c.now)
+				inv.Running = append(inv.Running, workload.RunStatus{Run: st.Order.Run})
+			}
+			is.Equal(len(inv.Running), 2)
+			lost(c, silent)
+			c.now = c.now.Add(minStall + time.Millisecond)
+			c.core.HandleInventory("good", inv, c.now, c.now)
+			if name == "none" {
+				c.core.HandleInventory("silent", workload.Inventory{Incarnation: testIncarnation, Running: []workload.RunStatus{{Run: silent.Order.Run}}}, c.now, c.now)
+			}
+			c.core.Tick(c.now) // decides to stop the members
+			c.core.Tick(c.now) // sends the stop orders
+			is.True(len(c.core.TakeStopOrders()) >= 2)
+			is.Equal(c.core.workers["good"].quarantineUntil.After(c.now), name == "none")
+		})
+	}
+}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -86,10 +86,13 @@
 	}
 	c.emit("stalled run moved", "task", id.String(), "run", t.run, "worker", w.info.ID,
 		"percent", t.percent, "still for", still)
+	c.stop(s, id.Index)
+	if s.spec.Gang && !c.allPresent(s) {
+		return // it may have waited for a member
+	}
 	w.recordOutcome(true, now)
 	if s.failuresByWorker == nil {
 		s.failuresByWorker = map[string]int{}
 	}
 	s.failuresByWorker[w.info.ID]++
-	c.stop(s, id.Index)
 }
