--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -100,6 +102,14 @@
 	return group.Wait()
 }
 
+// acceptedAt returns when the job of an entry was accepted; 0 for an entry without one.
+func acceptedAt(e jobstore.Entry) int64 {
+	if e.Job == nil {
+		return 0
+	}
+	return e.Job.AcceptedAt
+}
+
 // restore fills the core from the stored rows.
 func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartitionRow) error {
 	now := time.Now()
@@ -115,6 +125,9 @@
 			cancelled[e.ID] = true
 		}
 	}
+	// Which jobs exceed their team's rate follows from the order of their acceptance. The
+	// listing is in no order.
+	slices.SortStableFunc(entries, func(a, b jobstore.Entry) int { return cmp.Compare(acceptedAt(a), acceptedAt(b)) })
 	for _, e := range entries {
 		if e.State != "" {
 			t.core.RestoreEnded(e.ID, e.State, e.At)
