--- a/internal/coordinator/campaignstate_test.go
+++ b/internal/coordinator/campaignstate_test.go
@@ -87,7 +87,7 @@
 	c := New(Coordinator{
 		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: listFeed[workload.WorkerChange]{}, Commander: &fakeWorker{began: time.Now()},
 		Advisers: func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{}, Retention: time.Minute,
-		Undersized: func() bool { return false }, Hosts: hosts, OrderLease: 3 * time.Second,
+		LargerHostUp: func() bool { return false }, Hosts: hosts, OrderLease: 3 * time.Second,
 	})
 	e := &Elector{Store: health, Host: "host", Address: "host:1", Log: logr.Discard(), Rank: func() int { return 0 }, Undersized: func() bool { return false }, Lead: c.Lead,
 		Probe: func(context.Context, string) (int64, time.Duration, error) { return 0, 0, errLeadershipLost }}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -35,9 +35,9 @@
 	OrderLease time.Duration
 	// Retention is how long the state of ended jobs remains available.
 	Retention time.Duration
-	// Undersized reports whether another live host has a much larger share of a core
-	// and should coordinate instead.
-	Undersized func() bool
+	// LargerHostUp reports whether another host that is known to be up has a much larger
+	// share of a core and should coordinate instead.
+	LargerHostUp func() bool
 	// ThinLink is set if this host's link would be filled by the calls of a coordinator
 	// at its usual pace.
 	ThinLink bool
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -93,7 +93,7 @@
 		Workers:   listFeed[workload.WorkerChange]{[]workload.WorkerChange{{ID: "w", Worker: worker}}},
 		Commander: &quickWorker{fakeWorker: fakeWorker{began: time.Now()}, runs: map[workload.Run]time.Time{}},
 		Advisers:  func() []Adviser { return nil }, Log: logr.Discard(), Observer: nopObserver{},
-		Retention: retention, Undersized: func() bool { return false },
+		Retention: retention, LargerHostUp: func() bool { return false },
 	})
 	e := &Elector{Store: health, Host: "host", Address: "host:1", Log: logr.Discard(), Rank: func() int { return 0 }, Undersized: func() bool { return false }, Lead: c.Lead,
 		Probe: func(context.Context, string) (int64, time.Duration, error) { return 0, 0, errLeadershipLost }}
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -474,7 +474,7 @@
 	c := New(Coordinator{
 		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
 		Advisers: func() []Adviser { return nil }, Log: f.log, Observer: nopObserver{},
-		Retention: time.Minute, Undersized: func() bool { return false }, Hosts: f.hosts, OrderLease: 3 * time.Second,
+		Retention: time.Minute, LargerHostUp: func() bool { return false }, Hosts: f.hosts, OrderLease: 3 * time.Second,
 	})
 	e := &Elector{Store: health, Host: host, Address: host + ":1", Log: logr.Discard(), Rank: func() int { return 0 },
 		Undersized: func() bool { return false }, Lead: c.Lead,
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -123,7 +123,7 @@
 			}
 			t.loopTime.add(phaseEvents, began)
 		case <-ticker.C:
-			if time.Since(t.term.Since) > yieldAfter && t.Undersized() {
+			if time.Since(t.term.Since) > yieldAfter && t.LargerHostUp() {
 				return errYield
 			}
 			began := time.Now()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -94,3 +96,50 @@
 	is.True(a.read(context.Background()) != nil)
 	is.Equal(len(a.others()), 1)
 }
+
+// A coordinator yielded every 12 s to a larger host that was gone, since the host's row could not be
+// read any more, or had been read only twice.
+func TestLeadershipIsYieldedOnlyToHostsThatAreUp(t *testing.T) {
+	cases := map[string]struct {
+		renewals   int           // of the larger host's row after it was first read
+		unreadable time.Duration // when the rows cannot be read any more; 0: never
+		latency    time.Duration // of the store
+		up         bool
+	}{
+		"up":                                 {renewals: 4, up: true},
+		"gone":                               {},
+		"gone and the rows are unreadable":   {unreadable: 5 * time.Second},
+		"gone later, then unreadable":        {renewals: 1, unreadable: 5 * time.Second},
+		"up, the rows are read now and then": {renewals: 4, latency: 800 * time.Millisecond, up: true},
+		"gone, the rows are read seldom":     {latency: 1200 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := rows.New()
+				slow := rows.NewSlowStore(store, c.latency)
+				small := newMembership(slow, "a", hostRow{CoreShare: 0.2}, logr.Discard())
+				large := newMembership(store, "b", hostRow{CoreShare: 0.8}, logr.Discard())
+				is.NoErr(large.renew(t.Context()))
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = small.run(ctx) })
+				running.Go(func() {
+					for range c.renewals {
+						time.Sleep(minRenewalInterval - 100*time.Millisecond)
+						_ = large.renew(ctx) // fails if the store does
+					}
+				})
+				if c.unreadable > 0 {
+					time.Sleep(c.unreadable)
+					store.SetPartitionDown("", true)
+				}
+				time.Sleep(14*time.Second - c.unreadable)
+				is.Equal(small.largerHostUp(), c.up)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -49,7 +49,8 @@
 	Host string
 	hostRow
 	version   int64
-	changedAt time.Time // when a change of the row was last read
+	changedAt time.Time // when a change of the row was last read, or the row was first read
+	renewedAt time.Time // when a change of the row was last read; zero if there was none
 }
 
 // membership renews this host's row and tracks the other hosts.
@@ -96,6 +97,18 @@
 	return max(minRenewalInterval, time.Duration(hosts)*renewalIntervalPerHost)
 }
 
+// failureTimeout returns the time after which the host of an unchanged row counts as gone.
+func (m *membership) failureTimeout() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return failureTimeoutFor(len(m.peers))
+}
+
+// failureTimeoutFor is failureTimeout for a number of hosts.
+func failureTimeoutFor(hosts int) time.Duration {
+	return time.Duration(failureRenewals * float64(renewIntervalFor(hosts)))
+}
+
 func (m *membership) renew(ctx context.Context) error {
 	m.self.Renewed++
 	value, err := json.Marshal(m.self)
@@ -142,6 +155,9 @@
 			delete(m.peers, r.Key)
 			continue
 		}
+		if p.version != 0 {
+			p.renewedAt = now
+		}
 		p.version, p.changedAt = r.Version, now
 	}
 	for host := range m.peers {
@@ -195,7 +211,25 @@
 // undersized reports whether another live host has a much larger share of a core.
 func (m *membership) undersized() bool {
 	for _, p := range m.others() {
-		if p.CoreShare > m.self.CoreShare && p.CoreShare >= undersizedFactor*m.self.CoreShare {
+		if p.muchLarger(&m.self) {
+			return true
+		}
+	}
+	return false
+}
+
+// muchLarger reports whether the host of row a has a much larger share of a core than that
+// of row b.
+func (a *hostRow) muchLarger(b *hostRow) bool {
+	return a.CoreShare > b.CoreShare && a.CoreShare >= undersizedFactor*b.CoreShare
+}
+
+// largerHostUp reports whether a host with a much larger share of a core is known to be up:
+// its row was seen to change a short time ago. A coordinator that yields to a host that is
+// gone leaves the cell without one until another takeover.
+func (m *membership) largerHostUp() bool {
+	for _, p := range m.others() {
+		if p.muchLarger(&m.self) && time.Since(p.renewedAt) < m.failureTimeout() {
 			return true
 		}
 	}
@@ -220,7 +254,7 @@
 func (m *membership) others() []peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	failureTimeout := time.Duration(failureRenewals * float64(renewIntervalFor(len(m.peers))))
+	failureTimeout := failureTimeoutFor(len(m.peers))
 	var out []peer
 	for _, p := range m.peers {
 		if p.Host != m.host && m.readAt.Sub(p.changedAt) < failureTimeout {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -134,7 +134,7 @@
 		Commander: newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond()),
 		Advisers:  func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
 		Log:       log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
-		Undersized: p.members.undersized, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
+		LargerHostUp: p.members.largerHostUp, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
 	})
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Undersized: p.members.undersized, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
