--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -248,6 +248,10 @@
 			Reason: fmt.Sprintf("configuration %d here is older than %d, which is in force", cell.Version, r.Configuration)}
 	}
 	reply := s.handleWith(ctx, cell, r)
+	if (reply.Outcome == NoQueue || reply.Outcome == BadKey) && !s.Watch.Fresh(time.Now()) {
+		return Reply{Outcome: NotRun, RetryAfter: retryStore,
+			Reason: fmt.Sprintf("configuration %d may be out of date: %s", cell.Version, reply.Reason)}
+	}
 	reply.Configuration = cell.Version
 	return reply
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -299,3 +300,30 @@
 	is.Equal(b.Handle(t.Context(), submit).Outcome, Accepted)
 	is.Equal(a.Handle(t.Context(), submit).Outcome, Accepted)
 }
+
+// A host that could read neither the configuration nor reach another host told callers that their
+// queue did not exist, or their key, though both had been added since.
+func TestOldConfigurationDoesNotDenyQueuesAndKeys(t *testing.T) {
+	for name, change := range map[string]func(*Request){
+		"queue": func(r *Request) { r.Path = "/new/" + testID },
+		"key":   func(r *Request) { r.Key = "new" },
+	} {
+		for _, op := range []Operation{Query, Cancel, Submit} {
+			t.Run(fmt.Sprint(op, " ", name), func(t *testing.T) {
+				is := is.New(t)
+				h := newHost(t, rows.New())
+				r := request(op)
+				change(&r)
+				denied := h.Handle(t.Context(), r).Outcome
+				is.True(denied == NoQueue || denied == BadKey) // by a configuration that is current
+				h.operators.set(testCell(1), true)
+				for h.Watch.Fresh(time.Now()) || platform.RecentlyServed(h.Jobs.Store, time.Now()) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				reply := h.Handle(t.Context(), r)
+				is.Equal(reply.Outcome, NotRun)
+				is.True(reply.RetryAfter > 0)
+			})
+		}
+	}
+}
