--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -60,7 +60,8 @@
 	// NotRun: nothing was stored and nothing will be. Reply.RetryAfter is the time
 	// after which the caller may retry.
 	NotRun Outcome = "not_run"
-	// Unknown: the job may be stored. The caller retries with the same job ID.
+	// Unknown: the job or its cancellation may be stored. The caller retries with the same
+	// job ID.
 	Unknown Outcome = "unknown"
 )
 
@@ -346,7 +347,10 @@
 	if reply.State.Final() {
 		return Reply{Outcome: Accepted, State: reply.State}
 	}
-	if err := s.Jobs.Cancel(ctx, id); err != nil {
+	switch err := s.Jobs.Cancel(ctx, id); {
+	case errors.Is(err, jobstore.ErrOutcomeUnknown):
+		return Reply{Outcome: Unknown, Reason: fmt.Sprintf("cancellation may be stored: %v", err)}
+	case err != nil:
 		return Reply{Outcome: NotRun, RetryAfter: retryStore, Reason: fmt.Sprintf("cancellation not stored: %v", err)}
 	}
 	s.states.remove(id)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -327,3 +327,24 @@
 		}
 	}
 }
+
+// A cancellation whose answer was lost was reported as not stored, and took effect.
+func TestPossiblyStoredCancellationIsNotDenied(t *testing.T) {
+	for name, test := range map[string]struct {
+		fault rows.Fault
+		want  Outcome
+	}{
+		"refused":           {rows.Refused, NotRun},
+		"done, answer lost": {rows.AppliedReplyLost, Unknown},
+		"late, no answer":   {rows.DelayedReplyLost, Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := rows.New()
+			h := newHost(t, store)
+			is.Equal(h.Handle(t.Context(), request(Submit)).Outcome, Accepted)
+			store.SetFault(func(platform.Tx) rows.Fault { return test.fault })
+			is.Equal(h.Handle(t.Context(), request(Cancel)).Outcome, test.want)
+		})
+	}
+}
