--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -173,6 +173,11 @@
 	changed := !w.registered || !ch.Worker.SameRegistration(&w.info)
 	w.registered = true
 	w.info = *ch.Worker
+	if w.isolated > 0 && w.isolatedIn != w.info.Pool { // the pool of a restored worker was not known
+		c.isolatedWorkers[w.isolatedIn]--
+		w.isolatedIn = w.info.Pool
+		c.isolatedWorkers[w.isolatedIn]++
+	}
 	if w.restartedAs(ch.Worker.Incarnation) {
 		c.startIncarnation(w, ch.Worker.Incarnation)
 		changed = true
