--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -390,5 +390,9 @@
 	}
 	s.busy++
 	t.reservedCheckpoint = s.storedCheckpoint(t)
-	c.chargeTask(c.ensureWorker(incarnation.ID), s, i)
+	w := c.ensureWorker(incarnation.ID)
+	if !w.registered && incarnation.Address != "" {
+		w.info.Address = incarnation.Address // its entry may have lapsed while it is at work
+	}
+	c.chargeTask(w, s, i)
 }
