--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -16,7 +16,8 @@
 	leaveSlack = 200 * time.Millisecond
 )
 
-// tickLeaving stops the tasks that would be lost with a leaving worker.
+// tickLeaving stops the tasks that would be lost with a leaving worker. Runs that it has not
+// listed in this term are left alone: they may be about to end.
 func (c *Core) tickLeaving(w *worker, now time.Time) {
 	if !w.info.Draining || w.info.Remaining <= 0 {
 		w.leavesAt = time.Time{}
@@ -32,7 +33,7 @@
 	}
 	for id := range w.tasks {
 		s, t := c.findTask(id)
-		if t == nil || t.state != taskRunning || c.expectedEnd(s, t, now).Before(w.leavesAt.Add(-leaveSlack)) {
+		if t == nil || t.state != taskRunning || t.progressedAt.IsZero() || c.expectedEnd(s, t, now).Before(w.leavesAt.Add(-leaveSlack)) {
 			continue
 		}
 		c.emit("run stopped before its worker leaves", "task", id.String(), "run", t.run, "worker", w.info.ID,
