--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -52,7 +52,23 @@
 // mayInterrupt reports whether a task may be stopped without making more tasks of its
 // service unavailable than allowed.
 func (c *Core) mayInterrupt(s *step, i int) bool {
-	return !s.spec.Service || !c.available(s, i) || c.unavailable(s) < max(1, s.spec.MaxUnavailable)
+	if !s.spec.Service || !c.mayBeAvailable(s, i) {
+		return true
+	}
+	others := c.unavailable(s)
+	if !c.available(s, i) {
+		others--
+	}
+	return others < max(1, s.spec.MaxUnavailable)
+}
+
+// mayBeAvailable reports whether a service task is available, or may be: its worker is out of
+// reach, or has not listed it in this term.
+func (c *Core) mayBeAvailable(s *step, i int) bool {
+	t := &s.tasks[i]
+	w := c.workers[t.worker]
+	unknown := w == nil || !w.reachable || t.progressedAt.IsZero()
+	return t.state == taskRunning && (unknown || c.available(s, i))
 }
 
 // available reports whether a service task is running and has started up. On a worker out
