--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		entries, version := stored.listing.Result()
-		if err := t.restore(entries, stored.progress); err != nil {
+		if err := t.restore(entries, stored.progress, stored.listing.Unreadable); err != nil {
 			return 0, err
 		}
 		t.Log.Info("jobs loaded", "epoch", t.term.Epoch, "rows", len(entries), "progress", len(stored.progress),
@@ -110,12 +110,13 @@
 	return e.Job.AcceptedAt
 }
 
-// restore fills the core from the stored rows.
-func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartitionRow) error {
+// restore fills the core from the stored rows. unreadable reports whether a job has a row that
+// cannot be decoded.
+func (t *termLoop) restore(entries []jobstore.Entry, progress []platform.PartitionRow, unreadable func(job string) bool) error {
 	now := time.Now()
 	rows, err := t.index.Load(progress)
-	var unreadable *jobstore.UnreadableBundlesError
-	if err != nil && !errors.As(err, &unreadable) {
+	var bundles *jobstore.UnreadableBundlesError
+	if err != nil && !errors.As(err, &bundles) {
 		return err
 	}
 	held := 0
@@ -135,7 +136,7 @@
 		if e.Job == nil {
 			continue
 		}
-		if unreadable != nil && unreadable.MayHold(e.ID, e.Version) {
+		if bundles != nil && bundles.MayHold(e.ID, e.Version) {
 			t.core.Hold(e.ID, nil)
 			held++
 			delete(rows, e.ID)
@@ -146,11 +147,11 @@
 		}
 		delete(rows, e.ID)
 	}
-	if unreadable != nil {
-		t.Log.Error(unreadable, "stored jobs held", "jobs", held)
+	if bundles != nil {
+		t.Log.Error(bundles, "stored jobs held", "jobs", held)
 	}
 	for id, progress := range rows {
-		if _, ended := t.core.JobState(id); ended || dispatch.ProgressIsFinal(progress) {
+		if _, ended := t.core.JobState(id); ended || dispatch.ProgressIsFinal(progress) && !unreadable(id) {
 			t.index.Drop(id)
 			continue
 		}
--- a/internal/coordinator/unreadable_test.go
+++ b/internal/coordinator/unreadable_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -188,3 +189,34 @@
 		l.stop()
 	})
 }
+
+// A job that had ended ran again when its row could be read again: its stored end had been removed, as
+// if the job were gone.
+func TestEndedJobWhoseRowIsRepairedDoesNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet(t, 2)
+		f.formerLeader()
+		job := testJob("00000000000000b1")
+		f.putProgress(job.ID, `{"state":"completed","begun":true,"next":1,"ended_at":1}`)
+		row := platform.PartitionRow{Table: jobstore.JobTable, Partition: jobstore.PartitionOf(job.ID), Key: job.ID}
+		row.Value = []byte("{")
+		f.commit(platform.Tx{Puts: []platform.PartitionRow{row}})
+		l := f.lead("host-1")
+		time.Sleep(5 * time.Second)
+		value, err := json.Marshal(job)
+		is.NoErr(err)
+		row.Value = value
+		f.commit(platform.Tx{Puts: []platform.PartitionRow{row}})
+		time.Sleep(jobsRelistInterval + 2*time.Second)
+		is.True(!f.runs(job))
+		l.stop()
+		l = f.lead("host-2")
+		time.Sleep(2 * time.Second)
+		is.True(!f.runs(job))
+		state, known, err := l.JobState(t.Context(), job.ID, 0)
+		is.NoErr(err)
+		is.True(known && state == workload.Completed)
+		l.stop()
+	})
+}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -252,14 +252,21 @@
 
 // decodeRows decodes rows. It records and skips those that cannot be decoded.
 func (j Jobs) decodeRows(rows []platform.PartitionRow) []Entry {
-	out := make([]Entry, 0, len(rows))
+	entries, _ := j.decodeAll(rows)
+	return entries
+}
+
+// decodeAll is decodeRows. It also returns the keys of the rows that cannot be decoded.
+func (j Jobs) decodeAll(rows []platform.PartitionRow) (out []Entry, unreadable []string) {
+	out = make([]Entry, 0, len(rows))
 	for _, r := range rows {
 		e, err := Decode(r)
 		if err != nil {
 			j.Rejected.Add(r, err)
+			unreadable = append(unreadable, r.Key)
 			continue
 		}
 		out = append(out, e)
 	}
-	return out
+	return out, unreadable
 }
--- a/internal/jobstore/listing.go
+++ b/internal/jobstore/listing.go
@@ -36,15 +36,16 @@
 type Listing struct {
 	jobs Jobs
 
-	mu      sync.Mutex
-	read    map[int]bool
-	entries []Entry
-	oldest  int64 // the lowest version of the partitions that were read
+	mu         sync.Mutex
+	read       map[int]bool
+	entries    []Entry
+	unreadable map[string]bool // keys of rows that cannot be decoded
+	oldest     int64           // the lowest version of the partitions that were read
 }
 
 // NewListing returns a listing without any partition read.
 func (j Jobs) NewListing() *Listing {
-	return &Listing{jobs: j, read: map[int]bool{}}
+	return &Listing{jobs: j, read: map[int]bool{}, unreadable: map[string]bool{}}
 }
 
 // Read reads the partitions that are not read yet.
@@ -75,11 +76,14 @@
 	if err != nil {
 		return err
 	}
-	entries := l.jobs.decodeRows(rows)
+	entries, unreadable := l.jobs.decodeAll(rows)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.read[partition] = true
 	l.entries = append(l.entries, entries...)
+	for _, key := range unreadable {
+		l.unreadable[key] = true
+	}
 	if l.oldest == 0 || version < l.oldest {
 		l.oldest = version
 	}
@@ -94,6 +98,13 @@
 	return l.entries, l.oldest
 }
 
+// Unreadable reports whether a job has a row that cannot be decoded.
+func (l *Listing) Unreadable(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unreadable[job]
+}
+
 // Feed follows the job table like Jobs, but List continues a listing that failed.
 type Feed struct {
 	Jobs
