--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -481,7 +481,10 @@
 		r.core.HandleInventory(w.info.ID, inv, r.now, r.now)
 	}
 	for id, j := range r.jobs {
-		if state, _ := r.core.JobState(id); state == workload.Completed && j.done.IsZero() {
+		if !j.done.IsZero() {
+			continue
+		}
+		if state, _ := r.core.JobState(id); state == workload.Completed {
 			j.done = r.now
 		}
 	}
