--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,7 +28,7 @@
 	state       taskState
 	run         int // number of the latest run
 	worker      string
-	incarnation int64  // incarnation of the worker that is waited for
+	incarnation int64  // incarnation of the worker whose inventories and ends count for the run
 	startedOn   int64  // incarnation of the worker that the run was started on or is listed by
 	address     string // of the worker at the start; empty if the run was restored and not reported since
 	failures    int
@@ -50,7 +50,7 @@
 	countedUrgent    bool    // included in urgentHeadroom.urgentUsed
 
 	crashCount
-	silent      []silentLoss // suspected crashes
+	silent      []silentLoss // runs lost with silent workers since the task was last cleared
 	retryAt     time.Time    // it does not start before this time
 	startSent   bool         // the start of the run was sent, or may have been
 	startSentAt time.Time    // when this term sent it; zero if an earlier one may have
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -131,14 +131,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCell(t)
-			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
-			for n := range unprovenCrashLimit {
-				id := fmt.Sprint("w", n)
-				c.addWorker(id, 4)
-				is.Equal(len(c.startTasks(nil)), 1)
-				c.loseSilently(id)
-				c.now = c.now.Add(crashRetryPause)
-			}
+			c.fourSilentLosses()
 			c.addWorker("spare", 4)
 			is.Equal(len(c.startTasks(nil)), 0)
 			is.Equal(c.jobState(), workload.Running)
