--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -44,7 +44,7 @@
 	worker  WorkerIncarnation
 	started bool // the start was confirmed
 	stored  bool // the stored progress has room for it
-		// since is since when the leases are over and the registration has not changed;
+	// since is since when the leases are over and the registration has not changed;
 	// observedSince is since when this coordinator knows of the loss.
 	since, observedSince time.Time
 	registered           bool
