--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -346,6 +346,7 @@
 	for name, o := range outages {
 		for kind, step := range steps {
 			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				c := newCrashCell(t, 16, o, func(id workload.TaskID) bool { return id.Job == "crashing" && id.Index == 0 })
 				others := 0
@@ -415,6 +416,7 @@
 func TestJobIsNotBlamedForCrashesOfFailureDomains(t *testing.T) {
 	for name, o := range outages {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			c := newCrashCell(t, 24, o, func(workload.TaskID) bool { return false })
 			r := rand.New(rand.NewPCG(1, 1))
--- a/internal/dispatch/crashreview_test.go
+++ b/internal/dispatch/crashreview_test.go
@@ -39,6 +39,7 @@
 			}
 			for kind, step := range steps {
 				t.Run(fmt.Sprint(fuse, "/", name, "/", kind), func(t *testing.T) {
+					t.Parallel()
 					is := is.New(t)
 					c := newCrashCell(t, 16, o, func(id workload.TaskID) bool { return id.Job == "deadly" && id.Index == 0 })
 					c.fuse = fuse
@@ -132,6 +133,7 @@
 	for name, o := range outages {
 		for runFor, every := range map[time.Duration]time.Duration{6 * time.Second: 2 * time.Second, 20 * time.Second: 1500 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, "/", runFor), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				c := newCrashCell(t, 16, o, func(workload.TaskID) bool { return false })
 				c.runFor = runFor
@@ -255,6 +257,7 @@
 func TestJobIsNotBlamedForNewTasksThatCrashItsWorkers(t *testing.T) {
 	for name, o := range map[string]outage{"replaced": {}, "restarted": {restarted: true}, "replaced, unanswered": {unanswered: true}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			c := newCrashCell(t, 48, o, func(id workload.TaskID) bool { return strings.HasPrefix(id.Job, "deadly") })
 			others, deadly := 0, 0
--- a/internal/dispatch/replay_crash_test.go
+++ b/internal/dispatch/replay_crash_test.go
@@ -66,6 +66,7 @@
 // Guards against tasks that crash workers at the cost of all others, and against a decision
 // that blames the others.
 func TestReplayOfCrashingTasks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := newReplay(narrowCrashes(), 0)
 	r.play()
