--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,9 +30,9 @@
 	// crash their workers; tried all at once, they take the cell from all others.
 	maxIsolatedShare = 0.1
 	// A job fails after crashLimit crashes in a row under one of its tasks, if provenCrashes
-	// of them are proven and the task ran isolated at the last one: before that, suspects
-	// that crash their workers may start beside it. Otherwise the limit is
-	// unprovenCrashLimit. Suspected crashes do not count until they are settled.
+	// of them are proven and nothing beside the task may have caused the last one: it was
+	// started apart. Otherwise, and after a takeover, the limit is unprovenCrashLimit.
+	// Suspected crashes do not count until they are settled.
 	crashLimit         = 3
 	provenCrashes      = 2
 	unprovenCrashLimit = 4
@@ -55,10 +55,10 @@
 }
 
 // conclusive reports whether a task is taken for the cause of the crashes, given how many of
-// them are only suspected and whether it ran isolated at the last one.
-func (n crashCount) conclusive(suspected int, isolated bool) bool {
+// them are only suspected and whether it was started apart at the last one.
+func (n crashCount) conclusive(suspected int, apart bool) bool {
 	known := n.crashes - suspected
-	return isolated && known >= crashLimit && n.proven >= provenCrashes || known >= unprovenCrashLimit
+	return apart && known >= crashLimit && n.proven >= provenCrashes || known >= unprovenCrashLimit
 }
 
 // isolates reports whether the task is to run beside no other new run.
@@ -72,7 +72,7 @@
 	if t.workerRestarted && (evidence != workerSilent || !w.incarnationSeenAt.IsZero()) {
 		evidence = workerRestarted // known from the worker, not from its entry only
 	}
-	crashed, isolated := c.crashedUnder(w, s, t, evidence), t.isolates()
+	crashed, apart := c.crashedUnder(w, s, t, evidence), t.startedApart
 	switch {
 	case crashed && evidence == workerSilent:
 		c.recordSilence(w, s, i, now) // a suspected one
@@ -84,14 +84,14 @@
 	}
 	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
 	if crashed {
-		c.giveUpAfterCrashes(s, i, isolated, now)
+		c.giveUpAfterCrashes(s, i, apart, now)
 	}
 }
 
 // giveUpAfterCrashes ends the job if one of its tasks is taken for the cause of crashes.
-func (c *Core) giveUpAfterCrashes(s *step, i int, isolated bool, now time.Time) {
+func (c *Core) giveUpAfterCrashes(s *step, i int, apart bool, now time.Time) {
 	t := &s.tasks[i]
-	if s.job.state.Final() || !t.conclusive(t.suspected(), isolated) {
+	if s.job.state.Final() || !t.conclusive(t.suspected(), apart) {
 		return
 	}
 	c.emit("job failed after crashes", "job", s.job.spec.ID, "task", s.taskID(i).String(), "crashes", t.crashes-t.suspected(), "proven", t.proven)
@@ -257,9 +257,21 @@
 	return w.isolated == 0 && (!isolated || w.suspects == 0)
 }
 
+// youngRuns returns the number of runs on a worker, of other jobs than j, that were not seen
+// running for crashWindow: one of them may crash the worker.
+func (c *Core) youngRuns(w *worker, j *job) int {
+	n := 0
+	for id := range w.tasks {
+		if s, t := c.findTask(id); t != nil && s.job != j && !t.outlived {
+			n++
+		}
+	}
+	return n
+}
+
 // Weights in the score of a worker for a suspect.
 const (
-	suspectPenalty = 3.0 // for each other suspect on the worker
+	suspectPenalty = 3.0 // for each other suspect or, if it isolates, young run on the worker
 	lossWeight     = 3.0 // for the share of the worker in use, which is lost if it crashes
 )
 
--- a/internal/dispatch/crashreview_test.go
+++ b/internal/dispatch/crashreview_test.go
@@ -252,6 +252,53 @@
 	is.True(crashes-3 < 3) // starts after the third crash
 }
 
+// Guards against blaming a suspect for a crash by a run of another job that started on its
+// worker just before it.
+func TestJobIsNotBlamedForRunThatStartedJustBeforeIt(t *testing.T) {
+	for _, beside := range []bool{false, true} {
+		t.Run(fmt.Sprint("beside new run ", beside), func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			if beside {
+				c.addJob("new", workload.Step{Tasks: 1, Resources: cores(1)})
+				is.Equal(len(c.startTasks(nil)), 1)
+			}
+			s := c.addSuspect("j")
+			is.Equal(len(c.startTasks(nil)), 1)
+			c.core.HandleReplaced("w", "w:1", c.now)
+			is.Equal(s.tasks[0].crashes, 3)
+			is.Equal(s.job.state == workload.Failed, !beside)
+		})
+	}
+}
+
+// Guards against starting a suspect beside a new run while another worker has none.
+func TestSuspectStartsApartFromNewRuns(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("x", 8)
+	c.addJob("old", workload.Step{Tasks: 1, Resources: cores(5)})
+	is.Equal(len(c.startTasks(nil)), 1)
+	c.now = c.now.Add(crashWindow)
+	c.reportInventory("x", workload.Inventory{})
+	c.addJob("new", workload.Step{Tasks: 1, Resources: cores(4)})
+	c.addWorker("w", 8)
+	is.Equal(len(c.startTasks(nil)), 1)
+	c.reportInventory("w", workload.Inventory{})
+	s := c.addSuspect("j")
+	is.Equal(len(c.startTasks(nil)), 1)
+	is.Equal(s.tasks[0].worker, "x") // though more is lost if that crashes
+}
+
+// addSuspect adds a job of a task under which two workers are known to have crashed.
+func (c *testCell) addSuspect(id string) *step {
+	c.addJob(id, workload.Step{Tasks: 1, Resources: cores(1)})
+	s := c.core.findStep(workload.StepID{Job: id})
+	c.core.setCrashes(s, &s.tasks[0], crashCount{crashes: 2, proven: 2})
+	return s
+}
+
 // Guards against failing jobs that share their workers again and again with new tasks that
 // crash them.
 func TestJobIsNotBlamedForNewTasksThatCrashItsWorkers(t *testing.T) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -58,7 +58,10 @@
 	// its start was sent.
 	unlistedAfterStart bool
 	outlived           bool // the run was seen running for crashWindow
-	workerRestarted    bool // a new incarnation of the worker answered and has not listed the run
+	// startedApart is set if the task isolates and its run was started beside no run of
+	// another job that might crash the worker.
+	startedApart    bool
+	workerRestarted bool // a new incarnation of the worker answered and has not listed the run
 
 	reservedCheckpoint int  // room kept for the checkpoint in the stored progress
 	checkpointRefused  bool // a checkpoint of this run was not kept
@@ -374,7 +377,7 @@
 	s.busy--
 	t.worker, t.incarnation, t.startedOn, t.address = "", 0, 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
-	t.startSent, t.outlived, t.workerRestarted, t.checkpointRefused = false, false, false, false
+	t.startSent, t.outlived, t.startedApart, t.workerRestarted, t.checkpointRefused = false, false, false, false, false
 	t.startSentAt, t.unlistedAfterStart = time.Time{}, false
 	t.reservedCheckpoint = 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -308,6 +308,9 @@
 			continue
 		}
 		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount)
+		if t.isolates() {
+			score += suspectPenalty * float64(c.youngRuns(w, r.step.job))
+		}
 		if best == nil || score < bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
@@ -352,6 +355,7 @@
 	t.load, t.throttlePercent = 0, fullSpeed
 	s.pending--
 	s.busy++
+	t.startedApart = t.isolates() && c.youngRuns(w, s.job) == 0
 	c.chargeTask(w, s, i)
 	j := s.job
 	j.homeAZ = w.info.AZ
