--- /dev/null
+++ b/internal/dispatch/failures.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Failures of a step that the next coordinator has to know. Load pattern: a worker fails each
+// run of a step while coordinators follow one another, and the step's attempts are used up
+// there. They are stored with the job's progress as far as its row has room: a start, a
+// checkpoint or an address never makes way for them.
+
+// maxStoredFailures bounds the workers that a row names for having failed a step. Load
+// pattern: a service whose tasks have failed on workers that are gone for good.
+const maxStoredFailures = 64
+
+// WorkerFailures is the stored form of a worker that has failed a step: its 1-based index in
+// Progress.Workers, and its number of failures.
+type WorkerFailures [2]int
+
+// recordFailure records that a worker has failed a run of the step.
+func (c *Core) recordFailure(s *step, worker string) {
+	if s.failuresByWorker == nil {
+		s.failuresByWorker = map[string]int{}
+	}
+	s.failuresByWorker[worker]++
+	c.markDirty(s.job)
+}
+
+// addFailures adds to the job's encoded progress which workers have failed the steps that may
+// still start tasks. It reports whether any has.
+func (p *Progress) addFailures(j *job) bool {
+	if j.state.Final() {
+		return false
+	}
+	var numbers map[string]int
+	for k, o := range j.occurrences {
+		for i, s := range o.steps {
+			if len(s.failuresByWorker) == 0 || s.finished() {
+				continue
+			}
+			if numbers == nil {
+				numbers = p.numbersByID()
+			}
+			sp := &p.Occurrences[k].Steps[i]
+			for _, id := range s.worstWorkers() {
+				if numbers[id] == 0 {
+					p.Workers = append(p.Workers, WorkerIncarnation{ID: id})
+					numbers[id] = len(p.Workers)
+				}
+				sp.FailedOn = append(sp.FailedOn, WorkerFailures{numbers[id], s.failuresByWorker[id]})
+			}
+		}
+	}
+	return numbers != nil
+}
+
+// numbersByID returns the 1-based indices in p.Workers by worker.
+func (p *Progress) numbersByID() map[string]int {
+	out := make(map[string]int, len(p.Workers))
+	for i, w := range p.Workers {
+		out[w.ID] = i + 1
+	}
+	return out
+}
+
+// worstWorkers returns the workers that have failed the step, those with the most failures
+// first, without those beyond maxStoredFailures.
+func (s *step) worstWorkers() []string {
+	out := slices.SortedFunc(maps.Keys(s.failuresByWorker), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.failuresByWorker[b], s.failuresByWorker[a]), cmp.Compare(a, b))
+	})
+	return out[:min(len(out), maxStoredFailures)]
+}
+
+// restoreFailures restores which workers have failed the step.
+func (s *step) restoreFailures(p StepProgress, workers []WorkerIncarnation) {
+	for _, f := range p.FailedOn {
+		number, failures := f[0], f[1]
+		if number < 1 || number > len(workers) || failures < 1 {
+			continue
+		}
+		if s.failuresByWorker == nil {
+			s.failuresByWorker = map[string]int{}
+		}
+		s.failuresByWorker[workers[number-1].ID] = failures
+	}
+}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -137,10 +137,7 @@
 		if !s.spec.Service && w.recordOutcome(true, now) {
 			c.emit("worker suspected", "worker", w.info.ID, "failed", w.failed, "fine", w.succeeded, "until", w.quarantineUntil)
 		}
-		if s.failuresByWorker == nil {
-			s.failuresByWorker = map[string]int{}
-		}
-		s.failuresByWorker[w.info.ID]++
+		c.recordFailure(s, w.info.ID)
 	default: // other outcomes say nothing about the worker
 	}
 	if c.isSuspended(s.job) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -85,7 +85,7 @@
 	// largest total duration of one task's failed runs.
 	failedRuns       int
 	maxFailedTime    time.Duration
-	failuresByWorker map[string]int // by worker
+	failuresByWorker map[string]int // by worker; a run that stalled counts as well
 	suspects         int            // tasks with crashes
 	closed           bool           // its occurrence was closed before it began, see closeUntouched
 	advice           adviceState
@@ -120,7 +120,9 @@
 	// restored is set for a job that was taken over from an earlier term.
 	restored bool
 	// rowBytes bounds the size of the stored progress, with the room that runs in progress
-	// may take; 0 until it is measured. rowWorkers are the workers that the row names.
+	// may take, but without what is left out of a row that is too large: addresses and
+	// failures. It is 0 until it is measured. rowWorkers are the workers that runs and
+	// losses refer to.
 	rowBytes   int
 	rowWorkers map[workerLife]bool
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -12,11 +12,12 @@
 
 // Progress is the stored form of a job's progress.
 type Progress struct {
-	State          workload.State       `json:"state"`
-	Begun          bool                 `json:"begun,omitempty"`
-	NextOccurrence int                  `json:"next,omitempty"`
-	Workers        []WorkerIncarnation  `json:"workers,omitempty"` // referred to by TaskProgress.Worker
-	Occurrences    []OccurrenceProgress `json:"occ,omitempty"`
+	State          workload.State `json:"state"`
+	Begun          bool           `json:"begun,omitempty"`
+	NextOccurrence int            `json:"next,omitempty"`
+	// Workers are the workers that others of these fields refer to.
+	Workers     []WorkerIncarnation  `json:"workers,omitempty"`
+	Occurrences []OccurrenceProgress `json:"occ,omitempty"`
 	// EndedAt is set for final states, in Unix milliseconds.
 	EndedAt int64 `json:"ended_at,omitempty"`
 }
@@ -27,8 +28,9 @@
 
 // WorkerIncarnation identifies an incarnation of a worker.
 type WorkerIncarnation struct {
-	ID          string `json:"id"`
-	Incarnation int64  `json:"born"`
+	ID string `json:"id"`
+	// Incarnation is 0 if only StepProgress.FailedOn refers to the worker.
+	Incarnation int64 `json:"born"`
 	// Address is where the runs were started; empty if that is not known, as in rows of
 	// older builds.
 	Address string `json:"addr,omitempty"`
@@ -49,6 +51,9 @@
 	// Outlived has a bit, from the lowest of the first byte on, for each task whose run was
 	// seen running for crashWindow.
 	Outlived []byte `json:"outlived,omitempty"`
+	// FailedOn are the workers that have failed runs of the step. Older builds ignore and drop
+	// it.
+	FailedOn []WorkerFailures `json:"failed_on,omitempty"`
 	// Tasks is omitted if all are done and none may be running. A gang is done when its
 	// first member ends successfully, while other members may still be running.
 	Tasks []TaskProgress `json:"tasks,omitempty"`
@@ -151,7 +156,8 @@
 }
 
 // encode returns the stored form of the job's current progress. If the row would be too large
-// with them, it leaves out the addresses of workers and which runs outlived crashWindow.
+// with them, it leaves out which workers have failed the steps, then the addresses of workers
+// and which runs outlived crashWindow.
 func (j *job) encode() []byte {
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
@@ -171,7 +177,12 @@
 				o.Steps[i].Outlived = nil
 			}
 		}
-		data = p.marshal(j.spec.ID)
+		return p.marshal(j.spec.ID)
+	}
+	if p.addFailures(j) {
+		if larger := p.marshal(j.spec.ID); len(larger) <= maxProgressBytes {
+			return larger
+		}
 	}
 	return data
 }
@@ -344,6 +355,7 @@
 
 func (c *Core) restoreStep(s *step, p StepProgress, incarnations []WorkerIncarnation, now time.Time) {
 	s.gangFailures, s.lastFailedGangRun, s.gangCheckpoint = p.GangFailures, p.LastFailedGangRun, p.GangCheckpoint
+	s.restoreFailures(p, incarnations)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		var tp TaskProgress
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -91,8 +91,5 @@
 		return // it may have waited for a member
 	}
 	w.recordOutcome(true, now)
-	if s.failuresByWorker == nil {
-		s.failuresByWorker = map[string]int{}
-	}
-	s.failuresByWorker[w.info.ID]++
+	c.recordFailure(s, w.info.ID)
 }
