--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Failures of a step that the next coordinator has to know. Load pattern: a worker fails each
 // run of a step while coordinators follow one another, and the step's attempts are used up
-// there. They are stored with the job's progress as far as its row has room: a start, a
-// checkpoint or an address never makes way for them.
+// there; or the job ranks as late, since the time of its failed runs is not counted. They are
+// stored with the job's progress as far as its row has room: a start, a checkpoint or an
+// address never makes way for them.
 
 // maxStoredFailures bounds the workers that a row names for having failed a step. Load
 // pattern: a service whose tasks have failed on workers that are gone for good.
@@ -19,6 +21,10 @@
 // Progress.Workers, and its number of failures.
 type WorkerFailures [2]int
 
+// FailedTime is the stored form of the total duration of a task's failed runs: the task's index
+// in its step, and the duration in milliseconds.
+type FailedTime [2]int64
+
 // recordFailure records that a worker has failed a run of the step.
 func (c *Core) recordFailure(s *step, worker string) {
 	if s.failuresByWorker == nil {
@@ -74,7 +80,7 @@
 	return out[:min(len(out), maxStoredFailures)]
 }
 
-// restoreFailures restores which workers have failed the step.
+// restoreFailures restores which workers have failed the step, and the time of its failed runs.
 func (s *step) restoreFailures(p StepProgress, workers []WorkerIncarnation) {
 	for _, f := range p.FailedOn {
 		number, failures := f[0], f[1]
@@ -86,4 +92,52 @@
 		}
 		s.failuresByWorker[workers[number-1].ID] = failures
 	}
+	for _, f := range p.FailedTimes {
+		if i, millis := f[0], f[1]; i >= 0 && i < int64(len(s.tasks)) && millis > 0 {
+			s.addFailedTime(int(i), time.Duration(millis)*time.Millisecond)
+		}
+	}
+}
+
+// addFailedTimes adds to the job's encoded progress the times of failed runs, by which its
+// objectives are longer. It reports whether there are any.
+func (p *Progress) addFailedTimes(j *job) bool {
+	if j.state.Final() {
+		return false
+	}
+	added := false
+	for k, o := range j.occurrences {
+		for i, s := range o.steps {
+			if times := s.failedTimes(); len(times) > 0 {
+				p.Occurrences[k].Steps[i].FailedTimes = times
+				added = true
+			}
+		}
+	}
+	return added
+}
+
+// failedTimes returns the times of failed runs that count from now on: the largest one, and
+// those of tasks that are not done.
+func (s *step) failedTimes() []FailedTime {
+	if s.maxFailedTime < time.Millisecond {
+		return nil
+	}
+	var out []FailedTime
+	largest := false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		isLargest := !largest && t.failedTime == s.maxFailedTime
+		if isLargest || t.state != taskDone && t.failedTime >= time.Millisecond {
+			out = append(out, FailedTime{int64(i), t.failedTime.Milliseconds()})
+		}
+		largest = largest || isLargest
+	}
+	return out
+}
+
+// addFailedTime adds to the time of a task's failed runs.
+func (s *step) addFailedTime(i int, d time.Duration) {
+	s.tasks[i].failedTime += d
+	s.maxFailedTime = max(s.maxFailedTime, s.tasks[i].failedTime)
 }
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -33,10 +33,10 @@
 	return out
 }
 
-// progress returns the decoded row of a job.
-func (c *testCell) progress(job string) Progress {
+// progress returns the decoded row of job "j".
+func (c *testCell) progress() Progress {
 	var p Progress
-	if err := json.Unmarshal(c.core.jobs[job].encode(), &p); err != nil {
+	if err := json.Unmarshal(c.core.jobs["j"].encode(), &p); err != nil {
 		c.Fatal(err)
 	}
 	return p
@@ -58,7 +58,7 @@
 	c.core.recordFailure(c.core.jobs["j"].occurrences[0].steps[1], "b")
 	want := []map[string]int{{"gone": 2}, {"gone": 2, "b": 1}}
 	is.Equal(c.failures(), want)
-	is.Equal(len(c.progress("j").Workers), 3) // "b" is there already for its run
+	is.Equal(len(c.progress().Workers), 3) // "b" is there already for its run
 	for range 2 {
 		j := c.core.jobs["j"]
 		c.takeOver(j.spec, j.encode())
@@ -178,7 +178,7 @@
 			break // such a checkpoint would not be kept
 		}
 		is.True(len(row) <= maxProgressBytes)
-		p := c.progress("j")
+		p := c.progress()
 		failures, address := len(p.Occurrences[0].Steps[0].FailedOn), p.Workers[0].Address != ""
 		left := 0
 		switch {
@@ -222,7 +222,7 @@
 }
 
 // Guards against a job whose progress cannot be stored, or that starts less, because each of
-// the workers has failed each of its steps.
+// the workers has failed each of its steps, and each of its tasks has failed.
 func TestFailuresOnAllWorkersLeaveRoomInTheRow(t *testing.T) {
 	for name, test := range rowJobs {
 		t.Run(name, func(t *testing.T) {
@@ -235,7 +235,7 @@
 				job.FirstDue = c.now.Add(-time.Duration(job.Repeats) * job.Period).UnixMilli()
 			}
 			c.core.AddJob(&job, c.now)
-			state, rounds, stored := workload.Running, 0, 0
+			state, rounds, stored, timed := workload.Running, 0, 0, 0
 			for ; !state.Final() && rounds < 400; rounds++ {
 				c.step()
 				c.step()
@@ -246,10 +246,18 @@
 					for i := range test.workers {
 						c.failSteps(bigJob, test.workerID(i), 1)
 					}
+					for _, o := range j.occurrences {
+						for _, s := range o.steps {
+							for i := range s.tasks {
+								s.addFailedTime(i, time.Hour)
+							}
+						}
+					}
 					j.encode()
 					is.Equal(j.rowBytes, bytes) // what starts depends on it
 					c.step()
 					stored += strings.Count(string(c.stored), `"failed_on"`)
+					timed += strings.Count(string(c.stored), `"failed_ms"`)
 				}
 				switch rounds {
 				case 0:
@@ -267,9 +275,145 @@
 				}
 				state, _ = c.core.JobState(bigJob)
 			}
-			t.Logf("largest row %d bytes, failures stored of %d steps, done after %d rounds", c.largest, stored, rounds)
+			t.Logf("largest row %d bytes, failures stored of %d steps, times of %d, done after %d rounds", c.largest, stored, timed, rounds)
 			is.True(c.largest <= workload.MaxRowBytes)
 			is.Equal(state, workload.Completed)
 		})
 	}
 }
+
+// failedTimes returns the times of failed runs that the row of job "j" has for its first step.
+func (c *testCell) failedTimes() []FailedTime {
+	return c.progress().Occurrences[0].Steps[0].FailedTimes
+}
+
+// Guards against an objective that forgets with a takeover what it knew after the one before.
+func TestTimesOfFailedRunsAddUpAcrossTakeovers(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, workload.Queue{Name: "batch", Pool: "pool", MaxAttempts: 9})
+	c.addWorker("w", 1)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	j := c.core.jobs["j"]
+	total := time.Duration(0)
+	for n := range 4 {
+		st := c.startTasks(nil)[0]
+		c.now = c.now.Add(time.Duration(700+n) * time.Millisecond)
+		_, task := c.core.findTask(st.Order.Run.Task)
+		total += c.now.Sub(task.startConfirmed)
+		c.reportEnd(int64(n+1), st, workload.RunFailed, "")
+		is.Equal(c.core.jobs["j"].occurrences[0].steps[0].maxFailedTime, total)
+		c.takeOver(j.spec, c.core.jobs["j"].encode())
+		is.Equal(c.core.jobs["j"].occurrences[0].steps[0].maxFailedTime, total)
+		c.addWorker("w", 1)
+	}
+}
+
+// Guards against rows that store times which no longer count: of the tasks that are done only
+// the largest does.
+func TestFailedTimesThatCountAreStored(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	step := workload.Step{Tasks: 5, Resources: cores(1)}
+	c.addJob("j", step, workload.Step{Tasks: 1, Resources: cores(1), After: []int{0}})
+	starts := c.startTasks(nil)
+	is.Equal(len(starts), 5)
+	for i, d := range []time.Duration{7 * time.Second, 7 * time.Second, 2 * time.Second, time.Microsecond} {
+		c.core.jobs["j"].occurrences[0].steps[0].addFailedTime(i, d)
+	}
+	done := int64(0)
+	finish := func(from, to int) {
+		for _, st := range starts {
+			if i := st.Order.Run.Task.Index; i >= from && i < to {
+				done++
+				c.reportEnd(done, st, workload.RunDone, "")
+			}
+		}
+	}
+	takeOver := func() {
+		j := c.core.jobs["j"]
+		c.takeOver(j.spec, j.encode())
+		c.addWorker("w", 8)
+		is.Equal(c.core.jobs["j"].occurrences[0].steps[0].maxFailedTime, 7*time.Second)
+	}
+	is.Equal(c.failedTimes(), []FailedTime{{0, 7000}, {1, 7000}, {2, 2000}})
+	finish(0, 2)
+	is.Equal(c.failedTimes(), []FailedTime{{0, 7000}, {2, 2000}})
+	takeOver()
+	is.Equal(c.failedTimes(), []FailedTime{{0, 7000}, {2, 2000}})
+	finish(2, 5)
+	is.True(c.progress().Occurrences[0].Steps[0].AllDone)
+	is.Equal(c.failedTimes(), []FailedTime{{0, 7000}})
+	takeOver()
+	is.Equal(c.failedTimes(), []FailedTime{{0, 7000}})
+	c.core.Cancel("j", c.now)
+	is.True(!strings.Contains(string(c.core.jobs["j"].encode()), "failed"))
+}
+
+// Guards against a job that is held because an older build has read its row and written it
+// without the times of failed runs.
+func TestRowWithFailedTimesOutlivesAnOlderBuild(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	j := c.core.jobs["j"]
+	j.occurrences[0].steps[0].addFailedTime(0, time.Second)
+	row := j.encode()
+	var older olderProgress
+	is.NoErr(json.Unmarshal(row, &older))
+	dropped, err := json.Marshal(older)
+	is.NoErr(err)
+	is.True(strings.Contains(string(row), `"failed_ms"`))
+	is.True(!strings.Contains(string(dropped), `"failed_ms"`))
+	c.takeOver(j.spec, dropped)
+	is.Equal(len(c.failedTimes()), 0)
+	c.core.jobs["j"].occurrences[0].steps[0].addFailedTime(0, 2*time.Second)
+	is.Equal(c.failedTimes(), []FailedTime{{0, 2000}})
+}
+
+// Guards against a job that is held, or a coordinator that panics, for times of no task.
+func TestFailedTimesOfNoTaskAreIgnored(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(1)})
+	row := `{"state":"running","next":1,"occ":[{"k":0,"steps":[{"failed_ms":[[-1,5],[2,5],[0,-5],[0,0],[],[1],[1,1500,7]],"tasks":[0,0]}]}]}`
+	c.takeOver(c.core.jobs["j"].spec, []byte(row))
+	is.Equal(c.failedTimes(), []FailedTime{{1, 1500}})
+}
+
+// Guards against times of failed runs that take the place of the workers that failed them.
+func TestFailedTimesAreLeftOutOfAFullRowFirst(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addJob("j", workload.Step{Tasks: 2, Resources: cores(1)})
+	c.failSteps("j", "w", 1)
+	j := c.core.jobs["j"]
+	s := j.occurrences[0].steps[0]
+	s.addFailedTime(0, time.Hour)
+	task := &s.tasks[1]
+	task.run, task.checkpoint = 1, "x"
+	all := len(j.encode())
+	last, counts := 2, [3]int{} // by how many of the two a row has
+	for size := maxProgressBytes - all; ; size++ {
+		task.checkpoint = strings.Repeat("x", size)
+		row := j.encode()
+		if j.rowBytes > maxProgressBytes {
+			break // such a checkpoint would not be kept
+		}
+		is.True(len(row) <= maxProgressBytes)
+		workers, times := strings.Contains(string(row), `"failed_on"`), strings.Contains(string(row), `"failed_ms"`)
+		is.True(workers || !times)
+		now := 0
+		for _, stored := range []bool{workers, times} {
+			if stored {
+				now++
+			}
+		}
+		is.True(now <= last)
+		last = now
+		counts[now]++
+	}
+	is.True(counts[2] > 0)
+	is.True(counts[1] > 0)
+	is.True(counts[0] > 0)
+}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -214,8 +214,7 @@
 	*failures++
 	s.failedRuns++
 	if !began.IsZero() {
-		s.tasks[i].failedTime += now.Sub(began)
-		s.maxFailedTime = max(s.maxFailedTime, s.tasks[i].failedTime)
+		s.addFailedTime(i, now.Sub(began))
 	}
 	if limit := c.queueOf(s.job).MaxAttempts; limit > 0 && *failures >= limit {
 		c.emit("job failed", "job", s.job.spec.ID, "task", s.taskID(i).String(), "failures", *failures, "limit", limit)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,8 +81,8 @@
 	lastFailedGangRun int
 	gangFailures      int
 	gangCheckpoint    string // latest checkpoint of a gang
-	// failedRuns counts the failed runs of tasks, or of the gang; maxFailedTime is the
-	// largest total duration of one task's failed runs.
+	// failedRuns counts the failed runs of tasks, or of the gang, in this term;
+	// maxFailedTime is the largest total duration of one task's failed runs.
 	failedRuns       int
 	maxFailedTime    time.Duration
 	failuresByWorker map[string]int // by worker; a run that stalled counts as well
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -54,6 +54,9 @@
 	// FailedOn are the workers that have failed runs of the step. Older builds ignore and drop
 	// it.
 	FailedOn []WorkerFailures `json:"failed_on,omitempty"`
+	// FailedTimes are the times that runs of tasks took which failed. Older builds ignore and
+	// drop them.
+	FailedTimes []FailedTime `json:"failed_ms,omitempty"`
 	// Tasks is omitted if all are done and none may be running. A gang is done when its
 	// first member ends successfully, while other members may still be running.
 	Tasks []TaskProgress `json:"tasks,omitempty"`
@@ -156,8 +159,8 @@
 }
 
 // encode returns the stored form of the job's current progress. If the row would be too large
-// with them, it leaves out which workers have failed the steps, then the addresses of workers
-// and which runs outlived crashWindow.
+// with them, it leaves out the times of failed runs, then which workers have failed the steps,
+// then the addresses of workers and which runs outlived crashWindow.
 func (j *job) encode() []byte {
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
@@ -179,10 +182,15 @@
 		}
 		return p.marshal(j.spec.ID)
 	}
-	if p.addFailures(j) {
-		if larger := p.marshal(j.spec.ID); len(larger) <= maxProgressBytes {
-			return larger
+	for _, add := range [...]func(*job) bool{p.addFailures, p.addFailedTimes} {
+		if !add(j) {
+			continue
 		}
+		larger := p.marshal(j.spec.ID)
+		if len(larger) > maxProgressBytes {
+			break
+		}
+		data = larger
 	}
 	return data
 }
