--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -137,10 +137,7 @@
 		if !s.spec.Service && w.recordOutcome(true, now) {
 			c.emit("worker suspected", "worker", w.info.ID, "failed", w.failed, "fine", w.succeeded, "until", w.quarantineUntil)
 		}
-		if s.failuresByWorker == nil {
-			s.failuresByWorker = map[string]int{}
-		}
-		s.failuresByWorker[w.info.ID]++
+		c.recordFailure(s, w.info.ID)
 	default: // other outcomes say nothing about the worker
 	}
 	if c.isSuspended(s.job) {
@@ -217,8 +214,7 @@
 	*failures++
 	s.failedRuns++
 	if !began.IsZero() {
-		s.tasks[i].failedTime += now.Sub(began)
-		s.maxFailedTime = max(s.maxFailedTime, s.tasks[i].failedTime)
+		s.addFailedTime(i, now.Sub(began))
 	}
 	if limit := c.queueOf(s.job).MaxAttempts; limit > 0 && *failures >= limit {
 		c.emit("job failed", "job", s.job.spec.ID, "task", s.taskID(i).String(), "failures", *failures, "limit", limit)
