--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -199,6 +199,9 @@
 		}
 		t.releaseLeases(e.leaseBounds)
 		t.links.renewLeaseless(ctx)
+		if len(e.batches) == 0 {
+			t.core.HandleRenewal()
+		}
 		for _, batch := range e.batches {
 			t.links.start(ctx, t.core.HandleStored(batch, now))
 		}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -116,6 +116,7 @@
 // HandleStored handles a stored batch. It returns the starts to send now, without those whose
 // task has been stopped or reassigned since, or no longer fits its worker.
 func (c *Core) HandleStored(b *Batch, now time.Time) []Start {
+	c.storeAnswered = true
 	for j, state := range b.storedStates {
 		j.storedState = state
 		c.resume(j)
@@ -145,6 +146,9 @@
 	return out
 }
 
+// HandleRenewal records that the store has answered a commit without a batch.
+func (c *Core) HandleRenewal() { c.storeAnswered = true }
+
 // withdrawUnfit withdraws the starts whose worker's capacity has shrunk since they were
 // decided: a start waits for a commit.
 func (c *Core) withdrawUnfit(starts []Start) {
--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -62,6 +62,12 @@
 	return others < max(1, s.spec.MaxUnavailable)
 }
 
+// mayMove reports whether a run of the job may be interrupted only to start elsewhere. That
+// start has to be stored, so the store must have answered a commit since the tasks were last
+// checked, and must not reject the job's progress. Load pattern: a coordinator that is cut off
+// from the store, but not from the workers, decides for seconds what it cannot store.
+func (c *Core) mayMove(j *job) bool { return c.storeAnswered && !c.isSuspended(j) }
+
 // mayBeAvailable reports whether a service task is available, or may be: its worker is out of
 // reach, or has not listed it in this term.
 func (c *Core) mayBeAvailable(s *step, i int) bool {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,6 +40,7 @@
 	// tasks were last checked.
 	stopsDue        bool
 	tasksCheckedAt  time.Time
+	storeAnswered   bool                   // the store has answered a commit since then
 	reservedWorkers map[string]*worker     // workers with capacity reserved for gangs, as of the latest scheduling pass
 	isolatedWorkers map[string]int         // by pool: workers beside whose suspects nothing starts
 	silent          map[string]silentTasks // by worker ID
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -65,7 +65,7 @@
 	for _, w := range leaving {
 		for id := range w.tasks {
 			s, t := c.findTask(id)
-			if t == nil || t.state == taskStopping || !s.spec.Service || !c.mayInterrupt(s, id.Index) || !c.fitsBeside(s, starting, roomy) {
+			if t == nil || t.state == taskStopping || !s.spec.Service || !c.mayMove(s.job) || !c.mayInterrupt(s, id.Index) || !c.fitsBeside(s, starting, roomy) {
 				continue
 			}
 			c.evict(s, id.Index)
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -24,6 +24,7 @@
 		c.moveServices(now)
 		c.tickTasks(now)
 		c.settleSilence(now)
+		c.storeAnswered = false
 	}
 	for _, j := range c.active {
 		if !j.unstoredOutlived.IsZero() && now.Sub(j.unstoredOutlived) >= outlivedStoreDelay {
@@ -81,7 +82,7 @@
 	}
 	limit := max(minStall, time.Duration(stallShare*float64(s.spec.Estimate)))
 	still := t.listedAt.Sub(t.progressedAt) // as listed: without an inventory nothing is known of its progress
-	if still < limit {
+	if still < limit || !c.mayMove(s.job) {
 		return
 	}
 	c.emit("stalled run moved", "task", id.String(), "run", t.run, "worker", w.info.ID,
