--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -64,6 +64,9 @@
 	Step     workload.StepID
 	Workers  []string
 	Duration time.Duration // how long the call is expected to take
+	// incarnations are those of the workers when the call was made. A ticket is valid for one
+	// incarnation; the answer names only the worker.
+	incarnations map[string]int64
 }
 
 // AdviceCapacity is the capacity of the hosts that make calls for advice.
@@ -115,7 +118,12 @@
 			continue
 		}
 		s.advice.callPending, s.advice.calledAt = true, now
-		call := AdviceCall{Step: s.id, Workers: workers, Duration: q.Advice.Duration(len(workers))}
+		call := AdviceCall{Step: s.id, Workers: workers, Duration: q.Advice.Duration(len(workers)), incarnations: make(map[string]int64, len(workers))}
+		for _, id := range workers {
+			if w := c.workers[id]; w != nil { // it may be gone since the scheduling pass
+				call.incarnations[id] = w.incarnation
+			}
+		}
 		c.recordCall(s, q, call)
 		return call, true
 	}
@@ -181,14 +189,13 @@
 	}
 	for _, id := range call.Workers {
 		token, ok := tokens[id]
-		w := c.workers[id]
 		switch {
 		case !ok && err == nil:
 			s.advice.denied[id] = true
 		case !ok:
-		case w != nil:
+		case c.workers[id] != nil:
 			s.advice.lastExpiry = expires
-			s.advice.tickets[id] = ticket{token: token, incarnation: w.incarnation, expires: expires}
+			s.advice.tickets[id] = ticket{token: token, incarnation: call.incarnations[id], expires: expires}
 			c.adviceStats.TicketsReceived++
 		}
 	}
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -182,7 +182,7 @@
 	c.addWorker("w", 8)
 	c.addWorker("v", 8)
 	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(2), Service: true, MaxUnavailable: 1})
-	c.core.HandleAdvice(AdviceCall{Step: workload.StepID{Job: "j"}, Workers: []string{"v", "w"}},
+	c.core.HandleAdvice(AdviceCall{Step: workload.StepID{Job: "j"}, Workers: []string{"v", "w"}, incarnations: map[string]int64{"v": testIncarnation, "w": testIncarnation}},
 		[]workload.Ticket{{Worker: "w", Token: "t"}}, nil, c.now)
 	is.Equal(len(c.startTasks(nil)), 1)
 	c.setAvailable()
