--- a/internal/dispatch/advicecall.go
+++ b/internal/dispatch/advicecall.go
@@ -35,15 +35,15 @@
 // Examining every worker for each step takes all of the coordinator's time, and it
 // appears to have failed.
 func (c *Core) callWorkers(s *step, p *poolState) iter.Seq[*worker] {
-	if len(p.workers) <= callSampleSize {
-		return slices.Values(p.workers)
-	}
 	return func(yield func(*worker) bool) {
-		for _, w := range p.workers[:callSampleSize] { // the order differs from pass to pass
-			if !yield(w) {
+		for _, w := range p.workers[:min(len(p.workers), callSampleSize)] { // the order differs from pass to pass
+			if c.workers[w.info.ID] == w && !yield(w) { // otherwise it is gone since the pass
 				return
 			}
 		}
+		if len(p.workers) <= callSampleSize {
+			return
+		}
 		for id := range s.advice.tickets {
 			if w := c.workers[id]; w != nil && w.schedulableIn == c.pass && w.poolIndex >= callSampleSize && !yield(w) {
 				return
