--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -282,7 +282,9 @@
 	return int(reply.Pending), nil
 }
 
-// Relay sends a request to other hosts in turn until one handles it.
+// Relay sends a request to other hosts in turn until one handles it. A submission that is not
+// answered is not sent again. A cancellation is, since repeating it does no harm; unless it
+// is accepted then, its outcome is Unknown.
 func (p *peers) Relay(ctx context.Context, r intake.Request) (intake.Reply, error) {
 	request := &rpc.RelayRequest{Operation: string(r.Operation), Host: r.Host, Path: r.Path, Key: r.Key, Configuration: r.Configuration}
 	if r.Job != nil {
@@ -293,32 +295,49 @@
 		request.Job = data
 	}
 	err := errors.New("no other host is known")
+	var lost error // of a call that may have had an effect
 	for _, other := range p.pick(relayHosts) {
-		var reply *rpc.RelayReply
-		call, cancel := context.WithTimeout(ctx, relayTimeout)
-		reply, err = p.client(other.Address).Relay(call, request)
-		cancel()
-		if err == nil {
-			if intake.Outcome(reply.Outcome) == intake.NotRun {
-				err = errors.New(reply.Reason)
-				continue
-			}
-			return intake.Reply{
-				Outcome: intake.Outcome(reply.Outcome), State: workload.State(reply.State), Pending: int(reply.Pending),
-				RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond, Reason: reply.Reason,
-				Configuration: reply.Configuration,
-			}, nil
+		var reply intake.Reply
+		reply, err = p.relayTo(ctx, other.Address, request)
+		switch {
+		case err == nil && reply.Outcome == intake.NotRun:
+			err = errors.New(reply.Reason)
+		case err == nil && (lost == nil || reply.Outcome == intake.Accepted):
+			return reply, nil
+		case err != nil && r.Operation != intake.Query && !notSent(err):
+			lost = err
 		}
-		if ctx.Err() == nil { // otherwise the host had less than relayTimeout
-			p.callFailed(ctx, other.Address, err)
-		}
-		if r.Operation == intake.Submit && !notSent(err) {
-			return intake.Reply{Outcome: intake.Unknown, Reason: "relayed: " + err.Error()}, nil
+		if lost != nil && r.Operation == intake.Submit {
+			break
 		}
 	}
+	if lost != nil {
+		return intake.Reply{Outcome: intake.Unknown, Reason: "relayed: " + lost.Error()}, nil
+	}
 	return intake.Reply{}, err
 }
 
+// relayTo sends a request to one host.
+func (p *peers) relayTo(ctx context.Context, address string, request *rpc.RelayRequest) (intake.Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return intake.Reply{}, &httpjson.TransportError{Err: err}
+	}
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	reply, err := p.client(address).Relay(call, request)
+	if err != nil {
+		if ctx.Err() == nil { // otherwise the host had less than relayTimeout
+			p.callFailed(ctx, address, err)
+		}
+		return intake.Reply{}, err
+	}
+	return intake.Reply{
+		Outcome: intake.Outcome(reply.Outcome), State: workload.State(reply.State), Pending: int(reply.Pending),
+		RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond, Reason: reply.Reason,
+		Configuration: reply.Configuration,
+	}, nil
+}
+
 // pick returns up to n other hosts in round-robin order, without those in backoff.
 func (p *peers) pick(n int) []peer {
 	all := p.members.others()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -95,7 +95,8 @@
 // Relay forwards requests to another host.
 type Relay interface {
 	// Relay returns an error only if the request certainly had no effect. If the
-	// request may have had an effect, the outcome is Unknown.
+	// request may have had an effect, the outcome is Unknown. An error of a query, which
+	// has none, says only that nobody answered it.
 	Relay(ctx context.Context, r Request) (Reply, error)
 }
 
@@ -183,26 +184,44 @@
 	default:
 		return Reply{Outcome: NotRun, RetryAfter: retryBusy, Reason: "this host has too many requests in hand"}
 	}
-	if now := time.Now(); !s.Watch.Fresh(now) || s.StoreSuspect(now) {
-		if reply, err := s.relay(ctx, r); err == nil {
-			return reply
-		} else if r.Operation == Submit && s.cannotReachStore(time.Now()) {
-			return Reply{Outcome: NotRun, RetryAfter: max(retryStore, s.RerouteDelay(time.Now())), Reason: fmt.Sprintf("the store is out of reach: %v", err)}
-		}
+	if now := time.Now(); s.Watch.Fresh(now) && !s.StoreSuspect(now) {
+		return s.handleHere(ctx, r)
+	}
+	relayed, err := s.relay(ctx, r)
+	switch {
+	case err == nil && r.Operation == Cancel && relayed.Outcome == Unknown: // repeating it does no harm
+		return settled(relayed, s.handleHere(ctx, r))
+	case err == nil:
+		return relayed
+	case r.Operation == Submit && s.cannotReachStore(time.Now()):
+		return Reply{Outcome: NotRun, RetryAfter: max(retryStore, s.RerouteDelay(time.Now())), Reason: fmt.Sprintf("the store is out of reach: %v", err)}
 	}
+	return s.handleHere(ctx, r)
+}
+
+// settled returns the answer to a request that was handled twice. If the first handling may
+// have had an effect, the second one must not deny it.
+func settled(first, second Reply) Reply {
+	if first.Outcome == Unknown && second.Outcome != Accepted {
+		return first
+	}
+	return second
+}
+
+// handleHere handles a request on this host, and relays it if that may help.
+func (s *Server) handleHere(ctx context.Context, r Request) Reply {
 	r.Configuration = s.latestVersion.Load()
 	reply := s.HandleLocally(ctx, r)
 	s.noteVersion(reply)
 	if reply.NotAdmitted || reply.Outcome != NotRun && (reply.Outcome != Unknown || !s.StoreSuspect(time.Now())) {
 		return reply // a store that is merely slow must not get duplicate requests
 	}
-	// A retry by another host is harmless, since a job is stored once. But a job that
-	// may be stored already must not be refused, even if the other host refuses it.
+	// A retry by another host is harmless, since a job is stored once.
 	relayed, err := s.relay(ctx, r)
-	if err != nil || reply.Outcome == Unknown && relayed.Outcome != Accepted {
+	if err != nil {
 		return reply
 	}
-	return relayed
+	return settled(reply, relayed)
 }
 
 // cannotReachStore reports whether this host cannot reach the store.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -77,14 +77,20 @@
 func (f *fakeDispatcher) Notify(jobstore.Entry)                        {}
 func (f *fakeDispatcher) Pending(context.Context, string) (int, error) { return 7, f.err }
 
-// fakeRelay relays requests to another server, if one is set.
-type fakeRelay struct{ target *Server }
+// fakeRelay relays requests to another server, if one is set. It may lose the answers.
+type fakeRelay struct {
+	target *Server
+	loses  bool
+}
 
 func (r *fakeRelay) Relay(ctx context.Context, req Request) (Reply, error) {
 	if r.target == nil {
 		return Reply{}, errUnreachable
 	}
 	reply := r.target.HandleRelayed(ctx, req)
+	if r.loses {
+		return Reply{Outcome: Unknown, Reason: "answer lost"}, nil
+	}
 	if reply.Outcome == NotRun {
 		return reply, errors.New(reply.Reason)
 	}
@@ -128,6 +134,13 @@
 	return h
 }
 
+// withdrawKeys makes version 2, in which no team has a key, the host's configuration.
+func (h *host) withdrawKeys(t *testing.T) {
+	queues := []workload.Queue{{Name: "q", Host: "cell.example", PathPrefix: "/q/", Pool: "p"}}
+	h.operators.set(workload.NewCell(2, queues, nil, nil), false)
+	h.awaitConfiguration(t, 2)
+}
+
 func (h *host) awaitConfiguration(t *testing.T, version int64) {
 	t.Helper()
 	for range 500 {
@@ -228,9 +241,7 @@
 	is := is.New(t)
 	store := rows.New()
 	h, other := newHost(t, store), newHost(t, rows.New())
-	queues := []workload.Queue{{Name: "q", Host: "cell.example", PathPrefix: "/q/", Pool: "p"}}
-	other.operators.set(workload.NewCell(2, queues, nil, nil), false)
-	other.awaitConfiguration(t, 2)
+	other.withdrawKeys(t)
 	h.relay.target = other.Server
 	store.SetFault(func(platform.Tx) rows.Fault {
 		h.suspect = true // a lost answer makes the host suspect the store
@@ -348,3 +359,31 @@
 		})
 	}
 }
+
+// Guards against a denial of a cancellation that another host has carried out without being able
+// to answer: a host that suspects its store relays the cancellation, and then tries it itself.
+func TestCancellationThatWasRelayedIsNotDenied(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(h *host, own *rows.Store)
+		want   Outcome
+	}{
+		"store out of reach":    {func(_ *host, own *rows.Store) { own.SetDown(true) }, Unknown},
+		"job not found":         {func(*host, *rows.Store) {}, Unknown},
+		"key withdrawn here":    {func(h *host, _ *rows.Store) { h.withdrawKeys(t) }, Unknown},
+		"job known to be ended": {func(h *host, _ *rows.Store) { h.dispatcher.state, h.dispatcher.err = workload.Completed, nil }, Accepted},
+		"job known to run":      {func(h *host, _ *rows.Store) { h.dispatcher.state, h.dispatcher.err = workload.Running, nil }, Accepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store, own := rows.New(), rows.New()
+			h, other := newHost(t, own), newHost(t, store)
+			is.Equal(other.Handle(t.Context(), request(Submit)).Outcome, Accepted)
+			other.operators.set(testCell(2), false)
+			other.awaitConfiguration(t, 2)
+			h.suspect, h.relay.target, h.relay.loses = true, other.Server, true
+			test.change(h, own)
+			is.Equal(h.Handle(t.Context(), request(Cancel)).Outcome, test.want)
+			is.Equal(other.Handle(t.Context(), request(Query)).State, workload.Cancelled)
+		})
+	}
+}
