--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -331,8 +331,12 @@
 		}
 		return intake.Reply{}, err
 	}
+	outcome := intake.Outcome(reply.Outcome)
+	if !outcome.Known() {
+		return intake.Reply{}, fmt.Errorf("answer has the outcome %q, which this host does not know", reply.Outcome)
+	}
 	return intake.Reply{
-		Outcome: intake.Outcome(reply.Outcome), State: workload.State(reply.State), Pending: int(reply.Pending),
+		Outcome: outcome, State: workload.State(reply.State), Pending: int(reply.Pending),
 		RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond, Reason: reply.Reason,
 		Configuration: reply.Configuration,
 	}, nil
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -265,3 +265,21 @@
 		is.True(errors.Is(err, context.Canceled)) // nothing was sent
 	})
 }
+
+// Guards against a status that callers cannot interpret (500): a host of another build answers a
+// relayed request with an outcome that this one does not know.
+func TestRelayedAnswerThatIsNotUnderstoodIsUnknown(t *testing.T) {
+	for _, outcome := range []intake.Outcome{"", "later"} {
+		for op, want := range map[intake.Operation]intake.Outcome{intake.Submit: intake.Unknown, intake.Cancel: intake.Unknown, intake.Query: intake.NoJob} {
+			t.Run(string(op)+"/"+string(outcome), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					p := relaysTo(t, rows.New(), fixedAnswer(outcome), fixedAnswer(intake.NoJob))
+					reply, err := p.Relay(t.Context(), intake.Request{Operation: op, Host: "cell.example", Path: "/q/" + relayedJob, Key: "key"})
+					is.NoErr(err)
+					is.Equal(reply.Outcome, want)
+				})
+			})
+		}
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,6 +65,16 @@
 	Unknown Outcome = "unknown"
 )
 
+// Known reports whether o is one of the outcomes.
+func (o Outcome) Known() bool {
+	switch o {
+	case Accepted, Shown, Counted, NoQueue, NoJob, BadKey, Malformed, NotRun, Unknown:
+		return true
+	default:
+		return false
+	}
+}
+
 // Reply is the answer to a request.
 type Reply struct {
 	Outcome    Outcome
