--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -74,6 +74,13 @@
 	return errors.As(err, &refusal) && !errors.As(err, &transport)
 }
 
+// refusedUnread reports whether the called host does not serve a failed call, or could not
+// read it, so that it had no effect.
+func refusedUnread(err error) bool {
+	var refusal twirp.Error
+	return errors.As(err, &refusal) && (refusal.Code() == twirp.BadRoute || refusal.Code() == twirp.Malformed)
+}
+
 // peers calls the other entry hosts.
 type peers struct {
 	members   *membership
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -202,7 +202,7 @@
 	}
 	h.mu.Unlock()
 	answer := fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, h.address, err)
-	if notSent(err) || wasAnswered(err) {
+	if notSent(err) || refusedUnread(err) {
 		answer = errNotRelayed
 	}
 	var refusal twirp.Error
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 
 	"cuminloft/internal/httpjson"
@@ -256,6 +257,41 @@
 	is.Equal(len(c.direct.take()), 0)
 }
 
+// Guards against a run that counts as ended while it goes on: an order that a host had relayed
+// was sent again as one that no worker can have got, since the host answered with an error of its
+// own, and the worker refused the repeat.
+func TestHostThatFailsAfterItRelayed(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"failure of the host": func(w http.ResponseWriter, _ *http.Request) {
+			rpc.WriteError(w, twirp.InternalError("out of memory"))
+		},
+		"failure without a reason": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"unreadable answer": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/protobuf")
+			_, _ = w.Write([]byte("no message"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newRelayCell(t, 1)
+			c.direct.err = workload.ErrUnhealthy
+			relayed := rpc.NewCellServer(c.hosts[0])
+			failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				relayed.ServeHTTP(httptest.NewRecorder(), r)
+				answer(w, r)
+			}))
+			defer failing.Close()
+			c.startRelay.hosts = func() []peer {
+				return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(failing.URL, "http://")}}}
+			}
+			_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+			is.Equal(len(c.workers.take()), 1)
+			is.True(errors.Is(err, workload.ErrNoAnswer))
+			is.Equal(len(c.direct.take()), 0)
+		})
+	}
+}
+
 // blockingStart answers a start order when released.
 type blockingStart struct{ release chan struct{} }
 
