--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -30,6 +30,9 @@
 	peerDialTimeout = 400 * time.Millisecond
 	relayTimeout    = 1500 * time.Millisecond
 	notifyTimeout   = 400 * time.Millisecond
+	// coordinatorTimeout bounds a query of the coordinator, on top of the time that it may
+	// wait for a job's end.
+	coordinatorTimeout = 500 * time.Millisecond
 	// isolationProbes is the number of hosts of other AZs that are probed to find out
 	// whether this host is isolated.
 	isolationProbes  = 4
@@ -134,6 +137,14 @@
 	p.log.V(1).Info("entry host did not answer", "address", address, "cause", err.Error())
 }
 
+// requestFailed handles a call that failed on behalf of a caller's request with the context
+// ctx. If that has ended, the host had less than the usual time to answer.
+func (p *peers) requestFailed(ctx context.Context, address string, err error) {
+	if ctx.Err() == nil {
+		p.callFailed(ctx, address, err)
+	}
+}
+
 // resetBackoff resumes calls to a host that has answered.
 func (p *peers) resetBackoff(address string) {
 	p.mu.Lock()
@@ -255,12 +266,14 @@
 	if err != nil {
 		return "", false, err
 	}
+	call, cancel := context.WithTimeout(ctx, coordinatorTimeout+wait)
+	defer cancel()
 	if self {
-		return p.local.JobState(ctx, id, wait)
+		return p.local.JobState(call, id, wait)
 	}
-	reply, err := client.StateOf(ctx, &rpc.StateOfRequest{Job: id, WaitMs: wait.Milliseconds()})
+	reply, err := client.StateOf(call, &rpc.StateOfRequest{Job: id, WaitMs: wait.Milliseconds()})
 	if err != nil {
-		p.callFailed(ctx, address, err)
+		p.requestFailed(ctx, address, err)
 		return "", false, err
 	}
 	if !reply.Coordinator {
@@ -275,12 +288,14 @@
 	if err != nil {
 		return 0, err
 	}
+	call, cancel := context.WithTimeout(ctx, coordinatorTimeout)
+	defer cancel()
 	if self {
-		return p.local.Pending(ctx, queue)
+		return p.local.Pending(call, queue)
 	}
-	reply, err := client.CountPending(ctx, &rpc.CountPendingRequest{Queue: queue})
+	reply, err := client.CountPending(call, &rpc.CountPendingRequest{Queue: queue})
 	if err != nil {
-		p.callFailed(ctx, address, err)
+		p.requestFailed(ctx, address, err)
 		return 0, err
 	}
 	if !reply.Coordinator {
@@ -333,9 +348,7 @@
 	defer cancel()
 	reply, err := p.client(address).Relay(call, request)
 	if err != nil {
-		if ctx.Err() == nil { // otherwise the host had less than relayTimeout
-			p.callFailed(ctx, address, err)
-		}
+		p.requestFailed(ctx, address, err)
 		return intake.Reply{}, err
 	}
 	outcome := intake.Outcome(reply.Outcome)
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -140,3 +141,33 @@
 	is.Equal(len(p.available()), 0)
 	is.Equal(len(p.pick(relayHosts)), 0)
 }
+
+// Guards against a coordinator that is left out for 2 s, in which jobs are shown as this host last
+// knew them and pending jobs cannot be counted: callers with little time left had asked for it.
+func TestQueryWithoutTimeLeftDoesNotTakeTheCoordinatorOut(t *testing.T) {
+	calls := map[string]func(context.Context, *peers) error{
+		"state of a job": func(ctx context.Context, p *peers) error {
+			_, _, err := p.JobState(ctx, "j", 0)
+			return err
+		},
+		"pending jobs": func(ctx context.Context, p *peers) error {
+			_, err := p.Pending(ctx, "q")
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, _ := peersWithSlowHosts(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			is.True(call(ctx, p) != nil)
+			_, _, _, err := p.coordinatorClient()
+			is.NoErr(err)
+			// A coordinator that does not answer in the usual time is still left out.
+			is.True(call(t.Context(), p) != nil)
+			_, _, _, err = p.coordinatorClient()
+			is.True(errors.Is(err, errNoCoordinator))
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -158,8 +158,10 @@
 	// retryStarting is the retry interval for a host without a configuration.
 	retryStarting = 300 * time.Millisecond
 	// dispatcherTimeout bounds a call to the coordinator, on top of the time that the
-	// call may wait for a job's end. Without an answer the host uses its own data.
-	dispatcherTimeout = 500 * time.Millisecond
+	// call may wait for a job's end. Without an answer the host uses its own data. A
+	// Dispatcher that gives up earlier can tell a silent coordinator from a caller
+	// without time left.
+	dispatcherTimeout = 600 * time.Millisecond
 )
 
 // New returns a server.
