--- a/internal/intake/query.go
+++ b/internal/intake/query.go
@@ -76,14 +76,34 @@
 	return &rowReader{jobs: jobs, limit: rate.NewLimiter(rowReadsPerSecond, rowReadBurst)}
 }
 
+// rowRead is the result of a read of a job's row.
+type rowRead struct {
+	state jobstore.StoredState
+	began time.Time
+}
+
+// find returns a job's stored state. It may be as old as a shared read, but that a job does not
+// exist is true at some time after the call.
 func (r *rowReader) find(ctx context.Context, id string) (jobstore.StoredState, error) {
-	found, err, _ := r.flight.Do(id, func() (any, error) {
+	called := time.Now()
+	read, err := r.read(ctx, id)
+	if err == nil && !read.state.Exists && read.began.Before(called) {
+		read, err = r.read(ctx, id)
+	}
+	return read.state, err
+}
+
+// read reads a job's row, or shares a read that has begun.
+func (r *rowReader) read(ctx context.Context, id string) (rowRead, error) {
+	read, err, _ := r.flight.Do(id, func() (any, error) {
+		began := time.Now()
 		if !r.limit.Allow() {
-			return jobstore.StoredState{}, errReadLimitExceeded
+			return rowRead{}, errReadLimitExceeded
 		}
-		return r.jobs.Find(context.WithoutCancel(ctx), id) // other callers may share this read
+		state, err := r.jobs.Find(context.WithoutCancel(ctx), id) // other callers may share this read
+		return rowRead{state, began}, err
 	})
-	return found.(jobstore.StoredState), err
+	return read.(rowRead), err
 }
 
 // maxQueryWait is how long a query waits for the end of a job that is about to end: each
--- a/internal/intake/query_test.go
+++ b/internal/intake/query_test.go
@@ -187,3 +187,43 @@
 	is.Equal(h.Handle(t.Context(), requestForJob(Cancel, 0)).Outcome, Accepted)
 	is.Equal(coordinator.lastWait.Load(), int64(0))
 }
+
+// heldStore holds back the answers of reads.
+type heldStore struct {
+	*rows.Store
+	read    chan struct{} // receives a value when a read has been carried out
+	release chan struct{}
+}
+
+func (s *heldStore) Scan(ctx context.Context, table, partition, from, to string) (platform.Page, error) {
+	page, err := s.Store.Scan(ctx, table, partition, from, to)
+	s.read <- struct{}{}
+	<-s.release
+	return page, err
+}
+
+// Guards against the denial of a job that was accepted before the request: the request shared the
+// read of a row that had begun before. A cancellation was lost in this way.
+func TestReadThatBeganEarlierDoesNotDenyAJob(t *testing.T) {
+	for op, want := range map[Operation]Outcome{Query: Shown, Cancel: Accepted} {
+		t.Run(string(op), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := rows.New()
+				held := &heldStore{store, make(chan struct{}, 8), make(chan struct{})}
+				h, other := newHost(t, held), newHost(t, store)
+				first := make(chan Reply, 1)
+				go func() { first <- h.Handle(t.Context(), request(Query)) }()
+				<-held.read
+				time.Sleep(time.Millisecond)
+				is.Equal(other.Handle(t.Context(), request(Submit)).Outcome, Accepted)
+				second := make(chan Reply, 1)
+				go func() { second <- h.Handle(t.Context(), request(op)) }()
+				synctest.Wait()
+				close(held.release)
+				is.Equal((<-first).Outcome, NoJob)
+				is.Equal((<-second).Outcome, want)
+			})
+		})
+	}
+}
