--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -30,6 +30,9 @@
 	peerDialTimeout = 400 * time.Millisecond
 	relayTimeout    = 1500 * time.Millisecond
 	notifyTimeout   = 400 * time.Millisecond
+	// coordinatorTimeout bounds a query of the coordinator, on top of the time that it may
+	// wait for a job's end.
+	coordinatorTimeout = 500 * time.Millisecond
 	// isolationProbes is the number of hosts of other AZs that are probed to find out
 	// whether this host is isolated.
 	isolationProbes  = 4
@@ -74,6 +77,13 @@
 	return errors.As(err, &refusal) && !errors.As(err, &transport)
 }
 
+// refusedUnread reports whether the called host does not serve a failed call, or could not
+// read it, so that it had no effect.
+func refusedUnread(err error) bool {
+	var refusal twirp.Error
+	return errors.As(err, &refusal) && (refusal.Code() == twirp.BadRoute || refusal.Code() == twirp.Malformed)
+}
+
 // peers calls the other entry hosts.
 type peers struct {
 	members   *membership
@@ -127,6 +137,14 @@
 	p.log.V(1).Info("entry host did not answer", "address", address, "cause", err.Error())
 }
 
+// requestFailed handles a call that failed on behalf of a caller's request with the context
+// ctx. If that has ended, the host had less than the usual time to answer.
+func (p *peers) requestFailed(ctx context.Context, address string, err error) {
+	if ctx.Err() == nil {
+		p.callFailed(ctx, address, err)
+	}
+}
+
 // resetBackoff resumes calls to a host that has answered.
 func (p *peers) resetBackoff(address string) {
 	p.mu.Lock()
@@ -248,12 +266,14 @@
 	if err != nil {
 		return "", false, err
 	}
+	call, cancel := context.WithTimeout(ctx, coordinatorTimeout+wait)
+	defer cancel()
 	if self {
-		return p.local.JobState(ctx, id, wait)
+		return p.local.JobState(call, id, wait)
 	}
-	reply, err := client.StateOf(ctx, &rpc.StateOfRequest{Job: id, WaitMs: wait.Milliseconds()})
+	reply, err := client.StateOf(call, &rpc.StateOfRequest{Job: id, WaitMs: wait.Milliseconds()})
 	if err != nil {
-		p.callFailed(ctx, address, err)
+		p.requestFailed(ctx, address, err)
 		return "", false, err
 	}
 	if !reply.Coordinator {
@@ -268,12 +288,14 @@
 	if err != nil {
 		return 0, err
 	}
+	call, cancel := context.WithTimeout(ctx, coordinatorTimeout)
+	defer cancel()
 	if self {
-		return p.local.Pending(ctx, queue)
+		return p.local.Pending(call, queue)
 	}
-	reply, err := client.CountPending(ctx, &rpc.CountPendingRequest{Queue: queue})
+	reply, err := client.CountPending(call, &rpc.CountPendingRequest{Queue: queue})
 	if err != nil {
-		p.callFailed(ctx, address, err)
+		p.requestFailed(ctx, address, err)
 		return 0, err
 	}
 	if !reply.Coordinator {
@@ -282,7 +304,9 @@
 	return int(reply.Pending), nil
 }
 
-// Relay sends a request to other hosts in turn until one handles it.
+// Relay sends a request to other hosts in turn until one handles it. A submission that is not
+// answered is not sent again. A cancellation is, since repeating it does no harm; unless it
+// is accepted then, its outcome is Unknown.
 func (p *peers) Relay(ctx context.Context, r intake.Request) (intake.Reply, error) {
 	request := &rpc.RelayRequest{Operation: string(r.Operation), Host: r.Host, Path: r.Path, Key: r.Key, Configuration: r.Configuration}
 	if r.Job != nil {
@@ -293,32 +317,51 @@
 		request.Job = data
 	}
 	err := errors.New("no other host is known")
+	var lost error // of a call that may have had an effect
 	for _, other := range p.pick(relayHosts) {
-		var reply *rpc.RelayReply
-		call, cancel := context.WithTimeout(ctx, relayTimeout)
-		reply, err = p.client(other.Address).Relay(call, request)
-		cancel()
-		if err == nil {
-			if intake.Outcome(reply.Outcome) == intake.NotRun {
-				err = errors.New(reply.Reason)
-				continue
-			}
-			return intake.Reply{
-				Outcome: intake.Outcome(reply.Outcome), State: workload.State(reply.State), Pending: int(reply.Pending),
-				RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond, Reason: reply.Reason,
-				Configuration: reply.Configuration,
-			}, nil
+		var reply intake.Reply
+		reply, err = p.relayTo(ctx, other.Address, request)
+		switch {
+		case err == nil && reply.Outcome == intake.NotRun:
+			err = errors.New(reply.Reason)
+		case err == nil && (lost == nil || reply.Outcome == intake.Accepted):
+			return reply, nil
+		case err != nil && r.Operation != intake.Query && !notSent(err):
+			lost = err
 		}
-		if ctx.Err() == nil { // otherwise the host had less than relayTimeout
-			p.callFailed(ctx, other.Address, err)
-		}
-		if r.Operation == intake.Submit && !notSent(err) {
-			return intake.Reply{Outcome: intake.Unknown, Reason: "relayed: " + err.Error()}, nil
+		if lost != nil && r.Operation == intake.Submit {
+			break
 		}
 	}
+	if lost != nil {
+		return intake.Reply{Outcome: intake.Unknown, Reason: "relayed: " + lost.Error()}, nil
+	}
 	return intake.Reply{}, err
 }
 
+// relayTo sends a request to one host.
+func (p *peers) relayTo(ctx context.Context, address string, request *rpc.RelayRequest) (intake.Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return intake.Reply{}, &httpjson.TransportError{Err: err}
+	}
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	reply, err := p.client(address).Relay(call, request)
+	if err != nil {
+		p.requestFailed(ctx, address, err)
+		return intake.Reply{}, err
+	}
+	outcome := intake.Outcome(reply.Outcome)
+	if !outcome.Known() {
+		return intake.Reply{}, fmt.Errorf("answer has the outcome %q, which this host does not know", reply.Outcome)
+	}
+	return intake.Reply{
+		Outcome: outcome, State: workload.State(reply.State), Pending: int(reply.Pending),
+		RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond, Reason: reply.Reason,
+		Configuration: reply.Configuration,
+	}, nil
+}
+
 // pick returns up to n other hosts in round-robin order, without those in backoff.
 func (p *peers) pick(n int) []peer {
 	all := p.members.others()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,6 +65,16 @@
 	Unknown Outcome = "unknown"
 )
 
+// Known reports whether o is one of the outcomes.
+func (o Outcome) Known() bool {
+	switch o {
+	case Accepted, Shown, Counted, NoQueue, NoJob, BadKey, Malformed, NotRun, Unknown:
+		return true
+	default:
+		return false
+	}
+}
+
 // Reply is the answer to a request.
 type Reply struct {
 	Outcome    Outcome
@@ -95,7 +105,8 @@
 // Relay forwards requests to another host.
 type Relay interface {
 	// Relay returns an error only if the request certainly had no effect. If the
-	// request may have had an effect, the outcome is Unknown.
+	// request may have had an effect, the outcome is Unknown. An error of a query, which
+	// has none, says only that nobody answered it.
 	Relay(ctx context.Context, r Request) (Reply, error)
 }
 
@@ -147,8 +158,10 @@
 	// retryStarting is the retry interval for a host without a configuration.
 	retryStarting = 300 * time.Millisecond
 	// dispatcherTimeout bounds a call to the coordinator, on top of the time that the
-	// call may wait for a job's end. Without an answer the host uses its own data.
-	dispatcherTimeout = 500 * time.Millisecond
+	// call may wait for a job's end. Without an answer the host uses its own data. A
+	// Dispatcher that gives up earlier can tell a silent coordinator from a caller
+	// without time left.
+	dispatcherTimeout = 600 * time.Millisecond
 )
 
 // New returns a server.
@@ -183,26 +196,44 @@
 	default:
 		return Reply{Outcome: NotRun, RetryAfter: retryBusy, Reason: "this host has too many requests in hand"}
 	}
-	if now := time.Now(); !s.Watch.Fresh(now) || s.StoreSuspect(now) {
-		if reply, err := s.relay(ctx, r); err == nil {
-			return reply
-		} else if r.Operation == Submit && s.cannotReachStore(time.Now()) {
-			return Reply{Outcome: NotRun, RetryAfter: max(retryStore, s.RerouteDelay(time.Now())), Reason: fmt.Sprintf("the store is out of reach: %v", err)}
-		}
+	if now := time.Now(); s.Watch.Fresh(now) && !s.StoreSuspect(now) {
+		return s.handleHere(ctx, r)
 	}
+	relayed, err := s.relay(ctx, r)
+	switch {
+	case err == nil && r.Operation == Cancel && relayed.Outcome == Unknown: // repeating it does no harm
+		return settled(relayed, s.handleHere(ctx, r))
+	case err == nil:
+		return relayed
+	case r.Operation == Submit && s.cannotReachStore(time.Now()):
+		return Reply{Outcome: NotRun, RetryAfter: max(retryStore, s.RerouteDelay(time.Now())), Reason: fmt.Sprintf("the store is out of reach: %v", err)}
+	}
+	return s.handleHere(ctx, r)
+}
+
+// settled returns the answer to a request that was handled twice. If the first handling may
+// have had an effect, the second one must not deny it.
+func settled(first, second Reply) Reply {
+	if first.Outcome == Unknown && second.Outcome != Accepted {
+		return first
+	}
+	return second
+}
+
+// handleHere handles a request on this host, and relays it if that may help.
+func (s *Server) handleHere(ctx context.Context, r Request) Reply {
 	r.Configuration = s.latestVersion.Load()
 	reply := s.HandleLocally(ctx, r)
 	s.noteVersion(reply)
 	if reply.NotAdmitted || reply.Outcome != NotRun && (reply.Outcome != Unknown || !s.StoreSuspect(time.Now())) {
 		return reply // a store that is merely slow must not get duplicate requests
 	}
-	// A retry by another host is harmless, since a job is stored once. But a job that
-	// may be stored already must not be refused, even if the other host refuses it.
+	// A retry by another host is harmless, since a job is stored once.
 	relayed, err := s.relay(ctx, r)
-	if err != nil || reply.Outcome == Unknown && relayed.Outcome != Accepted {
+	if err != nil {
 		return reply
 	}
-	return relayed
+	return settled(reply, relayed)
 }
 
 // cannotReachStore reports whether this host cannot reach the store.
