--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -19,6 +19,9 @@
 	// maxLogWrite is the size in bytes of one write of several lines. A pipe takes writes
 	// up to this size (PIPE_BUF) whole, so that a killed process leaves no partial line.
 	maxLogWrite = 4096
+	// logCloseTimeout bounds the wait for the output when the process ends. With the time
+	// that the servers take to shut down it is shorter than drainMargin.
+	logCloseTimeout = drainMargin / 4
 )
 
 // logWriter writes log lines in the background, so that a slow log output never delays
@@ -28,13 +31,14 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	closing chan struct{} // closed when the writer is to stop
+	done    chan struct{} // closed when the writer has stopped
 	// partial is the rest of a line of which the output took only the beginning.
 	partial []byte
 }
 
 func newLogWriter(out io.Writer) *logWriter {
-	w := &logWriter{out: out, lines: make(chan []byte, logBacklog), done: make(chan struct{})}
+	w := &logWriter{out: out, lines: make(chan []byte, logBacklog), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -52,19 +56,32 @@
 func (w *logWriter) run() {
 	defer close(w.done)
 	var batch []byte
-	for line := range w.lines {
-		if len(batch)+len(line) > maxLogWrite {
+	for {
+		select {
+		case line := <-w.lines:
+			if batch = w.add(batch, line); len(w.lines) == 0 {
+				w.write(batch)
+				batch = batch[:0]
+				w.reportDropped()
+			}
+		case <-w.closing:
+			for range len(w.lines) {
+				batch = w.add(batch, <-w.lines)
+			}
 			w.write(batch)
-			batch = batch[:0]
-		}
-		batch = append(batch, line...)
-		if len(w.lines) == 0 {
-			w.write(batch)
-			batch = batch[:0]
 			w.reportDropped()
+			return
 		}
 	}
-	w.reportDropped()
+}
+
+// add adds a line to the batch; it writes the batch first if the line does not fit.
+func (w *logWriter) add(batch, line []byte) []byte {
+	if len(batch)+len(line) > maxLogWrite {
+		w.write(batch)
+		batch = batch[:0]
+	}
+	return append(batch, line...)
 }
 
 // reportDropped writes how many lines were dropped, if any.
@@ -103,10 +120,17 @@
 	return lost
 }
 
-// close writes the queued lines and stops the writer.
+// close writes the queued lines and stops the writer. It gives up after logCloseTimeout,
+// since the output may take no more lines. Goroutines that outlive the process's run may
+// go on calling Write; their lines are lost.
 func (w *logWriter) close() {
-	close(w.lines)
-	<-w.done
+	close(w.closing)
+	timer := time.NewTimer(logCloseTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
 }
 
 // newLogger returns a logger that writes JSON lines.
--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -96,6 +97,7 @@
 			_, err := fmt.Fprintf(w, `{"n":%d}`+"\n", lines)
 			is.NoErr(err)
 			w.close()
+			<-w.done // close gives up before an output that is too slow
 			numbers, dropped := readLog(t, out)
 			is.Equal(numbers[len(numbers)-1], lines) // a working output is used again
 			is.Equal(len(numbers)+dropped, lines+1)  // each line is written or counted
@@ -116,7 +118,61 @@
 	}
 	is.True(time.Since(began) < time.Second) // the backlog alone takes the output longer
 	w.close()
+	<-w.done // close gives up before an output that is too slow
 	numbers, dropped := readLog(t, out)
 	is.True(dropped > 0)
 	is.Equal(len(numbers)+dropped, lines)
 }
+
+// Goroutines may log while the process ends. Guards against a panic of a process that is
+// told to stop while the store does not answer: its own row could not be removed, which was
+// logged after the log had been closed.
+func TestLogLineAfterTheLogIsClosed(t *testing.T) {
+	is := is.New(t)
+	w := newLogWriter(&faultyOutput{})
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for i := range 200 {
+				_, _ = fmt.Fprintf(w, `{"n":%d}`+"\n", i) // never fails
+			}
+		})
+	}
+	w.close()
+	writers.Wait()
+	_, err := fmt.Fprintln(w, `{"n":0}`)
+	is.NoErr(err)
+}
+
+// blockedOutput takes nothing until it is closed.
+type blockedOutput chan struct{}
+
+func (o blockedOutput) Write(p []byte) (int, error) {
+	<-o
+	return len(p), nil
+}
+
+// Guards against a process that does not end within its grace period because nobody reads
+// its log.
+func TestLogIsClosedWhileItsOutputBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := make(blockedOutput)
+		defer close(out)
+		w := newLogWriter(out)
+		_, err := fmt.Fprintln(w, `{"n":0}`)
+		is.NoErr(err)
+		began := time.Now()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			w.close()
+		}()
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("the log is not closed")
+		}
+		is.True(time.Since(began) < drainMargin/2) // the servers' shutdown takes the rest
+	})
+}
