--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,7 +82,7 @@
 var errNotReady = errors.New("this host has no jobs loaded")
 
 // do runs f in the event loop, which owns the core. It returns errNotReady if this host
-// is not the leader.
+// is not the leader. After an error f may still run, so its results must not be read.
 func (c *Coordinator) do(ctx context.Context, f func(*termLoop)) error {
 	if t := c.currentTerm.Load(); t == nil || !t.loaded.Load() {
 		return errNotReady
@@ -103,16 +103,21 @@
 
 // JobState returns the state of a job if the core knows it. For a job that is about to
 // end it waits for the final state, at most for the given duration.
-func (c *Coordinator) JobState(ctx context.Context, id string, wait time.Duration) (state workload.State, found bool, err error) {
+func (c *Coordinator) JobState(ctx context.Context, id string, wait time.Duration) (workload.State, bool, error) {
+	var state workload.State
+	var found bool
 	var ended <-chan workload.State
-	err = c.do(ctx, func(t *termLoop) {
+	err := c.do(ctx, func(t *termLoop) {
 		state, found = t.core.JobState(id)
 		if wait > 0 && t.core.AboutToEnd(id) {
 			ended = t.endWaiters.add(id, time.Now().Add(wait))
 		}
 	})
-	if err != nil || ended == nil {
-		return state, found, err
+	if err != nil {
+		return "", false, err
+	}
+	if ended == nil {
+		return state, found, nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -125,9 +130,12 @@
 }
 
 // Pending counts the jobs of a queue of which no task has started.
-func (c *Coordinator) Pending(ctx context.Context, queue string) (n int, err error) {
-	err = c.do(ctx, func(t *termLoop) { n = t.core.Pending(queue) })
-	return n, err
+func (c *Coordinator) Pending(ctx context.Context, queue string) (int, error) {
+	var n int
+	if err := c.do(ctx, func(t *termLoop) { n = t.core.Pending(queue) }); err != nil {
+		return 0, err
+	}
+	return n, nil
 }
 
 // Notify passes on a job that was just stored or cancelled. It does nothing if this
