--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -62,8 +62,6 @@
 	// memoryShare is the share of the memory limit that the garbage collector gets as
 	// its soft limit.
 	memoryShare = 0.7
-	// signalBacklog is the number of buffered signals.
-	signalBacklog = 8
 	// gcPercent lets the heap grow to three times the live heap between two
 	// collections. The live heap is some 10 MB, far below the limit.
 	gcPercent = 200
@@ -90,9 +88,8 @@
 func Run(ctx context.Context, path string, connect func(*Settings, logr.Logger) Adapter, out io.Writer) error {
 	// Signals are caught first of all, so that one right after the start does not end
 	// the process.
-	signals := make(chan os.Signal, signalBacklog)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	defer signal.Stop(signals)
+	signals := catchSignals()
+	defer signals.release()
 	settings, err := LoadSettings(path)
 	if err != nil {
 		return err
@@ -108,6 +105,25 @@
 	return err
 }
 
+// hostSignals are the signals that the process has received. Each channel holds one: a
+// further one of the same kind adds nothing, and none takes the place of another kind.
+type hostSignals struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+func catchSignals() hostSignals {
+	s := hostSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func (s hostSignals) release() {
+	signal.Stop(s.stop)
+	signal.Stop(s.reload)
+}
+
 // limitRuntime applies the host's limits to the Go runtime.
 func limitRuntime(s *Settings) {
 	if s.Cores >= 1 {
@@ -190,7 +206,7 @@
 }
 
 // run serves until ctx ends or a signal stops the process.
-func (p *process) run(ctx context.Context, path string, signals <-chan os.Signal) error {
+func (p *process) run(ctx context.Context, path string, signals hostSignals) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	servers, err := p.listen()
@@ -215,30 +231,26 @@
 		defer close(electionEnded)
 		_ = p.elector.Run(electorCtx) // ends only with its context
 	}()
+	// Reloads do not run in the group either: reading the settings has no time limit.
+	go p.reloadOnSignal(ctx, path, signals.reload)
 	group.Go(func() error {
-		for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-signals.stop:
+			kill := time.Now().Add(p.grace())
+			p.log.Info("told to stop", "signal", s.String(), "grace", p.grace())
+			p.stopping.Store(true)
+			p.elector.Resign()
+			endElection()
 			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					p.reload(path)
-					continue
-				}
-				kill := time.Now().Add(p.grace())
-				p.log.Info("told to stop", "signal", s.String(), "grace", p.grace())
-				p.stopping.Store(true)
-				p.elector.Resign()
-				endElection()
-				select {
-				case <-electionEnded:
-				case <-time.After(time.Until(kill.Add(-drainMargin))):
-					p.log.Info("leadership not resigned within the grace period")
-				}
-				p.drain(ctx, servers, kill)
-				cancel()
-				return nil
+			case <-electionEnded:
+			case <-time.After(time.Until(kill.Add(-drainMargin))):
+				p.log.Info("leadership not resigned within the grace period")
 			}
+			p.drain(ctx, servers, kill)
+			cancel()
+			return nil
 		}
 	})
 	err = group.Wait()
@@ -274,6 +286,18 @@
 	}
 }
 
+// reloadOnSignal reloads the settings at each signal until ctx ends.
+func (p *process) reloadOnSignal(ctx context.Context, path string, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			p.reload(path)
+		}
+	}
+}
+
 // reload reads the settings again and applies those that can change at run time.
 func (p *process) reload(path string) {
 	s, err := LoadSettings(path)
