--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 
@@ -32,7 +31,5 @@
 		_, err = fmt.Fprintf(s.stdout, "valid: entry host %s in AZ %s\n", settings.Host, settings.AZ)
 		return err
 	}
-	// entry.Run handles signals itself. The session's context ends at the first signal, so
-	// its cancellation is not passed on.
-	return entry.Run(context.WithoutCancel(s.ctx), path, platform.Connect, s.stdout)
+	return entry.Run(s.ctx, path, platform.Connect, s.stdout)
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -100,7 +100,7 @@
 	log := newLogger(writer, settings.LogLevel).WithValues("host", settings.Host)
 	p := newProcess(settings, connect(settings, log), log)
 	log.Info("start", "az", settings.AZ, "callers", settings.CallersListen, "rpc", settings.RPCListen, "store", settings.Store)
-	err = p.run(ctx, path, signals)
+	err = p.run(context.WithoutCancel(ctx), path, signals, ctx)
 	log.Info("stop", "cause", fmt.Sprint(err))
 	return err
 }
@@ -205,8 +205,8 @@
 	return ctx.Err()
 }
 
-// run serves until ctx ends or a signal stops the process.
-func (p *process) run(ctx context.Context, path string, signals hostSignals) error {
+// run serves until a signal stops the process or told ends.
+func (p *process) run(ctx context.Context, path string, signals hostSignals, told context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	servers, err := p.listen()
@@ -238,20 +238,22 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case s := <-signals.stop:
-			kill := time.Now().Add(p.grace())
 			p.log.Info("told to stop", "signal", s.String(), "grace", p.grace())
-			p.stopping.Store(true)
-			p.elector.Resign()
-			endElection()
-			select {
-			case <-electionEnded:
-			case <-time.After(time.Until(kill.Add(-drainMargin))):
-				p.log.Info("leadership not resigned within the grace period")
-			}
-			p.drain(ctx, servers, kill)
-			cancel()
-			return nil
+		case <-told.Done():
+			p.log.Info("told to stop", "signal", context.Cause(told).Error(), "grace", p.grace())
+		}
+		kill := time.Now().Add(p.grace())
+		p.stopping.Store(true)
+		p.elector.Resign()
+		endElection()
+		select {
+		case <-electionEnded:
+		case <-time.After(time.Until(kill.Add(-drainMargin))):
+			p.log.Info("leadership not resigned within the grace period")
 		}
+		p.drain(ctx, servers, kill)
+		cancel()
+		return nil
 	})
 	err = group.Wait()
 	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
