--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -252,6 +252,7 @@
 			p.log.Info("leadership not resigned within the grace period")
 		}
 		p.drain(ctx, servers, kill)
+		p.log.Info("servers shut down", "left of the grace period", time.Until(kill))
 		cancel()
 		return nil
 	})
