--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -417,3 +417,21 @@
 	is.True(counts[1] > 0)
 	is.True(counts[0] > 0)
 }
+
+// Guards against an objective that is longer by the time of a cut: the end of a failed run is
+// heard late, and the time until then counts as time of the run, for all later coordinators.
+func TestTimeOfACutDoesNotCountAsTimeOfAFailedRun(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 4)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1), Estimate: 2 * time.Second})
+	st := c.startTasks(nil)[0]
+	c.now = c.now.Add(time.Second) // it fails by now, and the worker is cut off
+	c.core.HandleLostContact("w", c.now)
+	c.core.ExtendLease("w", c.now.Add(time.Hour))
+	c.now = c.now.Add(6 * time.Second)
+	c.reportEnd(1, st, workload.RunFailed, "")
+	stored := c.failedTimes()
+	is.Equal(len(stored), 1)
+	is.True(stored[0][1] <= 1100) // milliseconds
+}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -144,11 +144,21 @@
 		c.holdAcks(w.info.ID, e.Seq-1)
 	}
 	c.emit("run ended", "task", e.Run.Task.String(), "run", e.Run.Number, "worker", w.info.ID, "outcome", e.Outcome)
-	c.runEnded(s, e.Run.Task.Index, e.Outcome, e.Checkpoint, now)
+	knownUntil := now
+	if !recent {
+		knownUntil = w.unreachableSince
+	}
+	c.runEndedAfter(s, e.Run.Task.Index, e.Outcome, e.Checkpoint, knownUntil, now)
 }
 
 // runEnded records that a task's current run is over.
 func (c *Core) runEnded(s *step, i int, outcome workload.Outcome, checkpoint string, now time.Time) {
+	c.runEndedAfter(s, i, outcome, checkpoint, now, now)
+}
+
+// runEndedAfter is runEnded for a run that is known to have gone on until knownUntil, and may
+// have ended at any time since.
+func (c *Core) runEndedAfter(s *step, i int, outcome workload.Outcome, checkpoint string, knownUntil, now time.Time) {
 	j, t := s.job, &s.tasks[i]
 	run, began := t.run, t.startConfirmed
 	c.keepCheckpoint(s, i, checkpoint)
@@ -165,7 +175,10 @@
 		t.state = taskPending
 		s.pending++
 		if outcome == workload.RunFailed {
-			c.countFailure(s, i, run, began, now)
+			if began.IsZero() {
+				began = knownUntil
+			}
+			c.countFailure(s, i, run, max(0, knownUntil.Sub(began)), now)
 		}
 		if s.spec.Gang {
 			c.breakGang(s)
@@ -197,9 +210,9 @@
 	}
 }
 
-// countFailure counts a failed run that began at the given time. The job fails when the
-// limit of failures is reached.
-func (c *Core) countFailure(s *step, i, run int, began, now time.Time) {
+// countFailure counts a failed run that is known to have lasted for some time. The job fails
+// when the limit of failures is reached.
+func (c *Core) countFailure(s *step, i, run int, lasted time.Duration, now time.Time) {
 	if s.spec.Service || s.job.state.Final() {
 		return
 	}
@@ -213,8 +226,8 @@
 	}
 	*failures++
 	s.failedRuns++
-	if !began.IsZero() {
-		s.addFailedTime(i, now.Sub(began))
+	if lasted > 0 {
+		s.addFailedTime(i, lasted)
 	}
 	if limit := c.queueOf(s.job).MaxAttempts; limit > 0 && *failures >= limit {
 		c.emit("job failed", "job", s.job.spec.ID, "task", s.taskID(i).String(), "failures", *failures, "limit", limit)
