--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -117,7 +117,17 @@
 	if !t.startConfirmed.IsZero() || t.startSentAt.IsZero() {
 		return false
 	}
-	return t.unlistedAfterStart || w.unreachableSince.Sub(t.startSentAt) > startCrashWindow
+	return t.unlistedAfterStart || w.contactAfterStart(t) > startCrashWindow
+}
+
+// contactAfterStart returns for how long the worker was in contact after a run's start was
+// sent, as the incarnation that it was sent to.
+func (w *worker) contactAfterStart(t *task) time.Duration {
+	until := w.unreachableSince
+	if t.workerRestarted && !t.contactUntil.IsZero() {
+		until = t.contactUntil
+	}
+	return until.Sub(t.startSentAt)
 }
 
 // countCrash counts a crash under a task.
@@ -139,7 +149,7 @@
 	sentHere := !t.startSentAt.IsZero()
 	fields := []any{"start answered", !t.startConfirmed.IsZero(), "started in this term", sentHere, "out of reach for", w.outOfReachFor(now)}
 	if sentHere {
-		fields = append(fields, "contact after start", w.unreachableSince.Sub(t.startSentAt))
+		fields = append(fields, "contact after start", w.contactAfterStart(t))
 	}
 	return fields
 }
--- a/internal/dispatch/crashstart_test.go
+++ b/internal/dispatch/crashstart_test.go
@@ -81,3 +81,38 @@
 	}
 	return out
 }
+
+// Guards against a crash that is not counted since the worker's next incarnation was cut off
+// before the run was known to have ended: its contact counts as contact after the start.
+func TestContactWithALaterIncarnationIsNoContactAfterTheStart(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		is := is.New(t)
+		c := newCell(t)
+		c.addWorker("w", 8)
+		c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+		starts := c.startUnanswered() // the task crashes the worker at once
+		is.Equal(len(starts), 1)
+		c.core.HandleUnansweredOrder("w", c.now)
+		c.core.HandleStartResult(starts[0], workload.ErrNoAnswer, c.now)
+		c.core.HandleLostContact("w", c.now)
+		c.now = c.now.Add(3200 * time.Millisecond)
+		c.reportInventory("w", workload.Inventory{Incarnation: testIncarnation + 1})
+		c.core.Tick(c.now)
+		stops := c.core.TakeStopOrders()
+		is.Equal(len(stops), 1)
+		if cut {
+			c.now = c.now.Add(200 * time.Millisecond)
+			c.core.HandleLostContact("w", c.now) // the stop is not answered
+			c.now = c.now.Add(3 * time.Second)
+			c.reportInventory("w", workload.Inventory{Incarnation: testIncarnation + 1})
+			c.core.Tick(c.now)
+			stops = c.core.TakeStopOrders()
+			is.Equal(len(stops), 1)
+		}
+		c.core.HandleStopResult(stops[0], nil, c.now)
+		c.now = c.now.Add(time.Millisecond)
+		c.reportInventory("w", workload.Inventory{Incarnation: testIncarnation + 1})
+		task := c.firstTask()
+		is.Equal(task.crashes, 1)
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -62,6 +62,9 @@
 	// another job that might crash the worker.
 	startedApart    bool
 	workerRestarted bool // a new incarnation of the worker answered and has not listed the run
+	// contactUntil is when contact with the incarnation that the run was started on ended, if
+	// workerRestarted is set.
+	contactUntil time.Time
 
 	reservedCheckpoint int  // room kept for the checkpoint in the stored progress
 	checkpointRefused  bool // a checkpoint of this run was not kept
@@ -380,7 +383,7 @@
 	t.worker, t.incarnation, t.startedOn, t.address = "", 0, 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startSent, t.outlived, t.startedApart, t.workerRestarted, t.checkpointRefused = false, false, false, false, false
-	t.startSentAt, t.unlistedAfterStart = time.Time{}, false
+	t.startSentAt, t.unlistedAfterStart, t.contactUntil = time.Time{}, false, time.Time{}
 	t.reservedCheckpoint = 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
 	c.needsScheduling = true
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -204,7 +204,9 @@
 	w.health, w.slowdown = health{}, 0
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil {
-			t.workerRestarted = t.workerRestarted || t.incarnation != 0 && t.incarnation != incarnation
+			if !t.workerRestarted && t.incarnation != 0 && t.incarnation != incarnation {
+				t.workerRestarted, t.contactUntil = true, w.unreachableSince
+			}
 			t.incarnation = incarnation
 		}
 	}
