--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -63,7 +63,7 @@
 	case errors.Is(err, workload.ErrUnhealthy):
 		w.backoffUntil = now.Add(unhealthyBackoff)
 	}
-	c.runEnded(s, i, workload.RunStopped, "", now)
+	c.runEnded(s, i, workload.RunStopped, now)
 }
 
 // HandleStopResult applies the answer to a stop order.
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -135,7 +135,7 @@
 		}
 		if t.state == taskStopping && t.startConfirmed.IsZero() && t.stopSentAt.IsZero() {
 			// It was stopped before its start was sent, so nothing runs.
-			c.runEnded(s, st.Order.Run.Task.Index, workload.RunStopped, "", time.Time{})
+			c.runEnded(s, st.Order.Run.Task.Index, workload.RunStopped, time.Time{})
 			continue
 		}
 		if t.state == taskAssigned {
@@ -164,6 +164,6 @@
 		}
 		c.emit("start withdrawn", "task", run.Task.String(), "run", run.Number, "worker", w.info.ID,
 			"used millicores", w.used.MilliCores, "of millicores", w.info.Capacity.MilliCores)
-		c.runEnded(s, run.Task.Index, workload.RunStopped, "", time.Time{})
+		c.runEnded(s, run.Task.Index, workload.RunStopped, time.Time{})
 	}
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -82,7 +82,7 @@
 	if crashed && t.isolates() {
 		t.retryAt = now.Add(crashRetryPause)
 	}
-	c.runEnded(s, i, workload.RunLeaseExpired, "", now)
+	c.runEnded(s, i, workload.RunLeaseExpired, now)
 	if crashed {
 		c.giveUpAfterCrashes(s, i, apart, now)
 	}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -111,7 +111,7 @@
 				c.loseRun(w, s, id.Index, workerRestarted, now)
 				continue
 			}
-			c.runEnded(s, id.Index, workload.RunLeaseExpired, "", now)
+			c.runEnded(s, id.Index, workload.RunLeaseExpired, now)
 		}
 	}
 }
@@ -151,9 +151,9 @@
 	c.runEndedAfter(s, e.Run.Task.Index, e.Outcome, e.Checkpoint, knownUntil, now)
 }
 
-// runEnded records that a task's current run is over.
-func (c *Core) runEnded(s *step, i int, outcome workload.Outcome, checkpoint string, now time.Time) {
-	c.runEndedAfter(s, i, outcome, checkpoint, now, now)
+// runEnded records that a task's current run is over, without a checkpoint.
+func (c *Core) runEnded(s *step, i int, outcome workload.Outcome, now time.Time) {
+	c.runEndedAfter(s, i, outcome, "", now, now)
 }
 
 // runEndedAfter is runEnded for a run that is known to have gone on until knownUntil, and may
--- a/internal/dispatch/suspend.go
+++ b/internal/dispatch/suspend.go
@@ -20,7 +20,7 @@
 		for _, st := range append(b.starts, j.starts...) {
 			run := st.Order.Run
 			if s, t := c.findTask(run.Task); t != nil && t.run == run.Number && t.state == taskAssigned && !t.startSent {
-				c.runEnded(s, run.Task.Index, workload.RunStopped, "", time.Time{})
+				c.runEnded(s, run.Task.Index, workload.RunStopped, time.Time{})
 			}
 		}
 		j.starts = nil
