--- a/internal/dispatch/crashstart_test.go
+++ b/internal/dispatch/crashstart_test.go
@@ -116,3 +116,32 @@
 		is.Equal(task.crashes, 1)
 	}
 }
+
+// Guards against a crash that is not counted since the worker reported an inventory while the
+// start that crashes it waited for the store.
+func TestInventoryBeforeTheStartIsSentIsNoContactAfterIt(t *testing.T) {
+	for name, crash := range map[string]func(c *testCell){
+		"replaced": func(c *testCell) { c.core.HandleReplaced("w", "w:1", c.now) },
+		"silent": func(c *testCell) {
+			c.loseSilently("w")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 8)
+			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+			c.core.Schedule(c.now)
+			batch := c.core.TakeBatch(100, 1<<20)
+			c.now = c.now.Add(50 * time.Millisecond)
+			c.reportInventory("w", workload.Inventory{})
+			starts := c.core.HandleStored(batch, c.now)
+			is.Equal(len(starts), 1)
+			c.core.HandleUnansweredOrder("w", c.now) // the task crashes the worker at once
+			c.core.HandleLostContact("w", c.now)
+			c.core.HandleStartResult(starts[0], workload.ErrNoAnswer, c.now)
+			crash(c)
+			is.Equal(c.firstTask().crashes, 1)
+		})
+	}
+}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -100,7 +100,7 @@
 		if t == nil || listed[id] {
 			continue
 		}
-		if !t.workerRestarted && requestedAt.Sub(t.startSentAt) > startCrashWindow {
+		if !t.workerRestarted && !t.startSentAt.IsZero() && requestedAt.Sub(t.startSentAt) > startCrashWindow {
 			t.unlistedAfterStart = true
 		}
 		confirmed := t.state == taskRunning && t.startConfirmed.Before(requestedAt) ||
