--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -13,17 +13,17 @@
 // only a suspected crash. It is stored with its task until the worker itself, its successor
 // at its address, its entry or a long silence shows more, in this term or a later one.
 const (
-	// silenceLimit is for how long a worker that has lost its leases neither answers nor is
-	// registered until it counts as ended.
+	// silenceLimit is for how long a worker that has lost its leases does not answer until it
+	// counts as ended, unless registeredProof shows that it has not.
 	silenceLimit = 45 * time.Second
-	// registeredProof is for how long a worker that has lost its leases is registered until
-	// it counts as alive: the entry of one that has ended lapses before.
+	// registeredProof is how long after the loss a worker that is registered has outlived it:
+	// the entry of one that has ended lapses before.
 	registeredProof = 15 * time.Second
 	// promptRestart is how long after the loss another incarnation, or another worker at the
 	// address, proves that the worker ended with the run. Later it may have run on.
 	promptRestart = 15 * time.Second
-	// settlingTime is how long a coordinator observes before it counts a worker as ended
-	// whose silence an earlier one has seen.
+	// settlingTime is how long a coordinator observes before it concludes anything from the
+	// time of a loss that an earlier one has seen.
 	settlingTime = 2 * time.Second
 	// silentLossBytes is the stored size of a silent loss without the number of its worker;
 	// firstSilentLossBytes is by how much a task grows besides with its first one.
@@ -44,10 +44,9 @@
 	worker  WorkerIncarnation
 	started bool // the start was confirmed
 	stored  bool // the stored progress has room for it
-	// since is since when the leases are over and the registration has not changed;
-	// observedSince is since when this coordinator knows of the loss.
+	// since is since when the leases are over; observedSince is since when this coordinator
+	// knows of the loss.
 	since, observedSince time.Time
-	registered           bool
 	unseen               bool // settled by workerUnseen
 }
 
@@ -63,15 +62,13 @@
 	case successor:
 		return workerReplaced, true
 	}
-	if registered := w != nil && w.registered; registered != l.registered {
-		l.registered, l.since = registered, now
-	}
-	switch silentFor := now.Sub(l.since); {
-	case l.registered && w.info.Incarnation <= l.worker.Incarnation:
-		return workerAlive, silentFor >= registeredProof
-	default:
-		return workerUnseen, !l.unseen && silentFor >= silenceLimit && now.Sub(l.observedSince) >= settlingTime
+	// An entry with a later incarnation shows nothing before that answers.
+	lives := w != nil && w.registered && w.info.Incarnation <= l.worker.Incarnation
+	silentFor, observed := now.Sub(l.since), now.Sub(l.observedSince) >= settlingTime
+	if lives {
+		return workerAlive, observed && silentFor >= registeredProof
 	}
+	return workerUnseen, observed && silentFor >= silenceLimit && !l.unseen
 }
 
 // suspected returns the number of a task's crashes that are not known.
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -95,6 +95,12 @@
 			c.pass(registeredProof / 2)
 			c.core.SetWorker(workload.WorkerChange{ID: "w"})
 			c.pass(silenceLimit / 2)
+		}},
+		"it was registered soon after the loss only": {evidence: func(c *testCell) {
+			c.entry("w", "w:1", testIncarnation)
+			c.pass(registeredProof - 2*time.Second)
+			c.core.SetWorker(workload.WorkerChange{ID: "w"})
+			c.pass(silenceLimit - registeredProof)
 		}, open: true, crashes: 1},
 	} {
 		for _, takeover := range []bool{false, true} {
