--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -107,21 +107,23 @@
 
 // TestSlowLogOutput guards against a slow output that delays the process.
 func TestSlowLogOutput(t *testing.T) {
-	is := is.New(t)
-	out := &faultyOutput{delay: 20 * time.Millisecond}
-	w := newLogWriter(out)
-	const lines = 3 * logBacklog
-	began := time.Now()
-	for i := range lines {
-		_, err := fmt.Fprintf(w, `{"n":%d}`+"\n", i)
-		is.NoErr(err)
-	}
-	is.True(time.Since(began) < time.Second) // the backlog alone takes the output longer
-	w.close()
-	<-w.done // close gives up before an output that is too slow
-	numbers, dropped := readLog(t, out)
-	is.True(dropped > 0)
-	is.Equal(len(numbers)+dropped, lines)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &faultyOutput{delay: 20 * time.Millisecond}
+		w := newLogWriter(out)
+		const lines = 3 * logBacklog
+		began := time.Now()
+		for i := range lines {
+			_, err := fmt.Fprintf(w, `{"n":%d}`+"\n", i)
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(began), time.Duration(0)) // no write waits for the output
+		w.close()
+		<-w.done // close gives up before an output that is too slow
+		numbers, dropped := readLog(t, out)
+		is.True(dropped > 0)
+		is.Equal(len(numbers)+dropped, lines)
+	})
 }
 
 // Goroutines may log while the process ends. Guards against a panic of a process that is
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -4,9 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http/httptest"
-	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,18 +49,18 @@
 	return nil, h.serve(ctx)
 }
 
-// peersWithSlowHosts returns the connections to two slow hosts, one of them the coordinator.
+// peersWithSlowHosts returns the connections to two slow hosts, one of them the coordinator. It is
+// called in a synctest bubble, since hosts are left out for a limited time.
 func peersWithSlowHosts(t *testing.T) (*peers, *slowHost) {
 	t.Helper()
 	is := is.New(t)
 	store := rows.New()
 	m := newMembership(store, "a", hostRow{}, logr.Discard())
-	host := &slowHost{called: make(chan struct{}, 8)}
+	host, network := &slowHost{called: make(chan struct{}, 8)}, newPipes()
 	address := ""
 	for _, name := range []string{"b", "c"} {
-		server := httptest.NewServer(rpc.NewCellServer(host))
-		t.Cleanup(server.Close)
-		address = strings.TrimPrefix(server.URL, "http://")
+		address = name + ":1"
+		network.listen(t, address, rpc.NewCellServer(host))
 		is.NoErr(newMembership(store, name, hostRow{Address: address}, logr.Discard()).renew(t.Context()))
 	}
 	is.NoErr(m.read(t.Context()))
@@ -70,6 +69,7 @@
 	}}})
 	is.NoErr(err)
 	p := newPeers(m, newAdmission(nil, 0, logr.Discard()), linkmeter.New(), logr.Discard())
+	p.http = network.client(t)
 	p.elector = &coordinator.Elector{Store: store, Host: "a", Log: logr.Discard(), Rank: func() int { return 0 }, Undersized: func() bool { return false },
 		Probe: func(context.Context, string) (int64, time.Duration, error) { return 1, 0, nil }}
 	p.elector.Resign()
@@ -106,40 +106,46 @@
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			p, host := peersWithSlowHosts(t)
-			ctx, leave := context.WithCancel(t.Context())
-			go func() {
-				<-host.called
-				leave()
-			}()
-			_ = call(ctx, p) // the caller has left
-			is.Equal(len(p.available()), 2)
-			_, _, _, err := p.coordinatorClient()
-			is.NoErr(err)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, host := peersWithSlowHosts(t)
+				ctx, leave := context.WithCancel(t.Context())
+				go func() {
+					<-host.called
+					leave()
+				}()
+				_ = call(ctx, p) // the caller has left
+				is.Equal(len(p.available()), 2)
+				_, _, _, err := p.coordinatorClient()
+				is.NoErr(err)
+			})
 		})
 	}
 }
 
 // A relay whose caller had no time left counted hosts as silent that it had not called, or just called.
 func TestRelayWithoutTimeLeftDoesNotTakeHostsOut(t *testing.T) {
-	is := is.New(t)
-	p, _ := peersWithSlowHosts(t)
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	_, err := p.Relay(ctx, intake.Request{Operation: intake.Query})
-	is.True(err != nil)
-	is.Equal(len(p.available()), 2)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := peersWithSlowHosts(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := p.Relay(ctx, intake.Request{Operation: intake.Query})
+		is.True(err != nil)
+		is.Equal(len(p.available()), 2)
+	})
 }
 
 // A host that does not answer in the usual time is still left out.
 func TestSilentHostsAreTakenOut(t *testing.T) {
-	is := is.New(t)
-	p, _ := peersWithSlowHosts(t)
-	_, err := p.Relay(t.Context(), intake.Request{Operation: intake.Query})
-	is.True(err != nil)
-	is.Equal(len(p.available()), 0)
-	is.Equal(len(p.pick(relayHosts)), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := peersWithSlowHosts(t)
+		_, err := p.Relay(t.Context(), intake.Request{Operation: intake.Query})
+		is.True(err != nil)
+		is.Equal(len(p.available()), 0)
+		is.Equal(len(p.pick(relayHosts)), 0)
+	})
 }
 
 // Guards against a coordinator that is left out for 2 s, in which jobs are shown as this host last
@@ -157,17 +163,19 @@
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			p, _ := peersWithSlowHosts(t)
-			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-			defer cancel()
-			is.True(call(ctx, p) != nil)
-			_, _, _, err := p.coordinatorClient()
-			is.NoErr(err)
-			// A coordinator that does not answer in the usual time is still left out.
-			is.True(call(t.Context(), p) != nil)
-			_, _, _, err = p.coordinatorClient()
-			is.True(errors.Is(err, errNoCoordinator))
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, _ := peersWithSlowHosts(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				defer cancel()
+				is.True(call(ctx, p) != nil)
+				_, _, _, err := p.coordinatorClient()
+				is.NoErr(err)
+				// A coordinator that does not answer in the usual time is still left out.
+				is.True(call(t.Context(), p) != nil)
+				_, _, _, err = p.coordinatorClient()
+				is.True(errors.Is(err, errNoCoordinator))
+			})
 		})
 	}
 }
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -136,6 +136,16 @@
 func (l pipeListener) Close() error { close(l.closed); return nil }
 func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+func newPipes() pipes { return pipes{map[string]chan net.Conn{}} }
+
+// client returns a client that reaches the hosts that listen. Its connections are closed when
+// the test ends.
+func (p pipes) client(t *testing.T) *http.Client {
+	c := &http.Client{Transport: &http.Transport{DialContext: p.dial}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
 // dial connects to a host that listens; there is none else.
 func (p pipes) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	host, ok := p.dialed[address]
@@ -167,7 +177,7 @@
 	t.Helper()
 	is := is.New(t)
 	host := rpc.NewCellServer(&peerService{intake: newIntake(t, store, nil, true)})
-	members, network := rows.New(), pipes{map[string]chan net.Conn{}}
+	members, network := rows.New(), newPipes()
 	m := newMembership(members, "a", hostRow{}, logr.Discard())
 	var calls atomic.Int64
 	for _, name := range []string{"b", "c"} {
@@ -181,8 +191,7 @@
 	}
 	is.NoErr(m.read(t.Context()))
 	p := newPeers(m, newAdmission(nil, 0, logr.Discard()), linkmeter.New(), logr.Discard())
-	p.http = &http.Client{Transport: &http.Transport{DialContext: network.dial}}
-	t.Cleanup(p.http.CloseIdleConnections)
+	p.http = network.client(t)
 	return p
 }
 
--- a/internal/entry/startrelay_test.go
+++ b/internal/entry/startrelay_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,7 +18,6 @@
 	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 
-	"cuminloft/internal/httpjson"
 	"cuminloft/internal/rpc"
 	"cuminloft/internal/workload"
 )
@@ -67,15 +67,18 @@
 // relayCell is a coordinator's relay with other hosts.
 type relayCell struct {
 	*startRelay
+	network pipes
 	direct  *startRecorder
 	workers *startRecorder // reached through the other hosts
 	hosts   []*relayService
 	failed  int
 }
 
+// newRelayCell returns a coordinator's relay with the given number of hosts. It is called in a
+// synctest bubble: orders wait for each other's specs and answers for a limited time.
 func newRelayCell(t *testing.T, hosts int) *relayCell {
-	c := &relayCell{direct: &startRecorder{}, workers: &startRecorder{}}
-	client := httpjson.NewClient()
+	c := &relayCell{direct: &startRecorder{}, workers: &startRecorder{}, network: newPipes()}
+	client := c.network.client(t)
 	c.startRelay = &startRelay{
 		Commander: c.direct, log: logr.Discard(), direct: rate.NewLimiter(0, 0),
 		relays: map[string]*relayHost{}, noRelayFor: map[string]time.Time{},
@@ -83,12 +86,12 @@
 		failed: func(context.Context, string, error) { c.failed++ },
 	}
 	var all []peer
-	for range hosts {
+	for i := range hosts {
 		service := &relayService{starts: newStartServer(c.workers)}
-		server := httptest.NewServer(rpc.NewCellServer(service))
-		t.Cleanup(server.Close)
+		address := fmt.Sprintf("host-%d:1", i)
+		c.network.listen(t, address, rpc.NewCellServer(service))
 		c.hosts = append(c.hosts, service)
-		all = append(all, peer{hostRow: hostRow{Address: strings.TrimPrefix(server.URL, "http://")}})
+		all = append(all, peer{hostRow: hostRow{Address: address}})
 	}
 	c.startRelay.hosts = func() []peer { return all }
 	return c
@@ -102,12 +105,22 @@
 	}
 }
 
-// startAll sends the orders at once and returns the errors.
-func (c *relayCell) startAll(ctx context.Context, orders []workload.StartOrder) []error {
+// serveOnly makes a host that is served by the handler the only one that may relay.
+func (c *relayCell) serveOnly(t *testing.T, handler http.Handler) {
+	const address = "other:1"
+	c.network.listen(t, address, handler)
+	c.startRelay.hosts = func() []peer { return []peer{{hostRow: hostRow{Address: address}}} }
+}
+
+// startAll sends the orders at regular intervals during a period and returns the errors.
+func (c *relayCell) startAll(ctx context.Context, orders []workload.StartOrder, period time.Duration) []error {
 	errs := make([]error, len(orders))
 	var wg sync.WaitGroup
 	for i, o := range orders {
-		wg.Go(func() { _, errs[i] = c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, o) })
+		wg.Go(func() {
+			time.Sleep(period * time.Duration(i) / time.Duration(len(orders)))
+			_, errs[i] = c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, o)
+		})
 	}
 	wg.Wait()
 	return errs
@@ -116,145 +129,151 @@
 // TestSpecsAreRelayedOnce replays the starts of a burst of jobs at a coordinator with a
 // thin link. Its link must carry each job's spec once, not with each task.
 func TestSpecsAreRelayedOnce(t *testing.T) {
-	is := is.New(t)
-	c := newRelayCell(t, 5)
-	var orders []workload.StartOrder
-	const jobs, tasks = 30, 10
-	for j := range jobs {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newRelayCell(t, 5)
+		var orders []workload.StartOrder
+		const jobs, tasks, burst = 30, 10, 8 * relayBatchDelay
 		for i := range tasks {
-			orders = append(orders, order(fmt.Sprintf("job-%02d", j), i))
+			for j := range jobs {
+				orders = append(orders, order(fmt.Sprintf("job-%02d", j), i))
+			}
 		}
-	}
-	for _, err := range c.startAll(t.Context(), orders) {
-		is.NoErr(err)
-	}
-	got := c.workers.take()
-	is.Equal(len(got), len(orders))
-	want := map[workload.Run]workload.StartOrder{}
-	for _, o := range orders {
-		want[o.Run] = o
-	}
-	for _, o := range got {
-		is.Equal(o, want[o.Run]) // the workers get complete orders
-	}
-	specBytes, calls, used := 0, 0, 0
-	for _, h := range c.hosts {
-		specBytes, calls = specBytes+h.specBytes, calls+h.calls
-		if h.calls > 0 {
-			used++
+		for _, err := range c.startAll(t.Context(), orders, burst) {
+			is.NoErr(err)
 		}
-	}
-	is.Equal(specBytes, jobs*len(orders[0].Spec))
-	is.True(calls < len(orders)/2) // orders for one host go together
-	is.True(used > 1)
-	is.Equal(len(c.direct.take()), 0)
+		got := c.workers.take()
+		is.Equal(len(got), len(orders))
+		want := map[workload.Run]workload.StartOrder{}
+		for _, o := range orders {
+			want[o.Run] = o
+		}
+		for _, o := range got {
+			is.Equal(o, want[o.Run]) // the workers get complete orders
+		}
+		specBytes, calls, used := 0, 0, 0
+		for _, h := range c.hosts {
+			specBytes, calls = specBytes+h.specBytes, calls+h.calls
+			if h.calls > 0 {
+				used++
+			}
+		}
+		is.Equal(specBytes, jobs*len(orders[0].Spec))
+		is.True(calls < len(orders)/2) // orders for one host go together
+		is.True(used > 1)
+		is.Equal(len(c.direct.take()), 0)
+	})
 }
 
 // An order may arrive before the call that carries its job's spec.
 func TestOrderOvertakesItsSpec(t *testing.T) {
-	is := is.New(t)
-	workers := &startRecorder{}
-	s := newStartServer(workers)
-	var early sync.WaitGroup
-	early.Go(func() {
-		reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j", Index: 1}}})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		workers := &startRecorder{}
+		s := newStartServer(workers)
+		var early sync.WaitGroup
+		early.Go(func() {
+			reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j", Index: 1}}})
+			is.Equal(reply.Results[0].Error, "")
+		})
+		time.Sleep(overtakenWait / 4)
+		reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j"}}, Specs: map[string]string{"j": "spec"}})
 		is.Equal(reply.Results[0].Error, "")
+		early.Wait()
+		for _, o := range workers.take() {
+			is.Equal(o.Spec, "spec")
+		}
 	})
-	time.Sleep(overtakenWait / 4)
-	reply := s.startRuns(t.Context(), &rpc.StartRunsRequest{Starts: []*rpc.RunStart{{Job: "j"}}, Specs: map[string]string{"j": "spec"}})
-	is.Equal(reply.Results[0].Error, "")
-	early.Wait()
-	for _, o := range workers.take() {
-		is.Equal(o.Spec, "spec")
-	}
 }
 
 // TestStartsWithinTheShareAreDirect checks that a link with capacity left relays nothing.
 func TestStartsWithinTheShareAreDirect(t *testing.T) {
-	is := is.New(t)
-	c := newRelayCell(t, 2)
-	c.startRelay.direct = rate.NewLimiter(1e6, 1e6)
-	for _, err := range c.startAll(t.Context(), []workload.StartOrder{order("a", 0), order("a", 1)}) {
-		is.NoErr(err)
-	}
-	is.Equal(len(c.direct.take()), 2)
-	is.Equal(len(c.workers.take()), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newRelayCell(t, 2)
+		c.startRelay.direct = rate.NewLimiter(1e6, 1e6)
+		for _, err := range c.startAll(t.Context(), []workload.StartOrder{order("a", 0), order("a", 1)}, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(len(c.direct.take()), 2)
+		is.Equal(len(c.workers.take()), 0)
+	})
 }
 
 // TestRelayedErrors checks that a worker's refusals keep their meaning.
 func TestRelayedErrors(t *testing.T) {
-	c := newRelayCell(t, 1)
-	for _, cause := range []error{
-		workload.ErrNoAnswer, workload.ErrReplaced, workload.ErrFenced, workload.ErrRunTooOld, workload.ErrLeaseInPast,
-		workload.ErrInsufficientCapacity, workload.ErrBadTicket, workload.ErrUnhealthy, workload.ErrMalformedOrder,
-	} {
-		c.workers.err = fmt.Errorf("wrapped: %w", cause)
-		_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
-		if !errors.Is(err, cause) {
-			t.Errorf("%v relayed as %v", cause, err)
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayCell(t, 1)
+		for _, cause := range []error{
+			workload.ErrNoAnswer, workload.ErrReplaced, workload.ErrFenced, workload.ErrRunTooOld, workload.ErrLeaseInPast,
+			workload.ErrInsufficientCapacity, workload.ErrBadTicket, workload.ErrUnhealthy, workload.ErrMalformedOrder,
+		} {
+			c.workers.err = fmt.Errorf("wrapped: %w", cause)
+			_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+			if !errors.Is(err, cause) {
+				t.Errorf("%v relayed as %v", cause, err)
+			}
 		}
-	}
+	})
 }
 
 // A host that has lost a spec, and one of an older build, carry out nothing; the
 // coordinator sends these orders itself.
 func TestOrdersThatAreNotRelayedGoDirect(t *testing.T) {
-	is := is.New(t)
-	c := newRelayCell(t, 1)
-	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 0)})[0])
-	c.hosts[0].starts.specs.Purge()
-	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 1)})[0])
-	is.Equal(len(c.direct.take()), 1)
-	is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 2)})[0]) // the spec is sent again
-	is.Equal(len(c.direct.take()), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newRelayCell(t, 1)
+		is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 0)}, 0)[0])
+		c.hosts[0].starts.specs.Purge()
+		is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 1)}, 0)[0])
+		is.Equal(len(c.direct.take()), 1)
+		is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("a", 2)}, 0)[0]) // the spec is sent again
+		is.Equal(len(c.direct.take()), 0)
 
-	old := httptest.NewServer(nil) // answers 404
-	defer old.Close()
-	c.startRelay.hosts = func() []peer {
-		return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(old.URL, "http://")}}}
-	}
-	for i := range 3 {
-		is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("b", i)})[0])
-	}
-	is.Equal(len(c.direct.take()), 3)
-	is.Equal(c.failed, 1) // it is not asked again
+		c.serveOnly(t, http.NotFoundHandler())
+		for i := range 3 {
+			is.NoErr(c.startAll(t.Context(), []workload.StartOrder{order("b", i)}, 0)[0])
+		}
+		is.Equal(len(c.direct.take()), 3)
+		is.Equal(c.failed, 1) // it is not asked again
+	})
 }
 
 // An order whose relay does not answer may have been carried out.
 func TestUnansweredRelay(t *testing.T) {
-	is := is.New(t)
-	c := newRelayCell(t, 1)
-	release := make(chan struct{})
-	c.hosts[0].starts.commander = blockingStart{release}
-	defer close(release)
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	_, err := c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
-	is.True(errors.Is(err, workload.ErrNoAnswer))
-	is.Equal(len(c.direct.take()), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newRelayCell(t, 1)
+		release := make(chan struct{})
+		c.hosts[0].starts.commander = blockingStart{release}
+		defer close(release)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := c.Start(ctx, &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+		is.True(errors.Is(err, workload.ErrNoAnswer))
+		is.Equal(len(c.direct.take()), 0)
+	})
 }
 
 // An order that a host had relayed was sent again as one that no worker can have got, since only
 // the start of the host's answer arrived.
 func TestTruncatedAnswerOfRelay(t *testing.T) {
-	is := is.New(t)
-	c := newRelayCell(t, 1)
-	relayed := rpc.NewCellServer(c.hosts[0])
-	cut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer := httptest.NewRecorder()
-		relayed.ServeHTTP(answer, r)
-		w.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
-		w.Header().Set("Content-Length", strconv.Itoa(answer.Body.Len()+1))
-		_, _ = w.Write(answer.Body.Bytes()) // the connection ends before the last byte
-	}))
-	defer cut.Close()
-	c.startRelay.hosts = func() []peer {
-		return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(cut.URL, "http://")}}}
-	}
-	_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
-	is.Equal(len(c.workers.take()), 1)
-	is.True(errors.Is(err, workload.ErrNoAnswer))
-	is.Equal(len(c.direct.take()), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newRelayCell(t, 1)
+		relayed := rpc.NewCellServer(c.hosts[0])
+		c.serveOnly(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer := httptest.NewRecorder()
+			relayed.ServeHTTP(answer, r)
+			w.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
+			w.Header().Set("Content-Length", strconv.Itoa(answer.Body.Len()+1))
+			_, _ = w.Write(answer.Body.Bytes()) // the connection ends before the last byte
+		}))
+		_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+		is.Equal(len(c.workers.take()), 1)
+		is.True(errors.Is(err, workload.ErrNoAnswer))
+		is.Equal(len(c.direct.take()), 0)
+	})
 }
 
 // Guards against a run that counts as ended while it goes on: an order that a host had relayed
@@ -272,22 +291,20 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			c := newRelayCell(t, 1)
-			c.direct.err = workload.ErrUnhealthy
-			relayed := rpc.NewCellServer(c.hosts[0])
-			failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				relayed.ServeHTTP(httptest.NewRecorder(), r)
-				answer(w, r)
-			}))
-			defer failing.Close()
-			c.startRelay.hosts = func() []peer {
-				return []peer{{hostRow: hostRow{Address: strings.TrimPrefix(failing.URL, "http://")}}}
-			}
-			_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
-			is.Equal(len(c.workers.take()), 1)
-			is.True(errors.Is(err, workload.ErrNoAnswer))
-			is.Equal(len(c.direct.take()), 0)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newRelayCell(t, 1)
+				c.direct.err = workload.ErrUnhealthy
+				relayed := rpc.NewCellServer(c.hosts[0])
+				c.serveOnly(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					relayed.ServeHTTP(httptest.NewRecorder(), r)
+					answer(w, r)
+				}))
+				_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+				is.Equal(len(c.workers.take()), 1)
+				is.True(errors.Is(err, workload.ErrNoAnswer))
+				is.Equal(len(c.direct.take()), 0)
+			})
 		})
 	}
 }
