--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -51,6 +51,12 @@
 	// drainMargin is the part of the grace period that is reserved for finishing open
 	// requests.
 	drainMargin = 1500 * time.Millisecond
+	// shutdownTimeout bounds the time to finish open requests.
+	shutdownTimeout = drainMargin / 2
+	// lastReads is the time before the servers shut down in which requests that have arrived
+	// are read. It passes even if the host got no processor until the end of the drain, since
+	// shutting down closes connections whose requests are not read.
+	lastReads = 200 * time.Millisecond
 	// defaultGrace is the grace period without a setting.
 	defaultGrace = 3 * time.Second
 	// headerTimeout bounds the time to read a request's header.
@@ -279,8 +285,10 @@
 			p.log.Info("own host row not removed", "cause", err.Error())
 		}
 	}()
-	_ = wait.For(ctx, time.Until(kill.Add(-drainMargin))) // fails only when the process ends
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), drainMargin/2)
+	// Waiting fails only when the process ends.
+	_ = wait.For(ctx, time.Until(kill.Add(-drainMargin-lastReads)))
+	_ = wait.For(ctx, min(lastReads, time.Until(kill.Add(-shutdownTimeout))))
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(shutdownCtx); err != nil {
