--- a/internal/dispatch/silencewait_test.go
+++ b/internal/dispatch/silencewait_test.go
@@ -87,3 +87,48 @@
 		})
 	}
 }
+
+// Guards against a job that is given up for workers that left with notice: a coordinator that
+// takes over after their entries are gone does not know that they drained.
+func TestJobIsNotGivenUpForWorkersThatLeftBesideTakeovers(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	for n := range unprovenCrashLimit {
+		id := fmt.Sprint("w", n)
+		c.addWorker(id, 4)
+		is.Equal(len(c.startTasks(nil)), 1)
+		c.core.SetWorker(workload.WorkerChange{ID: id, Worker: &workload.Worker{ID: id, Incarnation: testIncarnation, Address: id + ":1", AZ: "a", Pool: "pool", Draining: true}})
+		c.core.HandleLostContact(id, c.now) // it has left
+		delete(c.running, id)
+		j := c.core.jobs["j"]
+		c.takeOver(j.spec, j.encode())
+		c.now = c.now.Add(crashLease + time.Millisecond)
+		c.core.Tick(c.now)
+		c.now = c.now.Add(crashRetryPause)
+	}
+	c.startTasks(nil)
+	c.pass(silenceLimit)
+	c.startTasks(nil) // stores the state
+	is.Equal(c.jobState(), workload.Running)
+}
+
+// Guards against a task that is held back for good by terms that are shorter than settlingTime.
+func TestTaskIsNotHeldBackForGoodByShortTerms(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.fourSilentLosses()
+	began, starts := c.now, 0
+	for c.now.Sub(began) < 5*time.Minute && starts == 0 && c.jobState() != workload.Failed {
+		j := c.core.jobs["j"]
+		c.takeOver(j.spec, j.encode())
+		c.addWorker("spare", 4)
+		for range 4 {
+			c.reportInventory("spare", workload.Inventory{})
+			c.pass(settlingTime/4 - 50*time.Millisecond)
+			starts += len(c.startTasks(nil))
+		}
+	}
+	t.Logf("state %v, starts %d after %v", c.jobState(), starts, c.now.Sub(began))
+	is.True(starts > 0 || c.jobState() == workload.Failed)
+}
