--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -34,11 +34,11 @@
 	c.markDirty(s.job)
 }
 
-// addFailures adds to the job's encoded progress which workers have failed the steps that may
-// still start tasks. It reports whether any has.
-func (p *Progress) addFailures(j *job) bool {
+// addFailures adds to the job's progress which workers have failed the steps that may still
+// start tasks.
+func (p *Progress) addFailures(j *job) {
 	if j.state.Final() {
-		return false
+		return
 	}
 	var numbers map[string]int
 	for k, o := range j.occurrences {
@@ -59,7 +59,30 @@
 			}
 		}
 	}
-	return numbers != nil
+}
+
+// dropFailures undoes addFailures. There were this many workers before.
+func (p *Progress) dropFailures(workers int) {
+	p.Workers = p.Workers[:workers]
+	for s := range p.steps() {
+		s.FailedOn = nil
+	}
+}
+
+// failureBytes is the size in the encoded progress of what addFailures and addFailedTimes have
+// added. There were this many workers before.
+func (p *Progress) failureBytes(workers int) int {
+	var added []byte
+	for s := range p.steps() {
+		added = s.appendFailures(added)
+	}
+	if workers == 0 {
+		return len(p.appendWorkers(added))
+	}
+	for _, w := range p.Workers[workers:] {
+		added = append(w.appendJSON(added), ',')
+	}
+	return len(added)
 }
 
 // numbersByID returns the 1-based indices in p.Workers by worker.
@@ -99,22 +122,24 @@
 	}
 }
 
-// addFailedTimes adds to the job's encoded progress the times of failed runs, by which its
-// objectives are longer. It reports whether there are any.
-func (p *Progress) addFailedTimes(j *job) bool {
+// addFailedTimes adds to the job's progress the times of failed runs, by which its objectives
+// are longer.
+func (p *Progress) addFailedTimes(j *job) {
 	if j.state.Final() {
-		return false
+		return
 	}
-	added := false
 	for k, o := range j.occurrences {
 		for i, s := range o.steps {
-			if times := s.failedTimes(); len(times) > 0 {
-				p.Occurrences[k].Steps[i].FailedTimes = times
-				added = true
-			}
+			p.Occurrences[k].Steps[i].FailedTimes = s.failedTimes()
 		}
 	}
-	return added
+}
+
+// dropFailedTimes undoes addFailedTimes.
+func (p *Progress) dropFailedTimes() {
+	for s := range p.steps() {
+		s.FailedTimes = nil
+	}
 }
 
 // failedTimes returns the times of failed runs that count from now on: the largest one, and
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -126,8 +126,9 @@
 	// may take, but without what is left out of a row that is too large: addresses and
 	// failures. It is 0 until it is measured. rowWorkers are the workers that runs and
 	// losses refer to.
-	rowBytes   int
-	rowWorkers map[workerLife]bool
+	rowBytes     int
+	rowWorkers   map[workerLife]bool
+	encodedBytes int // size of the stored progress as it was last encoded
 }
 
 // reportedState returns the state for callers: the stored state, except that a job counts
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 	"time"
 
@@ -77,22 +78,14 @@
 	Silent     []SilentLoss // the suspected ones, and those of workers that were not seen again
 }
 
-// SilentLoss is the stored form of a run that was lost with a silent worker.
+// SilentLoss is the stored form of a run that was lost with a silent worker. Its JSON is an
+// array, since a row holds many.
 type SilentLoss struct {
 	Worker  int // 1-based index in Progress.Workers
 	Started bool
 	Since   int64 // in Unix seconds
 }
 
-// MarshalJSON implements json.Marshaler. The JSON is an array, since a row holds many.
-func (l SilentLoss) MarshalJSON() ([]byte, error) {
-	fields := [3]int64{int64(l.Worker), 0, l.Since}
-	if l.Started {
-		fields[1] = 1
-	}
-	return json.Marshal(fields)
-}
-
 // UnmarshalJSON implements json.Unmarshaler.
 func (l *SilentLoss) UnmarshalJSON(data []byte) error {
 	var fields [3]int64
@@ -103,22 +96,6 @@
 	return nil
 }
 
-// MarshalJSON implements json.Marshaler.
-func (t TaskProgress) MarshalJSON() ([]byte, error) {
-	switch {
-	case t.Done:
-		return []byte("1"), nil
-	case t.isNew():
-		return []byte("0"), nil
-	case len(t.Silent) > 0:
-		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint, t.Crashes, t.Proven, t.Silent})
-	case t.Crashes > 0:
-		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint, t.Crashes, t.Proven})
-	default:
-		return json.Marshal([]any{t.Run, t.Worker, t.Failures, t.Checkpoint})
-	}
-}
-
 // isNew reports whether nothing of the task is to be stored.
 func (t *TaskProgress) isNew() bool {
 	return t.Run == 0 && t.Worker == 0 && t.Failures == 0 && t.Checkpoint == "" && t.Crashes == 0 && t.Proven == 0 && len(t.Silent) == 0
@@ -165,49 +142,56 @@
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
 		incarnations := map[WorkerIncarnation]int{}
+		p.Occurrences = make([]OccurrenceProgress, 0, len(j.occurrences))
 		for _, o := range j.occurrences {
 			p.Occurrences = append(p.Occurrences, o.progress(&p, incarnations))
 		}
 	}
-	data := p.marshal(j.spec.ID)
-	j.measure(&p, len(data))
-	if len(data) > maxProgressBytes {
-		for i := range p.Workers {
-			p.Workers[i].Address = ""
-		}
-		for _, o := range p.Occurrences {
-			for i := range o.Steps {
-				o.Steps[i].Outlived = nil
-			}
-		}
-		return p.marshal(j.spec.ID)
-	}
-	for _, add := range [...]func(*job) bool{p.addFailures, p.addFailedTimes} {
-		if !add(j) {
-			continue
-		}
-		larger := p.marshal(j.spec.ID)
-		if len(larger) > maxProgressBytes {
+	workers := len(p.Workers)
+	p.addFailures(j)
+	p.addFailedTimes(j)
+	data := p.appendJSON(make([]byte, 0, j.encodedBytes))
+	j.encodedBytes = len(data)
+	j.measure(p.Workers[:workers], len(data)-p.failureBytes(workers))
+	for _, leaveOut := range [...]func(){p.dropFailedTimes, func() { p.dropFailures(workers) }, p.dropAddresses} {
+		if len(data) <= maxProgressBytes {
 			break
 		}
-		data = larger
+		leaveOut()
+		data = p.appendJSON(nil)
 	}
 	return data
 }
 
-func (p *Progress) marshal(job string) []byte {
-	data, err := json.Marshal(p)
-	if err != nil {
-		panic(fmt.Sprintf("encode progress of job %s: %v", job, err)) // cannot happen: the fields have plain types
+// dropAddresses drops the addresses of workers and which runs outlived crashWindow.
+func (p *Progress) dropAddresses() {
+	for i := range p.Workers {
+		p.Workers[i].Address = ""
+	}
+	for s := range p.steps() {
+		s.Outlived = nil
+	}
+}
+
+// steps returns the steps of all occurrences.
+func (p *Progress) steps() iter.Seq[*StepProgress] {
+	return func(yield func(*StepProgress) bool) {
+		for _, o := range p.Occurrences {
+			for i := range o.Steps {
+				if !yield(&o.Steps[i]) {
+					return
+				}
+			}
+		}
 	}
-	return data
 }
 
 func (o *occurrence) progress(p *Progress, incarnations map[WorkerIncarnation]int) OccurrenceProgress {
-	out := OccurrenceProgress{Index: o.index}
+	out := OccurrenceProgress{Index: o.index, Steps: make([]StepProgress, 0, len(o.steps))}
 	for _, s := range o.steps {
 		sp := StepProgress{GangFailures: s.gangFailures, LastFailedGangRun: s.lastFailedGangRun, GangCheckpoint: s.gangCheckpoint, AllDone: s.finished()}
 		if !sp.AllDone || s.busy > 0 {
+			sp.Tasks = make([]TaskProgress, 0, len(s.tasks))
 			for i := range s.tasks {
 				tp := s.tasks[i].progress(p, incarnations)
 				if s.spec.Gang {
--- a/internal/dispatch/rowbudget.go
+++ b/internal/dispatch/rowbudget.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/base64"
-	"encoding/json"
 	"strconv"
-	"strings"
 
 	"cuminloft/internal/workload"
 )
@@ -41,32 +39,18 @@
 	addressBytes      = len(`,"addr":""`)
 )
 
-// storedLength returns the length of a text's JSON form without its quotes.
-func storedLength(text string) int {
-	plain := strings.IndexFunc(text, func(r rune) bool {
-		return r < ' ' || r > '~' || strings.ContainsRune(`"\<>&`, r)
-	}) < 0
-	if plain {
-		return len(text)
-	}
-	data, err := json.Marshal(text)
-	if err != nil {
-		return len(text) * len(`\u0000`) // cannot happen: any string can be encoded
-	}
-	return len(data) - len(`""`)
-}
-
 // workerLife identifies an incarnation of a worker that a row names.
 type workerLife struct {
 	id          string
 	incarnation int64
 }
 
-// measure sets rowBytes from the encoded progress.
-func (j *job) measure(p *Progress, encoded int) {
+// measure sets rowBytes and rowWorkers from the size of the encoded progress without failures
+// and the workers that it names.
+func (j *job) measure(workers []WorkerIncarnation, encoded int) {
 	j.rowBytes = encoded
-	j.rowWorkers = make(map[workerLife]bool, len(p.Workers))
-	for _, w := range p.Workers {
+	j.rowWorkers = make(map[workerLife]bool, len(workers))
+	for _, w := range workers {
 		j.rowWorkers[workerLife{w.ID, w.Incarnation}] = true
 		if w.Address != "" {
 			j.rowBytes -= addressBytes + len(w.Address) // left out if the row is too large
