--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -365,6 +365,7 @@
 					since = now
 				}
 				c.addSilentLoss(s, i, silentLoss{worker: incarnations[l.Worker-1], started: l.Started, stored: true, since: since, observedSince: now})
+				c.ensureWorkerAt(incarnations[l.Worker-1])
 			}
 		}
 		c.setCrashes(s, t, crashCount{tp.Crashes + len(t.silent), tp.Proven})
@@ -394,9 +395,16 @@
 	}
 	s.busy++
 	t.reservedCheckpoint = s.storedCheckpoint(t)
+	c.chargeTask(c.ensureWorkerAt(incarnation), s, i)
+}
+
+// ensureWorkerAt returns the worker of a stored run. Its entry may have lapsed while it is at
+// work; then it is called at the stored address.
+func (c *Core) ensureWorkerAt(incarnation WorkerIncarnation) *worker {
 	w := c.ensureWorker(incarnation.ID)
 	if !w.registered && incarnation.Address != "" {
-		w.info.Address = incarnation.Address // its entry may have lapsed while it is at work
+		w.info.Address = incarnation.Address
+		c.changedWorkers[incarnation.ID] = true
 	}
-	c.chargeTask(w, s, i)
+	return w
 }
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -133,6 +133,22 @@
 // silentTasks are the tasks with losses on a silent worker, and maybe some without.
 type silentTasks map[workload.TaskID]struct{}
 
+// awaited reports whether an answer of a worker may settle a suspected crash. Such a worker is
+// called at its last address though its entry has lapsed: it may be cut off from the registry
+// only.
+func (c *Core) awaited(id string) bool {
+	for task := range c.silent[id] {
+		if s, t := c.findTask(task); t != nil && !s.job.state.Final() && t.awaits(id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) awaits(id string) bool {
+	return slices.ContainsFunc(t.silent, func(l silentLoss) bool { return l.worker.ID == id && !l.unseen })
+}
+
 // settleReplaced settles the losses on a worker at whose address another one answers.
 func (c *Core) settleReplaced(id, address string, now time.Time) {
 	c.settle(id, now, func(l *silentLoss) (crashEvidence, bool) { return workerReplaced, l.worker.Address == address })
@@ -170,6 +186,9 @@
 	if len(tasks) == 0 {
 		delete(c.silent, id)
 	}
+	if w := c.workers[id]; w != nil {
+		c.dropIfUnused(w)
+	}
 }
 
 // settleTask is settle for one task. It reports whether the task has losses on the worker
--- a/internal/dispatch/silencecases_test.go
+++ b/internal/dispatch/silencecases_test.go
@@ -88,6 +88,49 @@
 	}
 }
 
+// Guards against a worker that counts as not seen again since nobody called it: its entry has
+// lapsed, and it is in reach of the hosts.
+func TestSilentWorkerIsCalledThoughItsEntryHasLapsed(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover ", takeover), func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.addWorker("w", 4)
+			c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+			is.Equal(len(c.startTasks(nil)), 1)
+			c.core.TakeChangedWorkers()
+			c.loseSilently("w")
+			if takeover {
+				j := c.core.jobs["j"]
+				c.takeOver(j.spec, j.encode())
+				is.Equal(c.core.TakeChangedWorkers(), []string{"w"}) // a link to it is opened
+			}
+			v, called := c.core.ViewWorker("w")
+			is.True(called)
+			is.Equal(v.Worker.Address, "w:1")
+			c.reportInventory("w", workload.Inventory{Incarnation: testIncarnation})
+			c.pass(taskCheckInterval)
+			is.Equal(c.firstTask().crashes, 0)
+			_, called = c.core.ViewWorker("w")
+			is.True(!called) // nothing is left to be known of it
+		})
+	}
+}
+
+// Guards against calls without end to a worker that is gone for good.
+func TestWorkerThatIsNotSeenAgainIsNotCalled(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 4)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(1)})
+	is.Equal(len(c.startTasks(nil)), 1)
+	c.loseSilently("w")
+	c.pass(silenceLimit + time.Second)
+	is.Equal(c.firstTask().crashes, 1)
+	_, called := c.core.ViewWorker("w")
+	is.True(!called)
+}
+
 // Guards against evidence that is missed since it came before the loss: a coordinator takes
 // over, the successor at the address is registered, and the lost worker is not.
 func TestSuccessorThatAnsweredBeforeTheLossSettlesIt(t *testing.T) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -90,9 +90,9 @@
 	return w
 }
 
-// dropIfUnused removes a worker that is not registered and has no tasks.
+// dropIfUnused removes a worker that is not registered, has no tasks and is not awaited.
 func (c *Core) dropIfUnused(w *worker) {
-	if !w.registered && len(w.tasks) == 0 {
+	if !w.registered && len(w.tasks) == 0 && !c.awaited(w.info.ID) {
 		delete(c.workers, w.info.ID)
 		w.schedulableIn = nil
 		delete(c.unacked, w.info.ID)
