--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -102,7 +102,7 @@
 // run. Draining and cordoned workers are expected to end, and one that is still registered
 // is only out of this host's reach.
 func (c *Core) crashedUnder(w *worker, s *step, t *task, evidence crashEvidence) bool {
-	if w.info.Draining || c.cordoned[w.info.ID] || evidence == workerSilent && w.registered {
+	if w.info.Draining || t.workerLeaves || c.cordoned[w.info.ID] || evidence == workerSilent && w.registered {
 		return false
 	}
 	return t.startSent && !t.outlived && !s.job.state.Final() && !w.outlivedStart(t)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -62,6 +62,8 @@
 	// another job that might crash the worker.
 	startedApart    bool
 	workerRestarted bool // a new incarnation of the worker answered and has not listed the run
+	// workerLeaves is set if the worker announced that it leaves while the run was young.
+	workerLeaves bool
 	// contactUntil is when contact with the incarnation that the run was started on ended, if
 	// workerRestarted is set.
 	contactUntil time.Time
@@ -384,6 +386,7 @@
 	t.worker, t.incarnation, t.startedOn, t.address = "", 0, 0, ""
 	t.speedFrom, t.speedFromPercent = time.Time{}, 0
 	t.startSent, t.outlived, t.startedApart, t.workerRestarted, t.checkpointRefused = false, false, false, false, false
+	t.workerLeaves = false
 	t.startSentAt, t.unlistedAfterStart, t.contactUntil = time.Time{}, false, time.Time{}
 	t.reservedCheckpoint = 0
 	t.startConfirmed, t.stopSentAt, t.stopConfirmed = time.Time{}, time.Time{}, time.Time{}
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// noteLeaving stores with the young runs on a worker that it has announced its end. Load
+// pattern: a coordinator takes over after the worker has left and its entry is gone; it would
+// take the end for a crash.
+func (c *Core) noteLeaving(w *worker) {
+	for id := range w.tasks {
+		if s, t := c.findTask(id); t != nil && !t.outlived && !t.workerLeaves {
+			t.workerLeaves = true
+			c.markDirty(s.job)
+		}
+	}
+}
+
 // moveServices stops service tasks on draining workers as far as other workers have capacity
 // for them: services never end by themselves. Tasks that are to start anyway go first.
 func (c *Core) moveServices(now time.Time) {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -17,7 +17,10 @@
 	Begun          bool           `json:"begun,omitempty"`
 	NextOccurrence int            `json:"next,omitempty"`
 	// Workers are the workers that others of these fields refer to.
-	Workers     []WorkerIncarnation  `json:"workers,omitempty"`
+	Workers []WorkerIncarnation `json:"workers,omitempty"`
+	// Leaving are the 1-based indices in Workers of those that announced that they leave while
+	// a young run was on them. Older builds ignore and drop it.
+	Leaving     []int                `json:"leaving,omitempty"`
 	Occurrences []OccurrenceProgress `json:"occ,omitempty"`
 	// EndedAt is set for final states, in Unix milliseconds.
 	EndedAt int64 `json:"ended_at,omitempty"`
@@ -137,7 +140,7 @@
 
 // encode returns the stored form of the job's current progress. If the row would be too large
 // with them, it leaves out the times of failed runs, then which workers have failed the steps,
-// then the addresses of workers and which runs outlived crashWindow.
+// then the addresses of workers, which of them leave and which runs outlived crashWindow.
 func (j *job) encode() []byte {
 	p := Progress{State: j.state, Begun: j.begun, NextOccurrence: j.nextOccurrence, EndedAt: j.endedAt}
 	if !j.state.Final() || !j.idle() {
@@ -152,7 +155,7 @@
 	p.addFailedTimes(j)
 	data := p.appendJSON(make([]byte, 0, j.encodedBytes))
 	j.encodedBytes = len(data)
-	j.measure(p.Workers[:workers], len(data)-p.failureBytes(workers))
+	j.measure(p.Workers[:workers], len(data)-p.failureBytes(workers)-len(p.appendLeaving(nil)))
 	for _, leaveOut := range [...]func(){p.dropFailedTimes, func() { p.dropFailures(workers) }, p.dropAddresses} {
 		if len(data) <= maxProgressBytes {
 			break
@@ -163,8 +166,10 @@
 	return data
 }
 
-// dropAddresses drops the addresses of workers and which runs outlived crashWindow.
+// dropAddresses drops the addresses of workers, which of them leave and which runs outlived
+// crashWindow.
 func (p *Progress) dropAddresses() {
+	p.Leaving = nil
 	for i := range p.Workers {
 		p.Workers[i].Address = ""
 	}
@@ -226,6 +231,9 @@
 	out := TaskProgress{Done: t.state == taskDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes - len(t.silent), Proven: t.proven}
 	if t.state.mayRun() {
 		out.Worker = p.indexOf(WorkerIncarnation{t.worker, t.startedOn, t.address}, incarnations)
+		if t.workerLeaves && !slices.Contains(p.Leaving, out.Worker) {
+			p.Leaving = append(p.Leaving, out.Worker)
+		}
 	}
 	for i := range t.silent {
 		if l := &t.silent[i]; l.stored && !out.Done {
@@ -326,7 +334,7 @@
 		o := newOccurrence(j, op.Index)
 		for i := range o.steps {
 			if i < len(op.Steps) {
-				c.restoreStep(o.steps[i], op.Steps[i], p.Workers, now)
+				c.restoreStep(o.steps[i], op.Steps[i], &p, now)
 			}
 		}
 		j.occurrences = append(j.occurrences, o)
@@ -345,7 +353,8 @@
 	return nil
 }
 
-func (c *Core) restoreStep(s *step, p StepProgress, incarnations []WorkerIncarnation, now time.Time) {
+func (c *Core) restoreStep(s *step, p StepProgress, stored *Progress, now time.Time) {
+	incarnations := stored.Workers
 	s.gangFailures, s.lastFailedGangRun, s.gangCheckpoint = p.GangFailures, p.LastFailedGangRun, p.GangCheckpoint
 	s.restoreFailures(p, incarnations)
 	for i := range s.tasks {
@@ -379,7 +388,7 @@
 		}
 		if placed {
 			c.restoreAssignment(s, i, incarnations[tp.Worker-1])
-			t.outlived = p.hasOutlived(i)
+			t.outlived, t.workerLeaves = p.hasOutlived(i), slices.Contains(stored.Leaving, tp.Worker)
 		}
 	}
 }
--- a/internal/dispatch/progressjson.go
+++ b/internal/dispatch/progressjson.go
@@ -19,6 +19,7 @@
 	}
 	b = appendNumber(b, `"next":`, int64(p.NextOccurrence))
 	b = p.appendWorkers(b)
+	b = p.appendLeaving(b)
 	if len(p.Occurrences) > 0 {
 		b = append(b, `"occ":[`...)
 		for i := range p.Occurrences {
@@ -42,6 +43,18 @@
 	return append(closed(b, ']'), ',')
 }
 
+// appendLeaving appends the member of the leaving workers and a comma, if there are any.
+func (p *Progress) appendLeaving(b []byte) []byte {
+	if len(p.Leaving) == 0 {
+		return b
+	}
+	b = append(b, `"leaving":[`...)
+	for _, i := range p.Leaving {
+		b = append(strconv.AppendInt(b, int64(i), 10), ',')
+	}
+	return append(closed(b, ']'), ',')
+}
+
 func (w *WorkerIncarnation) appendJSON(b []byte) []byte {
 	b = appendText(append(b, `{"id":`...), w.ID)
 	b = strconv.AppendInt(append(b, `,"born":`...), w.Incarnation, 10)
--- a/internal/dispatch/progressjson_test.go
+++ b/internal/dispatch/progressjson_test.go
@@ -77,6 +77,9 @@
 	for range few.Draw(t, "workers") {
 		p.Workers = append(p.Workers, WorkerIncarnation{text.Draw(t, "id"), numbers(), text.Draw(t, "address")})
 	}
+	for range few.Draw(t, "leaving") {
+		p.Leaving = append(p.Leaving, int(numbers()))
+	}
 	for range few.Draw(t, "occurrences") {
 		o := OccurrenceProgress{Index: int(numbers()), Steps: []StepProgress{}}
 		for range few.Draw(t, "steps") {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -25,6 +25,9 @@
 	// settlingTime is how long a coordinator observes before it concludes anything from the
 	// time of a loss that an earlier one has seen.
 	settlingTime = 2 * time.Second
+	// After twice silenceLimit shortSettlingTime is enough: by then a worker that answers has
+	// done so in an earlier term. Load pattern: terms that are shorter than settlingTime.
+	shortSettlingTime = 500 * time.Millisecond
 	// silentLossBytes is the stored size of a silent loss without the number of its worker;
 	// firstSilentLossBytes is by how much a task grows besides with its first one.
 	silentLossBytes      = len(`[,1,1796467519],`)
@@ -64,7 +67,11 @@
 	}
 	// An entry with a later incarnation shows nothing before that answers.
 	lives := w != nil && w.registered && w.info.Incarnation <= l.worker.Incarnation
-	silentFor, observed := now.Sub(l.since), now.Sub(l.observedSince) >= settlingTime
+	silentFor, settling := now.Sub(l.since), settlingTime
+	if silentFor >= 2*silenceLimit {
+		settling = shortSettlingTime
+	}
+	observed := now.Sub(l.observedSince) >= settling
 	if lives {
 		return workerAlive, observed && silentFor >= registeredProof
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -167,6 +167,9 @@
 	} else if ch.Worker.Draining && !w.info.Draining {
 		c.emit("worker drains", "worker", ch.ID, "tasks", len(w.tasks), "service tasks", c.serviceTasksOn(w), "remaining", ch.Worker.Remaining)
 	}
+	if ch.Worker.Draining && !w.info.Draining {
+		c.noteLeaving(w)
+	}
 	if w.registered && w.info.Capacity != ch.Worker.Capacity {
 		c.emit("worker's capacity changed", "worker", ch.ID, "millicores", ch.Worker.Capacity.MilliCores, "before", w.info.Capacity.MilliCores,
 			"memory MB", ch.Worker.Capacity.MemoryMB, "memory before", w.info.Capacity.MemoryMB, "used millicores", w.used.MilliCores)
