--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,6 +38,8 @@
 	// LargerHostUp reports whether another host that is known to be up has a much larger
 	// share of a core and should coordinate instead.
 	LargerHostUp func() bool
+	// Policy returns the scheduling policy of the settings.
+	Policy func() dispatch.Policy
 	// ThinLink is set if this host's link would be filled by the calls of a coordinator
 	// at its usual pace.
 	ThinLink bool
@@ -67,6 +69,9 @@
 
 // New returns a coordinator that is not the leader yet.
 func New(c Coordinator) *Coordinator {
+	if c.Policy == nil {
+		c.Policy = func() dispatch.Policy { return dispatch.Policy{} }
+	}
 	c.queries = make(chan query)
 	c.currentTerm = new(atomic.Pointer[termLoop])
 	return &c
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -319,9 +319,10 @@
 	t.Log.Info("calls for advice", fields...)
 }
 
-// syncConfiguration passes the operators' current configuration and evacuations to the
-// core.
+// syncConfiguration passes the settings' policy and the operators' current configuration and
+// evacuations to the core.
 func (t *termLoop) syncConfiguration() {
+	t.core.SetPolicy(t.Policy())
 	if cell := t.Watch.Cell(); cell != nil {
 		t.core.SetCell(cell)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 // Core is the state of one dispatcher. It is not safe for concurrent use.
 type Core struct {
 	cell           *workload.Cell
+	policy         Policy
 	evacuated      map[string]bool
 	cordoned       map[string]bool      // workers that accept no new tasks
 	suspectAZ      map[string]time.Time // by AZ: the end of the period in which the AZ is suspected to be unreachable
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"cuminloft/internal/dispatch"
 	"cuminloft/internal/standin/rows"
 	"cuminloft/internal/strictjson"
 )
@@ -43,6 +44,22 @@
 	is.Equal(all.Problems[0].Path, "az")
 }
 
+// Guards against a policy that is taken over although it makes no sense, or not at all.
+func TestSchedulingSettings(t *testing.T) {
+	is := is.New(t)
+	with := func(scheduling string) string {
+		return strings.Replace(goodSettings, `"grace_s": 6,`, `"grace_s": 6, "scheduling": `+scheduling+`,`, 1)
+	}
+	s, err := ParseSettings("entry.hujson", []byte(with(`{"learn_speeds": true, "slow_factor": 1.5, "reserve_amounts": true}`)))
+	is.NoErr(err)
+	is.Equal(s.Scheduling.policy(), dispatch.Policy{LearnSpeeds: true, SlowFactor: 1.5, ReserveAmounts: true})
+	for _, bad := range []string{`{"learn_speeds": true, "slow_factor": 1}`, `{"slow_factor": 2}`, `{"learn_speeds": 1}`, `{"unknown": true}`} {
+		_, err := ParseSettings("entry.hujson", []byte(with(bad)))
+		t.Log(err)
+		is.True(err != nil)
+	}
+}
+
 // Hosts are ranked by their share of a core, then by the latest start. Guards against a
 // coordinator that is restarted soon: where hosts are restarted in turn, the latest to
 // start is the last to be restarted.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -20,6 +20,7 @@
 
 	"cuminloft/internal/cellwatch"
 	"cuminloft/internal/coordinator"
+	"cuminloft/internal/dispatch"
 	"cuminloft/internal/intake"
 	"cuminloft/internal/jobstore"
 	"cuminloft/internal/linkmeter"
@@ -87,6 +88,7 @@
 	local     *coordinator.Coordinator
 	intake    *intake.Server
 	stopping  atomic.Bool
+	policy    atomic.Pointer[dispatch.Policy]
 	isolated  atomic.Pointer[time.Time] // begin of the isolation; nil if the host is not isolated
 }
 
@@ -143,6 +145,7 @@
 
 func newProcess(s *Settings, a Adapter, log logr.Logger) *process {
 	p := &process{settings: s, adapter: a, log: log}
+	p.setPolicy(s)
 	store := a.Store
 	jobs := jobstore.Jobs{Store: store, Rejected: a.Rejected, LinkBytesPerSecond: s.LinkBytesPerSecond()}
 	p.watch = cellwatch.New(a.Operators, a.Store.RecentlyServed, log)
@@ -156,7 +159,7 @@
 		Commander: newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond()),
 		Advisers:  func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
 		Log:       log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
-		LargerHostUp: p.members.largerHostUp, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
+		LargerHostUp: p.members.largerHostUp, Policy: func() dispatch.Policy { return *p.policy.Load() }, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
 	})
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Undersized: p.members.undersized, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
@@ -167,6 +170,12 @@
 	return p
 }
 
+// setPolicy puts the scheduling policy of the settings into force.
+func (p *process) setPolicy(s *Settings) {
+	policy := s.Scheduling.policy()
+	p.policy.Store(&policy)
+}
+
 // ready reports to the load balancer whether this host takes new connections.
 func (p *process) ready() bool {
 	return !p.stopping.Load() && p.watch.Cell() != nil && p.isolated.Load() == nil
@@ -317,6 +326,7 @@
 		return
 	}
 	limitRuntime(s)
+	p.setPolicy(s)
 	p.log.Info("settings reloaded", "grace_s", s.GraceS, "memory_mb", s.MemoryMB)
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"cuminloft/internal/dispatch"
 	"cuminloft/internal/strictjson"
 )
 
@@ -46,6 +47,30 @@
 	// LinkMbps is the capacity of the host's network link, in Mbit/s; 0: unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	LogLevel string  `json:"log_level,omitempty"` // debug, info or error; default info
+	// Scheduling switches parts of scheduling; each is off by default.
+	Scheduling Scheduling `json:"scheduling,omitempty"`
+}
+
+// Scheduling are the settings of dispatch.Policy.
+type Scheduling struct {
+	// LearnSpeeds learns how fast workers are beside each other. On a slow worker tasks take
+	// SlowFactor times as long as on the fast ones of its pool; default 1.4.
+	LearnSpeeds bool    `json:"learn_speeds,omitempty"`
+	SlowFactor  float64 `json:"slow_factor,omitempty"`
+	// ReserveAmounts reserves capacity for gangs by amount instead of by whole workers.
+	ReserveAmounts bool `json:"reserve_amounts,omitempty"`
+	// StartMargins ranks jobs that can hardly be on time any more behind those that can.
+	StartMargins bool `json:"start_margins,omitempty"`
+	// RenewFirst spends calls for advice on gangs that have capacity first.
+	RenewFirst bool `json:"renew_first,omitempty"`
+	// SeparateImages keeps images apart that slow each other down on one worker.
+	SeparateImages bool `json:"separate_images,omitempty"`
+}
+
+// policy returns the policy of these settings.
+func (s Scheduling) policy() dispatch.Policy {
+	return dispatch.Policy{LearnSpeeds: s.LearnSpeeds, SlowFactor: s.SlowFactor, ReserveAmounts: s.ReserveAmounts,
+		StartMargins: s.StartMargins, RenewFirst: s.RenewFirst, SeparateImages: s.SeparateImages}
 }
 
 // defaultShowEndedS is the time promised to callers, with a margin.
@@ -103,6 +128,9 @@
 	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 || s.MaxDescriptors < 0 || s.LinkMbps < 0 {
 		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores, order_lease_ms, max_descriptors and link_mbps must not be negative", ""))
 	}
+	if err := s.Scheduling.policy().Check(); err != nil {
+		problems = append(problems, doc.Problem("scheduling", codeInvalid, err.Error(), ""))
+	}
 	if s.OrderLeaseMS == 0 {
 		s.OrderLeaseMS = defaultOrderLeaseMS
 	}
