--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -44,6 +44,7 @@
 	// at its usual pace.
 	ThinLink bool
 
+	hintKinds   []hintKind
 	queries     chan query
 	currentTerm *atomic.Pointer[termLoop]
 }
@@ -59,6 +60,9 @@
 	ObserveLoopTime(phase string, took time.Duration)
 	// CountAdvice adds the statistics of calls for advice since the previous call.
 	CountAdvice(dispatch.AdviceStats)
+	// CountHints counts a row of hints. Unlike the other methods it is also called outside
+	// the event loop.
+	CountHints(kind, outcome string)
 }
 
 // Adviser is a host through which the advice service can be called.
@@ -72,6 +76,7 @@
 	if c.Policy == nil {
 		c.Policy = func() dispatch.Policy { return dispatch.Policy{} }
 	}
+	c.hintKinds = hintKinds
 	c.queries = make(chan query)
 	c.currentTerm = new(atomic.Pointer[termLoop])
 	return &c
@@ -190,6 +195,7 @@
 	c.currentTerm.Store(t)
 	defer c.currentTerm.Store(nil)
 	defer c.Observer.SetGauges(dispatch.Stats{}, dispatch.Waiting{}, dispatch.OutOfReach{})
+	t.readHints(ctx)
 	jobsVersion, err := t.loadWhileRenewing(ctx)
 	if err != nil {
 		if !errors.Is(err, errLeadershipLost) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -80,6 +80,7 @@
 func (nopObserver) SetGauges(dispatch.Stats, dispatch.Waiting, dispatch.OutOfReach) {}
 func (nopObserver) ObserveLoopTime(string, time.Duration)                           {}
 func (nopObserver) CountAdvice(dispatch.AdviceStats)                                {}
+func (nopObserver) CountHints(string, string)                                       {}
 
 // lead runs a coordinator on the store until the returned function is called.
 func lead(t *testing.T, store *rows.Store, retention time.Duration) (*Coordinator, context.CancelFunc) {
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -63,6 +63,7 @@
 	refreshedOnly   bool      // the latest pass only refreshed the ready steps
 	index           *jobstore.ProgressIndex
 	sweptAt         time.Time // when the last sweep began
+	hints           hintStorage
 	committedAt     atomic.Int64
 	leaseBasis      atomic.Pointer[time.Time] // when the last commit since the load began; nil if there is none
 	loaded          atomic.Bool               // the core holds all jobs
@@ -78,6 +79,7 @@
 		Coordinator: c, term: term, core: dispatch.New(), events: events, statsReportedAt: time.Now(),
 		commits: make(chan commitRequest, 1), index: jobstore.NewProgressIndex(), endWaiters: endWaiters{}, loopTime: loopTime{},
 	}
+	t.hints = hintStorage{dueAt: time.Now().Add(t.hintInterval()), stored: map[string]storedHints{}}
 	t.links = newLinkSet(c, term.Epoch, t.leasesEndBefore, events)
 	t.advice = newAdvicePool(c.Advisers, events)
 	t.maintenance = newMaintenanceController()
@@ -187,6 +189,10 @@
 		}
 	case campaignLoaded, campaignSaved, hostsListed, maintenanceOrdered, campaignReported:
 		t.handleMaintenance(e, now)
+	case hintsRead:
+		t.handleHintsRead(e)
+	case hintsStored:
+		t.handleHintsStored(e)
 	case wakeUp:
 		t.wakeScheduled = false
 	case commitDone:
@@ -265,6 +271,7 @@
 func (t *termLoop) tick(ctx context.Context) {
 	now := time.Now()
 	t.sweep(ctx, now)
+	t.writeHints(ctx, now)
 	t.syncConfiguration()
 	for _, id := range t.core.WorkersOutOfReach() {
 		t.core.ExtendLease(id, t.links.leasesEnd(id))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -31,6 +31,7 @@
 	adviceNeeded  prometheus.Counter
 	tickets       *prometheus.CounterVec
 	loopSeconds   *prometheus.CounterVec
+	hints         *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds, from the duration of a store transaction
@@ -65,9 +66,11 @@
 			Name: "cuminloft_advice_tickets_total", Help: "Tickets received, used by a start, and refused by a worker."}, []string{"fate"}),
 		loopSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminloft_coordinator_loop_seconds_total", Help: "Time that the coordinator's loop has spent, by phase."}, []string{"phase"}),
+		hints: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminloft_hints_total", Help: "Rows of hints for the next coordinator, by kind and outcome."}, []string{"kind", "outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting,
-		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, trafficCollector{meter}, rejectedCollector{rejected})
+		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, m.hints, trafficCollector{meter}, rejectedCollector{rejected})
 	return m
 }
 
@@ -123,6 +126,9 @@
 	m.loopSeconds.WithLabelValues(phase).Add(took.Seconds())
 }
 
+// CountHints implements coordinator.Observer.
+func (m *metrics) CountHints(kind, outcome string) { m.hints.WithLabelValues(kind, outcome).Inc() }
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
