--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -37,6 +37,10 @@
 	log        logr.Logger   // of coordinators
 	operators  *operatorFeed
 	hosts      workload.HostOperator // nil: none
+	// wrap and configure change a host's path to the store, and its coordinator before it
+	// runs; nil: nothing.
+	wrap      func(*cutStore) platform.Store
+	configure func(*Coordinator)
 }
 
 // operatorFeed is a feed of operators' changes that grows.
@@ -470,12 +474,18 @@
 func (f *fleet) lead(host string) *leader {
 	path := &cutStore{SlowStore: f.store}
 	health := platform.NewHealth(path)
+	if f.wrap != nil {
+		health = platform.NewHealth(f.wrap(path))
+	}
 	watch := cellwatch.New(f.operators, health.RecentlyServed, logr.Discard())
 	c := New(Coordinator{
 		Store: health, Jobs: jobstore.Jobs{Store: health}, Watch: watch, Workers: f, Commander: f,
 		Advisers: func() []Adviser { return nil }, Log: f.log, Observer: nopObserver{},
 		Retention: time.Minute, LargerHostUp: func() bool { return false }, Hosts: f.hosts, OrderLease: 3 * time.Second,
 	})
+	if f.configure != nil {
+		f.configure(c)
+	}
 	e := &Elector{Store: health, Host: host, Address: host + ":1", Log: logr.Discard(), Rank: func() int { return 0 },
 		Undersized: func() bool { return false }, Lead: c.Lead,
 		Probe: func(context.Context, string) (int64, time.Duration, error) { return 0, 0, errLeadershipLost }}
--- a/internal/coordinator/hintkind.go
+++ b/internal/coordinator/hintkind.go
@@ -12,7 +12,9 @@
 )
 
 // hintKinds are the kinds of hints that this build stores.
-var hintKinds []hintKind
+var hintKinds = []hintKind{
+	newHintKind("image-pairs", func(p dispatch.Policy) bool { return p.SeparateImages }, imageHints, restoreImageHints),
+}
 
 // hintRowOverhead is an upper bound of the bytes of a row beside its entries.
 const hintRowOverhead = 200
