--- a/internal/dispatch/advicecall.go
+++ b/internal/dispatch/advicecall.go
@@ -35,9 +35,10 @@
 // Examining every worker for each step takes all of the coordinator's time, and it
 // appears to have failed.
 func (c *Core) callWorkers(s *step, p *poolState) iter.Seq[*worker] {
+	avoidsSlow := c.avoidsSlow(s, c.queueOf(s.job))
 	return func(yield func(*worker) bool) {
 		for _, w := range p.workers[:min(len(p.workers), callSampleSize)] { // the order differs from pass to pass
-			if w.schedulableIn == c.pass && !yield(w) { // otherwise it is gone since the pass
+			if w.schedulableIn == c.pass && !(avoidsSlow && w.isSlow()) && !yield(w) { // otherwise it is gone since the pass
 				return
 			}
 		}
@@ -45,7 +46,7 @@
 			return
 		}
 		for id := range s.advice.tickets {
-			if w := c.workers[id]; w != nil && w.schedulableIn == c.pass && w.poolIndex >= callSampleSize && !yield(w) {
+			if w := c.workers[id]; w != nil && w.schedulableIn == c.pass && w.poolIndex >= callSampleSize && !(avoidsSlow && w.isSlow()) && !yield(w) {
 				return
 			}
 		}
@@ -60,6 +61,7 @@
 	hasTicket bool // its ticket is still valid
 	fitsNow   int  // tasks that fit now
 	fitsSoon  int  // tasks that fit within lookaheadHorizon
+	unwanted  bool // it is not of the speed that the step prefers
 	sortKey   uint64
 }
 
@@ -75,7 +77,7 @@
 		}
 		return 1
 	}
-	x.sortKey = bit(x.known)<<2 | bit(x.fitsNow > 0)<<1 | bit(x.az == home)
+	x.sortKey = bit(!x.unwanted)<<3 | bit(x.known)<<2 | bit(x.fitsNow > 0)<<1 | bit(x.az == home)
 	x.sortKey = x.sortKey<<countBits | uint64(min(most, x.fitsNow))
 	x.sortKey = x.sortKey<<countBits | uint64(most-min(most, x.fitsSoon))
 }
@@ -95,7 +97,9 @@
 	if home == "" {
 		home = azWithMostCapacity(candidates)
 	}
+	speed := c.speedPreference(r)
 	for i := range candidates {
+		candidates[i].unwanted = speed != noPreference && speed.score(c.workers[candidates[i].id]) > 0
 		candidates[i].setSortKey(home)
 	}
 	slices.SortFunc(candidates, func(a, b adviceCandidate) int {
--- a/internal/dispatch/advicegang.go
+++ b/internal/dispatch/advicegang.go
@@ -20,7 +20,7 @@
 	if unknown := c.furtherGangCall(r, q, capacity); len(unknown) > 0 {
 		return unknown
 	}
-	candidates, expected := c.callCandidates(r, slices.Values(c.allowedByAdvice(s, q, c.pass.schedulableFor(s, q))), now, true)
+	candidates, expected := c.callCandidates(r, slices.Values(c.workersBySpeed(s, c.allowedByAdvice(s, q, c.pass.schedulableFor(s, q)))), now, true)
 	if expected >= float64(len(s.tasks)) {
 		sort.Slice(candidates, func(a, b int) bool {
 			x, y := candidates[a], candidates[b]
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"cuminloft/internal/model"
@@ -48,6 +49,7 @@
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
+	speeds         speeds
 	// startDelay is how long a start waits until its record is stored.
 	startDelay      time.Duration
 	pass            *schedulingPass // the latest scheduling pass
@@ -77,6 +79,7 @@
 		reservedWorkers: map[string]*worker{},
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
+		speeds:          newSpeeds(),
 	}
 }
 
@@ -171,13 +174,14 @@
 type Stats struct {
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
-	ReservedWorkers                              int // workers with capacity reserved for gangs
-	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
+	ReservedWorkers                              int            // workers with capacity reserved for gangs
+	HeldJobs                                     int            // accepted jobs that do not run, since their progress cannot be read
+	SlowWorkers                                  map[string]int // by pool, if speeds are learned
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held), SlowWorkers: maps.Clone(c.speeds.slowByPool)}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/durations.go
+++ b/internal/dispatch/durations.go
@@ -95,6 +95,7 @@
 		return
 	}
 	t.durationCounted = true
+	duration = c.durationOnFast(t.worker, duration)
 	s.durations.n++
 	s.durations.logs += math.Log(duration.Seconds())
 	if s.durations.n > 1 {
@@ -164,7 +165,7 @@
 
 // expectedOwnEnd estimates when a run has done its own work, without waiting for others.
 func (c *Core) expectedOwnEnd(s *step, t *task, now time.Time) time.Time {
-	expected := c.expectedDuration(s)
+	expected := c.expectedDurationOn(s, c.workers[t.worker])
 	if t.state != taskRunning || t.progressedAt.IsZero() {
 		return now.Add(max(overrunAllowance, expected))
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -54,7 +54,7 @@
 func (c *Core) gangWorkers(r rankedStep, workers []*worker) ([]gangWorker, int) {
 	s := r.step
 	withCapacity := make([]gangWorker, 0, len(workers))
-	fits := 0
+	fits, urgent := 0, r.rank.group == groupUrgent
 	for _, w := range workers {
 		if n := c.fitBesideHeadroom(w, s, r.rank); n > 0 {
 			withCapacity = append(withCapacity, gangWorker{w, n})
@@ -72,6 +72,9 @@
 		if slow := c.slow(x.worker); slow != c.slow(y.worker) {
 			return !slow
 		}
+		if slow := x.worker.isSlow(); urgent && slow != y.worker.isSlow() {
+			return !slow
+		}
 		if x.fits != y.fits {
 			return x.fits > y.fits
 		}
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -130,6 +130,7 @@
 		w.recordOutcome(false, now)
 		if recent {
 			c.learnFromEnd(s, t, now)
+			c.recordSpeed(s, t, now)
 		}
 	case workload.RunFailed:
 		c.clearCrashes(s, e.Run.Task.Index)
@@ -198,6 +199,9 @@
 	if !s.spec.Gang {
 		s.tasks[i].state = taskDone
 		s.done++
+		if s.finished() {
+			c.learnSpeeds(s)
+		}
 		return
 	}
 	s.done = len(s.tasks)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -95,6 +95,8 @@
 	closed           bool           // its occurrence was closed before it began, see closeUntouched
 	advice           adviceState
 	durations        measuredDurations
+	speedSamples     []speedSample // of tasks that ended, until the step is finished
+	speedChoice      gangSpeedChoice
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
 	gangEndAsOf      time.Time
 	reservedFrom     time.Time // when the capacity reserved for this gang should be free; zero without reservation
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -77,6 +77,8 @@
 	maxFree model.Resources
 	// used and capacity are sums over these workers, in thousandths of a core.
 	used, capacity int64
+	slow           int     // number of slow workers
+	slowRatios     float64 // sum of their ratios
 }
 
 // newPass collects the schedulable workers.
@@ -99,6 +101,10 @@
 		p.maxFree = p.maxFree.Max(w.free())
 		p.used += w.used.MilliCores
 		p.capacity += w.info.Capacity.MilliCores
+		if w.isSlow() {
+			p.slow++
+			p.slowRatios += w.speed.ratio
+		}
 	}
 	c.updatePeak(now)
 	pass.urgentHeadroom = c.headroomPerWorker(n)
@@ -136,6 +142,7 @@
 	for _, r := range c.ready {
 		r.step.advice.newTickets = false
 	}
+	c.updateSlowWorkers(now)
 	c.pass = c.newPass(now)
 }
 
@@ -244,7 +251,7 @@
 	}
 	var out []*worker
 	isolates := s.spec.Gang && s.isolates()
-	for _, w := range c.allowedByAdvice(s, q, workers) {
+	for _, w := range c.workersBySpeed(s, c.allowedByAdvice(s, q, workers)) {
 		if !w.acceptsBesideSuspects(isolates) || !s.matchesLabel(w) || c.fitBesideOthers(r, w, c.pass.now) == 0 {
 			continue
 		}
@@ -301,11 +308,12 @@
 func (c *Core) bestWorker(r rankedStep, t *task, workers []*worker) *worker {
 	var best *worker
 	var bestScore float64
+	speed := c.speedPreference(r)
 	for _, w := range workers {
 		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.isolates()) {
 			continue
 		}
-		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount)
+		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount) + speed.score(w)
 		if t.isolates() {
 			score += suspectPenalty * float64(c.youngRuns(w, r.step.job))
 		}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -57,6 +57,9 @@
 	if p == c.policy {
 		return
 	}
+	if c.policy.LearnSpeeds && !p.LearnSpeeds {
+		c.forgetSlowWorkers()
+	}
 	c.policy = p
 	c.needsScheduling = true
 	c.emit("scheduling policy in force", "learn speeds", p.LearnSpeeds, "slow factor", p.SlowFactor, "reserve amounts", p.ReserveAmounts,
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -50,7 +50,7 @@
 	if p == nil || float64(len(c.reservedWorkers)) >= maxReservedShare*float64(len(p.workers)) {
 		return
 	}
-	for _, w := range c.allowedByAdvice(s, q, p.workers) {
+	for _, w := range c.workersBySpeed(s, c.allowedByAdvice(s, q, p.workers)) {
 		if w.reservation == nil && s.matchesLabel(w) {
 			slots = c.appendSlots(slots, s, w, now)
 		}
@@ -148,7 +148,7 @@
 	if res == nil || res.step == s || r.group == groupUrgent {
 		return false
 	}
-	duration := time.Duration(backfillMargin * float64(c.expectedDuration(s)))
+	duration := time.Duration(backfillMargin * float64(c.expectedDurationOn(s, w)))
 	return now.Add(duration).After(res.startAt)
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -37,6 +37,7 @@
 	// slowdown is the smoothed ratio of the time that tasks take on this worker to their
 	// estimates; 0 before the first report.
 	slowdown      float64
+	speed         *workerSpeed    // nil before the first observation
 	leavesAt      time.Time       // when a draining worker may leave; zero if unknown
 	reservation   *reservation    // set by the latest scheduling pass; nil if no capacity is reserved
 	schedulableIn *schedulingPass // the latest scheduling pass in which the worker was schedulable
@@ -84,7 +85,7 @@
 func (c *Core) ensureWorker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{info: workload.Worker{ID: id}, tasks: map[workload.TaskID]struct{}{}}
+		w = &worker{info: workload.Worker{ID: id}, tasks: map[workload.TaskID]struct{}{}, speed: c.speeds.byWorker[id]}
 		c.workers[id] = w
 	}
 	return w
@@ -206,6 +207,9 @@
 	c.changedWorkers[w.info.ID] = true
 	w.reachable = false
 	w.health, w.slowdown = health{}, 0
+	if w.speed != nil {
+		w.speed.newIncarnation(incarnation)
+	}
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil {
 			if !t.workerRestarted && t.incarnation != 0 && t.incarnation != incarnation {
