--- a/internal/coordinator/hintkind.go
+++ b/internal/coordinator/hintkind.go
@@ -13,6 +13,7 @@
 
 // hintKinds are the kinds of hints that this build stores.
 var hintKinds = []hintKind{
+	newHintKind("worker-speeds", func(p dispatch.Policy) bool { return p.LearnSpeeds }, speedHints, restoreSpeedHints),
 	newHintKind("image-pairs", func(p dispatch.Policy) bool { return p.SeparateImages }, imageHints, restoreImageHints),
 }
 
--- a/internal/coordinator/hints_test.go
+++ b/internal/coordinator/hints_test.go
@@ -233,8 +233,8 @@
 	})
 }
 
-// Guards against work that waits for hints: their partition refuses all calls, or does not
-// answer, or answers slowly.
+// Guards against work that waits for hints: their partition refuses all calls, does not
+// answer, or its answers are lost.
 func TestNothingWaitsForTheWriteOfHints(t *testing.T) {
 	const outage = 6 * round
 	for name, set := range map[string]func(f *hintFleet, down bool){
@@ -326,6 +326,28 @@
 	})
 }
 
+// Guards against hints that a slow store keeps from being stored or restored: a call takes
+// 94 times as long as usual.
+func TestHintsAreKeptAtASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newHintFleet(t)
+		f.store.SetLatency(slowCall)
+		l := f.lead("host-0")
+		l.awaitLoaded()
+		f.learn(testHint{"a", 3})
+		time.Sleep(2 * round)
+		is.True(f.count(HintsWritten) >= 1)
+		l.stop()
+		l = f.lead("host-1")
+		l.awaitLoaded()
+		time.Sleep(time.Second)
+		is.Equal(f.takeRestored(), []testHint{{"a", 3}})
+		is.Equal(f.count(HintsSkipped), 0)
+		l.stop()
+	})
+}
+
 // Guards against a row that this build cannot use and that keeps a term from starting, is
 // restored in part, or is never replaced.
 func TestRowOfHintsThatCannotBeUsed(t *testing.T) {
