--- a/internal/coordinator/hintkinds_test.go
+++ b/internal/coordinator/hintkinds_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -64,6 +65,9 @@
 	}
 	is := is.New(t)
 	is.True(speed.usable() && pair.usable())
+	decoded, err := decodeEntries[speedHint]([]json.RawMessage{[]byte(`{"w":"","p":1,"n":1}`), []byte(`{"w":"a","p":1,"n":1}`)}, 0, 1)
+	is.NoErr(err)
+	is.Equal(decoded, []speedHint{{Worker: "a", Pace: 1, Observations: 1}})
 	for name, change := range speeds {
 		if h := speed; func() bool { change(&h); return h.usable() }() {
 			t.Errorf("speed is usable: %s", name)
