--- a/internal/dispatch/advicecall.go
+++ b/internal/dispatch/advicecall.go
@@ -66,8 +66,8 @@
 }
 
 // setSortKey sets the position of a candidate for a step of single tasks: known workers
-// first, then those with free capacity, then those of the home AZ, then the fullest,
-// since small tasks fill gaps and leave whole workers to gangs.
+// first, then those with free capacity, then those of the preferred speed, then those of the
+// home AZ, then the fullest, since small tasks fill gaps and leave whole workers to gangs.
 func (x *adviceCandidate) setSortKey(home string) {
 	const countBits = 20 // of each count; a worker never runs as many tasks
 	const most = 1<<countBits - 1
@@ -77,7 +77,7 @@
 		}
 		return 1
 	}
-	x.sortKey = bit(!x.unwanted)<<3 | bit(x.known)<<2 | bit(x.fitsNow > 0)<<1 | bit(x.az == home)
+	x.sortKey = bit(x.known)<<3 | bit(x.fitsNow > 0)<<2 | bit(!x.unwanted)<<1 | bit(x.az == home)
 	x.sortKey = x.sortKey<<countBits | uint64(min(most, x.fitsNow))
 	x.sortKey = x.sortKey<<countBits | uint64(most-min(most, x.fitsSoon))
 }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -1,13 +1,16 @@
 package dispatch
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,7 +78,8 @@
 	pauses      [][2]time.Time
 	open        []openCores
 	idleCores   idleCores
-	crashes     int // of workers under their tasks
+	crashes     int    // of workers under their tasks
+	eachStep    func() // is called after each step of the replay; may be nil
 }
 
 // openCores is the number of cores of all reachable workers outside evacuated AZs, from a
@@ -242,6 +246,9 @@
 		r.advise()
 		r.start()
 		r.stop()
+		if r.eachStep != nil {
+			r.eachStep()
+		}
 		if r.now.Sub(r.begin) < r.length {
 			r.idleCores.sample(r.core, r.now)
 		}
@@ -448,7 +455,8 @@
 func (r *replay) finishRuns() {
 	for _, w := range r.sorted() {
 		changed := r.now.Sub(w.reportedAt) > 700*time.Millisecond
-		for id, run := range w.runs {
+		for _, id := range w.sortedRuns() {
+			run := w.runs[id]
 			if r.now.Before(run.until) {
 				continue
 			}
@@ -474,7 +482,8 @@
 		w.reportedAt = r.now
 		inv := workload.Inventory{Incarnation: 1, Ended: w.ends}
 		w.ends = nil
-		for _, run := range w.runs {
+		for _, id := range w.sortedRuns() {
+			run := w.runs[id]
 			inv.Running = append(inv.Running, workload.RunStatus{Run: run.run,
 				Percent: min(100, int(100*r.now.Sub(run.begin)/run.duration))})
 		}
@@ -490,6 +499,14 @@
 	}
 }
 
+// sortedRuns returns the tasks of the worker's runs in a fixed order, so that a replay can be
+// repeated.
+func (w *replayWorker) sortedRuns() []workload.TaskID {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b workload.TaskID) int {
+		return cmp.Or(strings.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 func (r *replay) sorted() []*replayWorker {
 	out := make([]*replayWorker, 0, len(r.workers))
 	for _, w := range r.workers {
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -23,8 +23,8 @@
 	// speedPrior is the weight of the pace before the first observation (0), in observations.
 	speedPrior = 1.0
 	// maxSpeedObservations bounds the weight of what is known, so that a worker that changes
-	// is learned again within some 20 tasks.
-	maxSpeedObservations = 20.0
+	// is learned again within some ten tasks.
+	maxSpeedObservations = 12.0
 	// speedHalfLife is the half-life of observations. A slow worker without tasks counts as
 	// unknown after two to three half-lives, and is tried again.
 	speedHalfLife = 30 * time.Second
@@ -40,10 +40,11 @@
 // Which workers are slow.
 const (
 	// minSlowObservations is the number of observations from which a worker can be slow. With
-	// fewer, two runs that happen to take seven times as long would suffice.
+	// this number and slowStandardErrors, three runs of four that take seven times as long do
+	// not make a worker slow.
 	minSlowObservations = 4.0
 	// slowStandardErrors is by how many standard errors a worker must exceed the slow factor.
-	slowStandardErrors = 2.0
+	slowStandardErrors = 3.0
 	// slowHysteresis is the share of the logarithm of the slow factor below which a slow
 	// worker is slow no longer.
 	slowHysteresis = 0.7
@@ -301,6 +302,10 @@
 // the step.
 const slowWorkerWeight = 2.0
 
+// slowMargin is the factor on the expected duration of a task on a slow worker when it is
+// checked against the latest start. The job waits for the longest task.
+const slowMargin = 1.3
+
 // speedPreference is which workers of a pool with slow workers a step prefers.
 type speedPreference int
 
@@ -324,7 +329,7 @@
 	case groupUrgent:
 		return prefersFast
 	case groupOnTime, groupLate:
-		extra := time.Duration((ratio - 1) * float64(c.expectedDuration(s)))
+		extra := time.Duration((slowMargin*ratio - 1) * float64(c.expectedDuration(s)))
 		if c.pass.now.Add(extra).After(r.rank.latestStart) {
 			return prefersFast
 		}
