--- a/internal/coordinator/hintkinds_test.go
+++ b/internal/coordinator/hintkinds_test.go
@@ -6,11 +6,13 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"cuminloft/internal/dispatch"
+	"cuminloft/internal/platform"
 )
 
 // workersOfALargeCell is the number of workers of the largest cells.
@@ -108,3 +110,40 @@
 	is.NoErr(err)
 	is.Equal(kept[0].Observations, 255.0)
 }
+
+// Guards against takeovers of a quiet cell that lose what is stored: nothing is placed and
+// nothing is learned anew between them.
+func TestHintsOutliveTakeoversOfAQuietCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet(t, 2)
+		f.configure = func(c *Coordinator) {
+			c.Policy = func() dispatch.Policy { return dispatch.Policy{LearnSpeeds: true, SeparateImages: true} }
+		}
+		f.lead("host-0").stop()
+		entries := map[string]string{
+			"worker-speeds": `[{"w":"w0","i":1,"p":0.4,"n":5},{"w":"w1","i":1,"p":-0.1,"n":5}]`,
+			"image-pairs":   `[{"s":"a","b":"b","f":1.4,"n":200,"w":5,"a":0}]`,
+		}
+		for kind, e := range entries {
+			value := `{"v":1,"epoch":0,"clock_ms":1,"entries":` + e + `}`
+			f.commit(platform.Tx{Puts: []platform.PartitionRow{{Table: hintTable, Partition: hintPartition, Key: kind, Value: []byte(value)}}})
+		}
+		for i := range 3 {
+			l := f.lead(fmt.Sprint("host-", i+1))
+			l.awaitLoaded()
+			time.Sleep(2 * round)
+			l.stop()
+		}
+		for _, kind := range hintKinds {
+			page, err := f.store.Scan(t.Context(), hintTable, hintPartition, kind.name, kind.name+"\x00")
+			is.NoErr(err)
+			var row hintRow
+			is.NoErr(json.Unmarshal(page.Rows[0].Value, &row))
+			t.Logf("%s: %s", kind.name, page.Rows[0].Value)
+			if !strings.Contains(string(page.Rows[0].Value), `,"n":`) {
+				t.Errorf("the entries of kind %s are lost", kind.name)
+			}
+		}
+	})
+}
