--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,9 @@
 	LargerHostUp func() bool
 	// Policy returns the scheduling policy of the settings.
 	Policy func() dispatch.Policy
+	// IgnoredImagePairs returns the pairs of images that the settings exclude from being kept
+	// apart; nil if there are none.
+	IgnoredImagePairs func() [][2]string
 	// ThinLink is set if this host's link would be filled by the calls of a coordinator
 	// at its usual pace.
 	ThinLink bool
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -323,6 +323,9 @@
 // evacuations to the core.
 func (t *termLoop) syncConfiguration() {
 	t.core.SetPolicy(t.Policy())
+	if t.IgnoredImagePairs != nil {
+		t.core.SetIgnoredImagePairs(t.IgnoredImagePairs())
+	}
 	if cell := t.Watch.Cell(); cell != nil {
 		t.core.SetCell(cell)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -54,6 +54,10 @@
 	lookahead       *lookahead      // the latest lookahead, reused for lookaheadMaxAge
 	needsScheduling bool            // an event may have made it possible to start a task
 	adviceStats     AdviceStats
+
+	interference      *interference // nil if Policy.SeparateImages is not set
+	restoredPairs     []ImagePair   // not applied yet
+	ignoredImagePairs [][2]string
 }
 
 // New returns a core without jobs or workers.
@@ -173,11 +177,15 @@
 	UsedMilliCores, CapacityMilliCores           int64
 	ReservedWorkers                              int // workers with capacity reserved for gangs
 	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
+	ImagePairs                                   int // pairs of images that are kept apart
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
 	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
+	if c.interference != nil {
+		s.ImagePairs = len(c.interference.pairs)
+	}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -8,6 +8,7 @@
 
 // HandleInventory applies a worker's inventory that was requested at requestedAt.
 func (c *Core) HandleInventory(id string, inv workload.Inventory, requestedAt, now time.Time) {
+	c.interference.advance(now)
 	w := c.workers[id]
 	if w == nil {
 		return
@@ -88,6 +89,7 @@
 	t.listedAt = requestedAt
 	c.recordSlowdown(w, s, t, r, now)
 	c.recordProgress(s, t, r.Percent, now)
+	c.compareTail(w, s, t, r, now)
 }
 
 // dropUnlisted ends the runs of tasks that are missing in an inventory although their
@@ -130,6 +132,7 @@
 		w.recordOutcome(false, now)
 		if recent {
 			c.learnFromEnd(s, t, now)
+			c.compareRun(w, s, t, now)
 		}
 	case workload.RunFailed:
 		c.clearCrashes(s, e.Run.Task.Index)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -70,6 +70,8 @@
 
 	reservedCheckpoint int  // room kept for the checkpoint in the stored progress
 	checkpointRefused  bool // a checkpoint of this run was not kept
+
+	neighbours *presenceMark // of the current run; nil if its image is not observed
 }
 
 // step is a step of one occurrence.
@@ -98,6 +100,8 @@
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
 	gangEndAsOf      time.Time
 	reservedFrom     time.Time // when the capacity reserved for this gang should be free; zero without reservation
+	compared         []comparedRun
+	usualTails       map[int64]usualTail // of a service, by the thousandths of a core of the workers
 }
 
 // occurrence is one execution of the job's steps.
@@ -354,6 +358,7 @@
 // chargeTask adds a task to the usage of its worker and team.
 func (c *Core) chargeTask(w *worker, s *step, i int) {
 	w.tasks[s.taskID(i)] = struct{}{}
+	c.noteNeighbours(w, s, &s.tasks[i])
 	c.changedWorkers[w.info.ID] = true
 	w.used = w.used.Add(s.spec.RequiredCapacity())
 	w.bestEffortMilliCores += s.bestEffortMilliCores()
@@ -370,6 +375,7 @@
 func (c *Core) releaseTask(s *step, i int) {
 	t := &s.tasks[i]
 	c.countSuspect(t, -1)
+	c.dropNeighbours(c.workers[t.worker], t)
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.tasks, s.taskID(i))
 		c.changedWorkers[w.info.ID] = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -132,6 +132,7 @@
 // It places no tasks. Advice passes use its result.
 func (c *Core) RefreshReadySteps(now time.Time) {
 	c.needsScheduling = false
+	c.interference.advance(now)
 	c.ready = c.readySteps(now)
 	for _, r := range c.ready {
 		r.step.advice.newTickets = false
@@ -161,6 +162,7 @@
 			c.reserve(s, now)
 		}
 	}
+	c.separateImages()
 	return placed
 }
 
@@ -291,6 +293,7 @@
 			break
 		}
 		c.assign(s, i, best, t.run+1, t.checkpoint)
+		c.notePlaced(r, i)
 		left--
 		placed = true
 	}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -58,6 +58,7 @@
 		return
 	}
 	c.policy = p
+	c.switchInterference()
 	c.needsScheduling = true
 	c.emit("scheduling policy in force", "learn speeds", p.LearnSpeeds, "slow factor", p.SlowFactor, "reserve amounts", p.ReserveAmounts,
 		"start margins", p.StartMargins, "renew first", p.RenewFirst, "separate images", p.SeparateImages)
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -35,6 +35,7 @@
 	allowedShare    float64 // share of workers that the advice service allows
 	failureShare    float64 // share of runs that fail by their own fault
 	checkpointShare float64 // share of steps whose tasks save a checkpoint when they are stopped
+	images          int     // number of images, i0 and on, of which each job has one; 0: none
 }
 
 // pattern is a load pattern.
@@ -55,6 +56,7 @@
 	at map[time.Duration]func(s *replay)
 	// crashing selects the tasks that crash the workers that start them; may be nil.
 	crashing func(r *replay, id workload.TaskID) bool
+	interferencePattern
 }
 
 // replay plays a pattern.
@@ -222,31 +224,36 @@
 		if r.now.Sub(r.begin) >= r.length && r.core.Stats().ActiveJobs == 0 {
 			return // nothing changes after this
 		}
-		for at, event := range r.at {
-			if d := r.now.Sub(r.begin); d >= at && d < at+replayStep {
-				event(r)
-			}
-		}
-		r.recordCapacity()
-		if r.now.Sub(r.begin) < r.length {
-			r.arrive()
-		}
-		if r.now.Before(r.pausedUntil) {
-			r.now = r.now.Add(replayStep)
-			continue
-		}
-		r.finishRuns()
-		r.core.Tick(r.now)
-		r.advise()
-		r.core.Schedule(r.now)
-		r.advise()
-		r.start()
-		r.stop()
-		if r.now.Sub(r.begin) < r.length {
-			r.idleCores.sample(r.core, r.now)
+		r.playStep()
+	}
+}
+
+// playStep plays one replayStep.
+func (r *replay) playStep() {
+	for at, event := range r.at {
+		if d := r.now.Sub(r.begin); d >= at && d < at+replayStep {
+			event(r)
 		}
+	}
+	r.recordCapacity()
+	if r.now.Sub(r.begin) < r.length {
+		r.arrive()
+	}
+	if r.now.Before(r.pausedUntil) {
 		r.now = r.now.Add(replayStep)
+		return
+	}
+	r.finishRuns()
+	r.core.Tick(r.now)
+	r.advise()
+	r.core.Schedule(r.now)
+	r.advise()
+	r.start()
+	r.stop()
+	if r.now.Sub(r.begin) < r.length {
+		r.idleCores.sample(r.core, r.now)
 	}
+	r.now = r.now.Add(replayStep)
 }
 
 func (r *replay) arrive() {
@@ -270,7 +277,7 @@
 		mean := r.draw(k.seconds, 0.5, 2.6*k.seconds)
 		step := workload.Step{Tasks: width, Resources: model.Resources{MilliCores: int64(1000 * cores), MemoryMB: int64(1024 * r.draw(k.memory, 0.5, 2*k.memory))},
 			Estimate: time.Duration(r.draw(mean, k.estimateSpread, 10*mean) * float64(time.Second)), Gang: r.rand.Float64() < k.gangShare,
-			Checkpoints: hashShare(spec.ID, fmt.Sprint(s)) < k.checkpointShare}
+			Checkpoints: hashShare(spec.ID, fmt.Sprint(s)) < k.checkpointShare, Image: r.drawImage(k, spec.ID)}
 		if s > 0 {
 			step.After = []int{s - 1}
 		}
@@ -279,7 +286,10 @@
 			seconds[n] = mean * (0.85 + 0.3*r.rand.Float64())
 			work += seconds[n] * cores
 		}
-		chain += slices.Max(seconds) + k.queue.Advice.Duration(typicalCallWorkers).Seconds()
+		chain += slices.Max(seconds)
+		if k.queue.Advice != nil {
+			chain += k.queue.Advice.Duration(typicalCallWorkers).Seconds()
+		}
 		spec.Steps = append(spec.Steps, step)
 		j.seconds = append(j.seconds, seconds)
 	}
@@ -287,6 +297,7 @@
 	j.worth = k.worth * min(4, 0.3+0.7*work/mean)
 	j.onTimeWithin = time.Duration(k.queue.Slack*chain*float64(time.Second)) + k.queue.Allowance
 	r.jobs[spec.ID] = j
+	r.limitToSlowWorkers(spec)
 	r.core.AddJob(spec, r.now)
 }
 
@@ -351,7 +362,7 @@
 				continue
 			}
 			j := r.jobs[id.Job]
-			seconds := j.seconds[id.Step][id.Index] / w.speed * remainingWork(st.Order.Checkpoint)
+			seconds := j.seconds[id.Step][id.Index] / w.speed * remainingWork(st.Order.Checkpoint) * r.stall(st.Order.Run)
 			run := &replayRun{run: st.Order.Run, begin: r.now, workShare: remainingWork(st.Order.Checkpoint), duration: time.Duration(seconds * float64(time.Second)), fails: r.fails(st.Order.Run, r.kinds[j.kind])}
 			if st.Order.Checkpoint != "" {
 				run.duration += replayRestore
@@ -446,6 +457,7 @@
 // finishRuns ends runs whose work is done, and reports the inventory of each worker with
 // changes.
 func (r *replay) finishRuns() {
+	r.slowNeighbours()
 	for _, w := range r.sorted() {
 		changed := r.now.Sub(w.reportedAt) > 700*time.Millisecond
 		for id, run := range w.runs {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -15,6 +15,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.needsScheduling = c.needsScheduling || len(c.active) > 0 // the backoff of a worker may have ended
 	c.forgetMisdirections(now)
+	c.reviewImages(now)
 	c.retrySuspended(now)
 	for _, w := range c.workers {
 		c.tickLeaving(w, now)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -41,6 +41,8 @@
 	reservation   *reservation    // set by the latest scheduling pass; nil if no capacity is reserved
 	schedulableIn *schedulingPass // the latest scheduling pass in which the worker was schedulable
 	poolIndex     int             // index in poolState.workers of that pass
+	images        []imagePresence
+	imagePace     learnedPace // used while paceOf does not know the worker's pace
 }
 
 // Health of a worker, judged by the outcomes of its runs.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -60,6 +60,33 @@
 	}
 }
 
+// Guards against pairs that reach the core incomplete, in any number, or not at all.
+func TestIgnoredImagePairs(t *testing.T) {
+	is := is.New(t)
+	with := func(pairs string) string {
+		return strings.Replace(goodSettings, `"grace_s": 6,`, `"grace_s": 6, "scheduling": {"separate_images": true, "ignored_image_pairs": `+pairs+`},`, 1)
+	}
+	s, err := ParseSettings("entry.hujson", []byte(with(`[["a", "b"], ["c", "c"]]`)))
+	is.NoErr(err)
+	pairs, err := s.Scheduling.ignoredImagePairs()
+	is.NoErr(err)
+	is.Equal(pairs, [][2]string{{"a", "b"}, {"c", "c"}})
+	p := &process{}
+	p.setPolicy(s)
+	is.Equal(*p.ignoredImagePairs.Load(), pairs)
+	for bad, message := range map[string]string{
+		`[["a"]]`: "has 1 names, not 2", `[["a", "b", "c"]]`: "has 3 names", `[["a", "b"], ["a", ""]]`: `pair of images 2 ("a", "") has an empty name`,
+		"[" + strings.Repeat(`["a", "b"],`, 256) + `["a", "b"]]`: "257 ignored pairs of images are more than 256",
+		`[[1, 2]]`: "", `"a"`: "",
+	} {
+		_, err := ParseSettings("entry.hujson", []byte(with(bad)))
+		is.True(err != nil)
+		if !strings.Contains(err.Error(), message) {
+			t.Errorf("%v does not contain %q", err, message)
+		}
+	}
+}
+
 // Hosts are ranked by their share of a core, then by the latest start. Guards against a
 // coordinator that is restarted soon: where hosts are restarted in turn, the latest to
 // start is the last to be restarted.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -90,6 +90,8 @@
 	stopping  atomic.Bool
 	policy    atomic.Pointer[dispatch.Policy]
 	isolated  atomic.Pointer[time.Time] // begin of the isolation; nil if the host is not isolated
+
+	ignoredImagePairs atomic.Pointer[[][2]string] // of the settings
 }
 
 // Run serves until ctx ends or a signal stops the process, then shuts down in order.
@@ -159,7 +161,7 @@
 		Commander: newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond()),
 		Advisers:  func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
 		Log:       log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
-		LargerHostUp: p.members.largerHostUp, Policy: func() dispatch.Policy { return *p.policy.Load() }, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
+		LargerHostUp: p.members.largerHostUp, Policy: func() dispatch.Policy { return *p.policy.Load() }, IgnoredImagePairs: func() [][2]string { return *p.ignoredImagePairs.Load() }, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
 	})
 	p.elector = &coordinator.Elector{Store: store, Host: s.Host, Address: s.RPCListen, Log: log, Rank: p.members.rank, Undersized: p.members.undersized, Lead: p.local.Lead, Probe: p.peers.probe}
 	p.peers.elector, p.peers.local = p.elector, p.local
@@ -174,6 +176,11 @@
 func (p *process) setPolicy(s *Settings) {
 	policy := s.Scheduling.policy()
 	p.policy.Store(&policy)
+	pairs, err := s.Scheduling.ignoredImagePairs()
+	if err != nil {
+		pairs = nil // ParseSettings has checked the settings
+	}
+	p.ignoredImagePairs.Store(&pairs)
 }
 
 // ready reports to the load balancer whether this host takes new connections.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -65,6 +65,9 @@
 	RenewFirst bool `json:"renew_first,omitempty"`
 	// SeparateImages keeps images apart that slow each other down on one worker.
 	SeparateImages bool `json:"separate_images,omitempty"`
+	// IgnoredImagePairs are pairs of image names that are never kept apart. What was learned
+	// of them is dropped.
+	IgnoredImagePairs [][]string `json:"ignored_image_pairs,omitempty"`
 }
 
 // policy returns the policy of these settings.
@@ -73,6 +76,19 @@
 		StartMargins: s.StartMargins, RenewFirst: s.RenewFirst, SeparateImages: s.SeparateImages}
 }
 
+// ignoredImagePairs returns the ignored pairs of images, or an error that names the first entry
+// that is no pair.
+func (s Scheduling) ignoredImagePairs() ([][2]string, error) {
+	pairs := make([][2]string, 0, len(s.IgnoredImagePairs))
+	for i, p := range s.IgnoredImagePairs {
+		if len(p) != 2 {
+			return nil, fmt.Errorf("ignored pair of images %d has %d names, not 2", i+1, len(p))
+		}
+		pairs = append(pairs, [2]string{p[0], p[1]})
+	}
+	return pairs, dispatch.CheckIgnoredImagePairs(pairs)
+}
+
 // defaultShowEndedS is the time promised to callers, with a margin.
 const defaultShowEndedS = 300
 
@@ -131,6 +147,9 @@
 	if err := s.Scheduling.policy().Check(); err != nil {
 		problems = append(problems, doc.Problem("scheduling", codeInvalid, err.Error(), ""))
 	}
+	if _, err := s.Scheduling.ignoredImagePairs(); err != nil {
+		problems = append(problems, doc.Problem("scheduling.ignored_image_pairs", codeInvalid, err.Error(), ""))
+	}
 	if s.OrderLeaseMS == 0 {
 		s.OrderLeaseMS = defaultOrderLeaseMS
 	}
