--- a/internal/dispatch/imageevidence.go
+++ b/internal/dispatch/imageevidence.go
@@ -22,15 +22,20 @@
 	maxComparedRuns = 256
 	// maxResidual bounds the influence of one run, in the logarithm of the duration: about one
 	// run in thirty takes seven times as long without a cause on its worker.
-	maxResidual = 1.0
+	maxResidual = 0.7
 	// maxPaceResidual is the same for the pace of a worker, which may differ from others by more.
-	maxPaceResidual = 1.5
+	maxPaceResidual = 1.0
 	// paceMemory and workerMemory are the numbers of latest runs that a worker's pace and its
 	// averages for an image reflect.
 	paceMemory   = 20
 	workerMemory = 50
-	// minPaceRuns is the number of runs from which a worker's pace is used.
-	minPaceRuns = 3
+	// workerPrior is the number of runs for which the averages over all workers count in those
+	// of one worker. Without them the first run on each worker would show nothing.
+	workerPrior = 4
+	// minPaceRuns is the number of runs from which a worker's pace is used. A pace that is wrong
+	// blames the neighbours: with 3 runs, two of five trials of a minute without interference made
+	// up a pair, with 8 one of forty.
+	minPaceRuns = 16
 	// evidenceMemory is the number of latest runs of an image that count, and evidenceHalfLife
 	// the time after which they count half. Evidence of a pair that stops is replaced within
 	// either.
@@ -42,10 +47,14 @@
 	// counts as beside an image, and as not beside it.
 	besideShare = 0.5
 	apartShare  = 0.1
+	// minDegrees is the least number of degrees of freedom for an estimate. One run in thirty is
+	// an outlier, so fewer runs say little about the variance: with 8, one of 30 trials of a
+	// minute without interference made up a pair.
+	minDegrees = 60
 	// minVariation is the least variation of a share, summed over runs, for an estimate.
 	minVariation = 1.0
 	// ridge is added to the variation of each share. It draws estimates from few runs to zero.
-	ridge = 1.0
+	ridge = 0.5
 	// minResidualVariance is a bound from below on the variance of a run, so that a few equal
 	// runs do not count as proof.
 	minResidualVariance = 0.05 * 0.05
@@ -62,11 +71,13 @@
 // siblings.
 type learnedPace struct{ runs, pace float64 }
 
-func (p *learnedPace) add(residual float64) {
+func (p *learnedPace) add(difference float64) {
 	p.runs = min(p.runs+1, paceMemory)
-	p.pace += max(-maxPaceResidual, min(maxPaceResidual, residual-p.pace)) / p.runs
+	p.pace += difference / p.runs
 }
 
+func clamp(x, most float64) float64 { return max(-most, min(most, x)) }
+
 // paceOf returns the pace of a worker that other parts have learned, as the logarithm of the
 // durations there relative to other workers; 0 if it is not known.
 func (c *Core) paceOf(*worker) float64 { return 0 }
@@ -131,8 +142,15 @@
 			observations = append(observations, observation{r.worker, logs[i] - usual, r.shares})
 		}
 	}
-	for _, r := range runs {
-		r.worker.imagePace.add(r.logs - usual)
+	// The differences of a step add up to zero, so that chance does not move all paces.
+	mean := 0.0
+	differences := make([]float64, len(runs))
+	for i, r := range runs {
+		differences[i] = clamp(r.logs-usual-r.worker.imagePace.pace, maxPaceResidual)
+		mean += differences[i] / float64(len(runs))
+	}
+	for i, r := range runs {
+		r.worker.imagePace.add(differences[i] - mean)
 	}
 	a.learn(observations, now)
 }
@@ -191,6 +209,8 @@
 	xy        [maxImages]float64            // shares with residuals
 	xx        [maxImages][maxImages]float64 // shares with shares
 	beside    [maxImages]float64            // sums of shares
+	runs      float64                       // decayed, for share
+	share     [maxImages]float64            // average shares
 	seenAt    [maxImages]time.Time          // the latest run beside the image
 	workers   map[string]*workerEvidence    // by worker ID
 }
@@ -215,20 +235,19 @@
 	}
 	e := a.evidence
 	type difference struct {
-		w      *workerEvidence
-		weight float64
-		y      float64
-		x      [maxImages]float64
+		w *workerEvidence
+		y float64
+		x [maxImages]float64
 	}
 	var diffs []difference
-	var weights, meanY float64
+	var meanY float64
 	var meanX [maxImages]float64
 	for _, o := range observations {
 		w := e.worker(o.worker.info.ID)
 		if w == nil {
 			continue
 		}
-		d := difference{w: w, weight: w.runs / (w.runs + 1), y: max(-maxResidual, min(maxResidual, o.residual-w.residual))}
+		d := difference{w: w, y: clamp(o.residual-w.residual, maxResidual)}
 		var x [maxImages]float64
 		for _, sh := range o.shares {
 			x[sh.image] = sh.share
@@ -238,51 +257,53 @@
 			}
 		}
 		for k := range x {
-			d.x[k] = x[k] - w.at(k)
-			meanX[k] += d.weight * d.x[k]
+			e.share[k] += (x[k] - e.share[k]) / (e.runs + 1)
+			d.x[k] = x[k] - w.shareOf(k, e)
+			meanX[k] += d.x[k]
 		}
-		meanY += d.weight * d.y
-		weights += d.weight
+		e.runs = min(e.runs+1, evidenceMemory)
+		meanY += d.y
 		diffs = append(diffs, d)
-		w.add(d.y, x)
+		w.add(d.y, &x, e)
 	}
-	e.fresh += len(diffs)
-	if weights == 0 {
+	n := float64(len(diffs))
+	if n == 0 {
 		return
 	}
+	e.fresh += len(diffs)
 	e.changed = true
 	siblings := len(observations) > 1
 	for i := range diffs {
 		d := &diffs[i]
 		if siblings { // the rest of what the siblings have in common
-			d.y -= meanY / weights
+			d.y -= meanY / n
 			for k := range d.x {
-				d.x[k] -= meanX[k] / weights
+				d.x[k] -= meanX[k] / n
 			}
 		}
-		e.add(d.weight, d.y, &d.x)
+		e.add(d.y, &d.x)
 		for k := range d.w.by {
 			n := &d.w.by[k]
-			n.xx += float32(d.weight * d.x[k] * d.x[k])
-			n.xy += float32(d.weight * d.x[k] * d.y)
+			n.xx += float32(d.x[k] * d.x[k])
+			n.xy += float32(d.x[k] * d.y)
 		}
 	}
-	e.degrees += weights
+	e.degrees += n
 	if siblings {
 		e.degrees--
 	}
 }
 
 // add adds the differences of one run.
-func (e *imageEvidence) add(weight, y float64, x *[maxImages]float64) {
-	e.yy += weight * y * y
+func (e *imageEvidence) add(y float64, x *[maxImages]float64) {
+	e.yy += y * y
 	for k, xk := range x {
 		if xk == 0 {
 			continue
 		}
-		e.xy[k] += weight * xk * y
+		e.xy[k] += xk * y
 		for l, xl := range x {
-			e.xx[k][l] += weight * xk * xl
+			e.xx[k][l] += xk * xl
 		}
 	}
 }
@@ -291,7 +312,7 @@
 func (e *imageEvidence) worker(id string) *workerEvidence {
 	w := e.workers[id]
 	if w == nil && len(e.workers) < maxEvidenceWorkers {
-		w = &workerEvidence{}
+		w = &workerEvidence{runs: workerPrior}
 		e.workers[id] = w
 	}
 	return w
@@ -306,26 +327,27 @@
 	}
 }
 
-// at returns the average share of an image.
-func (w *workerEvidence) at(k int) float64 {
+// shareOf returns the average share of an image.
+func (w *workerEvidence) shareOf(k int, all *imageEvidence) float64 {
 	if k < len(w.by) {
 		return float64(w.by[k].share)
 	}
-	return 0
+	return all.share[k] * workerPrior / w.runs
 }
 
 // add adds a run to the averages.
-func (w *workerEvidence) add(difference float64, x [maxImages]float64) {
-	w.runs = min(w.runs+1, workerMemory)
-	w.residual += difference / w.runs
-	for k, share := range x {
-		if k >= len(w.by) {
-			if share == 0 {
-				continue
+func (w *workerEvidence) add(difference float64, x *[maxImages]float64, all *imageEvidence) {
+	for k := range x {
+		if x[k] > 0 {
+			for l := len(w.by); l <= k; l++ {
+				w.by = append(w.by, neighbourEvidence{share: float32(w.shareOf(l, all))})
 			}
-			w.by = append(w.by, make([]neighbourEvidence, k+1-len(w.by))...)
 		}
-		n := &w.by[k]
+	}
+	w.runs = min(w.runs+1, workerMemory)
+	w.residual += difference / w.runs
+	for k := range w.by {
+		n, share := &w.by[k], x[k]
 		n.share += float32((share - float64(n.share)) / w.runs)
 		const decay = 1 - 1.0/workerMemory
 		n.xx, n.xy, n.beside, n.apart = n.xx*decay, n.xy*decay, n.beside*decay, n.apart*decay
@@ -340,7 +362,7 @@
 
 // forget drops an image as a neighbour.
 func (e *imageEvidence) forget(index int) {
-	e.xy[index], e.beside[index], e.seenAt[index] = 0, 0, time.Time{}
+	e.xy[index], e.beside[index], e.share[index], e.seenAt[index] = 0, 0, 0, time.Time{}
 	for k := range e.xx {
 		e.xx[index][k], e.xx[k][index] = 0, 0
 	}
@@ -387,7 +409,7 @@
 		}
 	}
 	free := e.degrees - float64(len(used))
-	if len(used) == 0 || free < minPairObservations {
+	if len(used) == 0 || free < minDegrees {
 		return nil
 	}
 	matrix := make([][]float64, len(used))
--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -28,11 +28,14 @@
 	// minPairDeviation is the smallest deviation from chance, in standard errors, of a pair
 	// that is compared alone. More pairs that are compared raise it, see requiredDeviation.
 	minPairDeviation = 3.0
+	// repeatedLooks is for how many independent looks at a pair the repeated reviews of its
+	// evidence count: chance has that many opportunities to show a slowdown.
+	repeatedLooks = 10
 	// minPairObservations is the smallest number of runs beside the other image. With fewer the
 	// estimate of the standard error is itself uncertain.
 	minPairObservations = 8
-	// pairRetention is how long a pair is kept without a run beside the other image. Where
-	// capacity is free the preference itself ends such runs, so it is much longer than the
+	// pairRetention is how long a pair is kept without evidence that shows it. Where capacity is
+	// free the preference itself ends the runs that would show it, so it is much longer than the
 	// seconds that learning takes.
 	pairRetention = 5 * time.Minute
 	// restoredShare is the share of the observations of a restored pair that counts.
@@ -52,7 +55,7 @@
 	// Observations is the decayed number of runs beside the other image.
 	Observations float64
 	Workers      int   // workers that show the slowdown
-	AgeMS        int64 // time since the latest run beside the other image, in milliseconds
+	AgeMS        int64 // time since the evidence last showed the slowdown, in milliseconds
 }
 
 // names returns the key of the pair.
@@ -67,7 +70,7 @@
 // imagePair is a pair that is kept apart.
 type imagePair struct {
 	ImagePair
-	seenAt time.Time // the latest run beside the other image
+	seenAt time.Time // when the evidence last showed the slowdown
 	keptAt time.Time // when this term began to keep the images apart
 }
 
@@ -226,7 +229,7 @@
 // requiredDeviation returns the deviation from chance, in standard errors, that one of n pairs
 // needs, so that chance shows about as often in any of them as minPairDeviation does in one.
 func requiredDeviation(n int) float64 {
-	return math.Sqrt(minPairDeviation*minPairDeviation + 2*math.Log(float64(max(1, n))))
+	return math.Sqrt(minPairDeviation*minPairDeviation + 2*math.Log(float64(max(1, n)*repeatedLooks)))
 }
 
 // judgePair begins or ends keeping two images apart, by the current estimate.
@@ -239,7 +242,7 @@
 		supporters, informed := slowed.evidence.supporters(e.beside)
 		e.workers = supporters
 		// A single odd worker has few others on its side, whatever its number of runs.
-		shown = supporters >= minPairWorkers && 2*supporters >= informed
+		shown = supporters >= minPairWorkers && 3*supporters >= 2*informed
 	}
 	current := ImagePair{Slowed: slowed.name, Beside: beside.name, Slowdown: math.Exp(e.effect), Observations: e.observations, Workers: e.workers}
 	switch {
@@ -249,11 +252,9 @@
 	case shown && !c.imagesIgnored(slowed.name, beside.name):
 		c.keepApart(current, e.seenAt, now, "runs")
 	case pair == nil:
-	case e.observations >= minPairObservations && e.effect < least/2 && e.effect+minPairDeviation*e.standardError < 2*least:
+	case e.observations >= minPairObservations && e.effect < least/2 && e.effect+minPairDeviation*e.standardError < math.Log(pair.Slowdown):
 		// Half of the threshold, so that a pair at the threshold does not come and go.
 		c.endPair(pair, "contradicted")
-	case e.seenAt.After(pair.seenAt):
-		pair.seenAt = e.seenAt
 	}
 }
 
