--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -23,18 +23,20 @@
 	// speedPrior is the weight of the pace before the first observation (0), in observations.
 	speedPrior = 1.0
 	// maxSpeedObservations bounds the weight of what is known, so that a worker that changes
-	// is learned again within some ten tasks.
-	maxSpeedObservations = 12.0
+	// is learned again within some 15 tasks.
+	maxSpeedObservations = 8.0
 	// speedHalfLife is the half-life of observations. A slow worker without tasks counts as
-	// unknown after two to three half-lives, and is tried again.
+	// unknown after two half-lives, and is tried again.
 	speedHalfLife = 30 * time.Second
 	// maxSpeedResidual bounds the influence of one run. One run in 30 takes seven times as
 	// long; the logarithm of that is 1.9.
 	maxSpeedResidual = 0.6
-	// speedVarianceWeight is the weight of one run in the variance of the residuals.
-	// initialSpeedVariance is above what was measured (0.1 to 0.2, squared).
-	speedVarianceWeight  = 0.01
-	initialSpeedVariance = 0.3 * 0.3
+	// minSpeedVarianceWeight is the weight of one run in the variance of the residuals, once
+	// many are known. initialSpeedVariance is at the upper end of what tests and replays show,
+	// and weighs as much as speedVariancePrior runs.
+	minSpeedVarianceWeight = 0.01
+	initialSpeedVariance   = 0.2 * 0.2
+	speedVariancePrior     = 10
 )
 
 // Which workers are slow.
@@ -72,6 +74,7 @@
 type speeds struct {
 	byWorker   map[string]*workerSpeed
 	variance   float64 // of the logarithm of durations, without the effects of step and worker
+	residuals  int     // number of residuals in variance
 	checkedAt  time.Time
 	slowByPool map[string]int
 	version    int // changes with the set of slow workers
@@ -81,6 +84,13 @@
 	return speeds{byWorker: map[string]*workerSpeed{}, variance: initialSpeedVariance, slowByPool: map[string]int{}}
 }
 
+// addResidual adds the residual of a run on a known worker to the variance.
+func (v *speeds) addResidual(residual float64) {
+	v.residuals++
+	weight := max(minSpeedVarianceWeight, 1/float64(v.residuals+speedVariancePrior))
+	v.variance += weight * (residual*residual - v.variance)
+}
+
 // speedSample is one run that shows the speed of its worker.
 type speedSample struct {
 	speed   *workerSpeed
@@ -143,7 +153,7 @@
 	for _, x := range samples {
 		residual := clampResidual(x.logTime - x.speed.pace - effect)
 		if x.speed.observations >= minSlowObservations {
-			c.speeds.variance += speedVarianceWeight * (residual*residual - c.speeds.variance)
+			c.speeds.addResidual(residual)
 		}
 		x.speed.pace += residual / (x.speed.observations + 1 + speedPrior)
 		x.speed.observations = min(maxSpeedObservations, x.speed.observations+1)
--- a/internal/dispatch/speedstore.go
+++ b/internal/dispatch/speedstore.go
@@ -10,8 +10,8 @@
 // Weight of speeds that this term has not observed itself.
 const (
 	// maxRestoredObservations bounds the weight of a restored speed. It suffices for a worker
-	// to be slow at once, and some six tasks override it.
-	maxRestoredObservations = 6.0
+	// to be slow at once.
+	maxRestoredObservations = 5.0
 	// otherIncarnationObservations is the largest weight of a pace that another incarnation of
 	// the worker has shown. It is too little for a worker to count as slow.
 	otherIncarnationObservations = 1.0
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,6 +24,7 @@
 	rows      prometheus.Counter
 	gauges    *prometheus.GaugeVec
 	waiting   *prometheus.GaugeVec
+	slow      *prometheus.GaugeVec
 	// Calls to the advice service: their number, their duration, the duration of one
 	// call for each step, and the use of the tickets.
 	adviceCalls   *prometheus.CounterVec
@@ -55,6 +56,8 @@
 			Name: "cuminloft_coordinator", Help: "The coordinator's view of jobs, workers and cores."}, []string{"what"}),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cuminloft_waiting_tasks", Help: "Tasks without a place, by what they wait for."}, []string{"reason"}),
+		slow: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cuminloft_slow_workers", Help: "Workers whose tasks take longer than on the fast workers of their pool, by pool."}, []string{"pool"}),
 		adviceCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminloft_advice_calls_total", Help: "Calls for advice, by purpose."}, []string{"purpose"}),
 		adviceSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -66,7 +69,7 @@
 		loopSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminloft_coordinator_loop_seconds_total", Help: "Time that the coordinator's loop has spent, by phase."}, []string{"phase"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting,
+	m.registry.MustRegister(m.requests, m.latency, m.events, m.commits, m.rows, m.gauges, m.waiting, m.slow,
 		m.adviceCalls, m.adviceSeconds, m.adviceNeeded, m.tickets, m.loopSeconds, trafficCollector{meter}, rejectedCollector{rejected})
 	return m
 }
@@ -101,6 +104,10 @@
 	m.gauges.WithLabelValues("idle_millicores_beside_waiting_tasks").Set(float64(w.IdleMilliCores))
 	m.gauges.WithLabelValues("tasks_out_of_reach").Set(float64(away.Tasks))
 	m.gauges.WithLabelValues("service_tasks_out_of_reach").Set(float64(away.ServiceTasks))
+	m.slow.Reset()
+	for pool, n := range s.SlowWorkers {
+		m.slow.WithLabelValues(pool).Set(float64(n))
+	}
 	for _, reason := range dispatch.WaitReasons {
 		m.waiting.WithLabelValues(string(reason)).Set(float64(w.Tasks[reason]))
 	}
