--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,10 +40,14 @@
 	LargerHostUp func() bool
 	// Policy returns the scheduling policy of the settings.
 	Policy func() dispatch.Policy
+	// IgnoredImagePairs returns the pairs of images that the settings exclude from being kept
+	// apart; nil if there are none.
+	IgnoredImagePairs func() [][2]string
 	// ThinLink is set if this host's link would be filled by the calls of a coordinator
 	// at its usual pace.
 	ThinLink bool
 
+	hintKinds   []hintKind
 	queries     chan query
 	currentTerm *atomic.Pointer[termLoop]
 }
@@ -59,6 +63,9 @@
 	ObserveLoopTime(phase string, took time.Duration)
 	// CountAdvice adds the statistics of calls for advice since the previous call.
 	CountAdvice(dispatch.AdviceStats)
+	// CountHints counts a row of hints. Unlike the other methods it is also called outside
+	// the event loop.
+	CountHints(kind, outcome string)
 }
 
 // Adviser is a host through which the advice service can be called.
@@ -72,6 +79,7 @@
 	if c.Policy == nil {
 		c.Policy = func() dispatch.Policy { return dispatch.Policy{} }
 	}
+	c.hintKinds = hintKinds
 	c.queries = make(chan query)
 	c.currentTerm = new(atomic.Pointer[termLoop])
 	return &c
@@ -190,6 +198,7 @@
 	c.currentTerm.Store(t)
 	defer c.currentTerm.Store(nil)
 	defer c.Observer.SetGauges(dispatch.Stats{}, dispatch.Waiting{}, dispatch.OutOfReach{})
+	t.readHints(ctx)
 	jobsVersion, err := t.loadWhileRenewing(ctx)
 	if err != nil {
 		if !errors.Is(err, errLeadershipLost) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -8,6 +8,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"cuminloft/internal/model"
@@ -48,12 +49,17 @@
 	urgentHeadroom
 	durationModels map[string]*durationModel // by queue
 	slowdown       float64                   // like worker.slowdown, over all workers of the cell
+	speeds         speeds
 	// startDelay is how long a start waits until its record is stored.
 	startDelay      time.Duration
 	pass            *schedulingPass // the latest scheduling pass
 	lookahead       *lookahead      // the latest lookahead, reused for lookaheadMaxAge
 	needsScheduling bool            // an event may have made it possible to start a task
 	adviceStats     AdviceStats
+
+	interference      *interference // nil if Policy.SeparateImages is not set
+	restoredPairs     []ImagePair   // not applied yet
+	ignoredImagePairs [][2]string
 }
 
 // New returns a core without jobs or workers.
@@ -77,6 +83,7 @@
 		reservedWorkers: map[string]*worker{},
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
+		speeds:          newSpeeds(),
 	}
 }
 
@@ -171,13 +178,18 @@
 type Stats struct {
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
-	ReservedWorkers                              int // workers with capacity reserved for gangs
-	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
+	ReservedWorkers                              int            // workers with capacity reserved for gangs
+	HeldJobs                                     int            // accepted jobs that do not run, since their progress cannot be read
+	SlowWorkers                                  map[string]int // by pool, if speeds are learned
+	ImagePairs                                   int            // pairs of images that are kept apart
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held), SlowWorkers: maps.Clone(c.speeds.slowByPool)}
+	if c.interference != nil {
+		s.ImagePairs = len(c.interference.pairs)
+	}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -77,6 +77,8 @@
 	maxFree model.Resources
 	// used and capacity are sums over these workers, in thousandths of a core.
 	used, capacity int64
+	slow           int     // number of slow workers
+	slowRatios     float64 // sum of their ratios
 }
 
 // newPass collects the schedulable workers.
@@ -99,6 +101,10 @@
 		p.maxFree = p.maxFree.Max(w.free())
 		p.used += w.used.MilliCores
 		p.capacity += w.info.Capacity.MilliCores
+		if w.isSlow() {
+			p.slow++
+			p.slowRatios += w.speed.ratio
+		}
 	}
 	c.updatePeak(now)
 	pass.urgentHeadroom = c.headroomPerWorker(n)
@@ -132,10 +138,12 @@
 // It places no tasks. Advice passes use its result.
 func (c *Core) RefreshReadySteps(now time.Time) {
 	c.needsScheduling = false
+	c.interference.advance(now)
 	c.ready = c.readySteps(now)
 	for _, r := range c.ready {
 		r.step.advice.newTickets = false
 	}
+	c.updateSlowWorkers(now)
 	c.pass = c.newPass(now)
 }
 
@@ -161,6 +169,7 @@
 			c.reserve(s, now)
 		}
 	}
+	c.separateImages()
 	return placed
 }
 
@@ -244,7 +253,7 @@
 	}
 	var out []*worker
 	isolates := s.spec.Gang && s.isolates()
-	for _, w := range c.allowedByAdvice(s, q, workers) {
+	for _, w := range c.workersBySpeed(s, c.allowedByAdvice(s, q, workers)) {
 		if !w.acceptsBesideSuspects(isolates) || !s.matchesLabel(w) || c.fitBesideOthers(r, w, c.pass.now) == 0 {
 			continue
 		}
@@ -291,6 +300,7 @@
 			break
 		}
 		c.assign(s, i, best, t.run+1, t.checkpoint)
+		c.notePlaced(r, i)
 		left--
 		placed = true
 	}
@@ -301,11 +311,12 @@
 func (c *Core) bestWorker(r rankedStep, t *task, workers []*worker) *worker {
 	var best *worker
 	var bestScore float64
+	speed := c.speedPreference(r)
 	for _, w := range workers {
 		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.isolates()) {
 			continue
 		}
-		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount)
+		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount) + speed.score(w)
 		if t.isolates() {
 			score += suspectPenalty * float64(c.youngRuns(w, r.step.job))
 		}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -57,7 +57,11 @@
 	if p == c.policy {
 		return
 	}
+	if c.policy.LearnSpeeds && !p.LearnSpeeds {
+		c.forgetSlowWorkers()
+	}
 	c.policy = p
+	c.switchInterference()
 	c.needsScheduling = true
 	c.emit("scheduling policy in force", "learn speeds", p.LearnSpeeds, "slow factor", p.SlowFactor, "reserve amounts", p.ReserveAmounts,
 		"start margins", p.StartMargins, "renew first", p.RenewFirst, "separate images", p.SeparateImages)
