--- a/internal/dispatch/advicecall.go
+++ b/internal/dispatch/advicecall.go
@@ -38,7 +38,7 @@
 	avoidsSlow := c.avoidsSlow(s, c.queueOf(s.job))
 	return func(yield func(*worker) bool) {
 		for _, w := range p.workers[:min(len(p.workers), callSampleSize)] { // the order differs from pass to pass
-			if w.schedulableIn == c.pass && !(avoidsSlow && w.isSlow()) && !yield(w) { // otherwise it is gone since the pass
+			if w.schedulableIn == c.pass && (!avoidsSlow || !w.isSlow()) && !yield(w) { // otherwise it is gone since the pass
 				return
 			}
 		}
@@ -46,7 +46,7 @@
 			return
 		}
 		for id := range s.advice.tickets {
-			if w := c.workers[id]; w != nil && w.schedulableIn == c.pass && w.poolIndex >= callSampleSize && !(avoidsSlow && w.isSlow()) && !yield(w) {
+			if w := c.workers[id]; w != nil && w.schedulableIn == c.pass && w.poolIndex >= callSampleSize && (!avoidsSlow || !w.isSlow()) && !yield(w) {
 				return
 			}
 		}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -89,7 +89,7 @@
 		if examined++; examined > maxExplainedSteps {
 			break
 		}
-		idle += s.takeIdle(p.workers, free, min(s.pending, c.fitInTeamLimit(s)))
+		idle += s.takeIdle(c.workersBySpeed(s, p.workers), free, min(s.pending, c.fitInTeamLimit(s)))
 	}
 	return idle
 }
@@ -158,7 +158,7 @@
 	if p == nil {
 		return fits
 	}
-	for _, w := range p.workers {
+	for _, w := range c.workersBySpeed(s, p.workers) {
 		if !s.matchesLabel(w) || s.advice.denied[w.info.ID] {
 			continue
 		}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -56,6 +56,9 @@
 	fastQuantile = 0.25
 	// speedCheckInterval is how often the workers of a pool are compared.
 	speedCheckInterval = 200 * time.Millisecond
+	// forgottenObservations is the weight below which the pace of a worker that is gone is
+	// forgotten.
+	forgottenObservations = 0.1
 	// maxSpeeds bounds the number of workers whose pace is kept.
 	maxSpeeds = 4096
 )
@@ -206,8 +209,11 @@
 	}
 	if !c.speeds.checkedAt.IsZero() && elapsed > 0 {
 		decay := math.Exp2(-float64(elapsed) / float64(speedHalfLife))
-		for _, v := range c.speeds.byWorker {
+		for id, v := range c.speeds.byWorker {
 			v.observations *= decay
+			if v.observations < forgottenObservations && c.workers[id] == nil {
+				delete(c.speeds.byWorker, id)
+			}
 		}
 	}
 	c.speeds.checkedAt = now
@@ -279,15 +285,6 @@
 // workers of its pool. Slowdown by several times that begins suddenly is in slowdown.go.
 func (w *worker) isSlow() bool { return w.speed != nil && w.speed.slow }
 
-// slowRatio returns how many times as long tasks are expected to take on the worker as on
-// the fast workers of its pool.
-func (w *worker) slowRatio() float64 {
-	if !w.isSlow() {
-		return 1
-	}
-	return w.speed.ratio
-}
-
 // expectedDurationOn returns how long a task of the step is expected to take on a worker.
 func (c *Core) expectedDurationOn(s *step, w *worker) time.Duration {
 	duration := c.expectedDuration(s)
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -177,6 +177,17 @@
 	is.True(!l.core.workers[l.id(0)].isSlow())
 }
 
+// Guards against memory that grows with the number of workers that have been in the cell.
+func TestSpeedsOfGoneWorkersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	l := newSpeedLoad(t, 1, thirdSlow(30, 2.4))
+	l.run(15, nil)
+	l.core.SetWorker(workload.WorkerChange{ID: l.id(0)})
+	l.now = l.now.Add(10 * speedHalfLife)
+	l.core.updateSlowWorkers(l.now)
+	is.Equal(len(l.core.speeds.byWorker), 29)
+}
+
 // A new incarnation may be another machine. It does not count as slow until it has shown it.
 func TestNewIncarnationIsNotSlow(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/speedplace_test.go
+++ b/internal/dispatch/speedplace_test.go
@@ -105,6 +105,8 @@
 	c.addJob("gang", workload.Step{Tasks: 4, Resources: cores(4), Gang: true, Estimate: time.Second})
 	slow, fast := c.startedOn()
 	is.Equal(slow+fast, 0)
+	is.Equal(c.core.Explain(c.now).Tasks[WaitsForCapacity], 4) // the operator sees what it waits for
+	is.Equal(c.core.Explain(c.now).IdleMilliCores, int64(0))
 	c.core.SetEvacuated("a", true)
 	c.now = c.now.Add(gangSpeedMaxAge)
 	slow, _ = c.startedOn()
