--- a/internal/dispatch/imageplace.go
+++ b/internal/dispatch/imageplace.go
@@ -29,8 +29,12 @@
 		if b == nil {
 			continue
 		}
+		itself := 0
+		if own && p.name == s.spec.Image {
+			itself = 1
+		}
 		for i := range w.images {
-			if x := &w.images[i]; x.image == b.index && (x.tasks > 1 || x.tasks == 1 && !(own && p.name == s.spec.Image)) {
+			if w.images[i].image == b.index && w.images[i].tasks > itself {
 				penalty += interferencePenalty * p.cost
 			}
 		}
--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -189,6 +189,77 @@
 	}
 }
 
+// Guards against starts that the worker refuses: a task stays beside a bad neighbour if advice
+// allows no other worker.
+func TestSeparationRespectsAdvice(t *testing.T) {
+	is := is.New(t)
+	c := separatingCell(t)
+	c.core.SetCell(workload.NewCell(2, []workload.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 2, Allowance: time.Second,
+		Advice: &workload.AdviceCost{PerCall: 10 * time.Millisecond, Validity: 2 * time.Second}}}, []workload.Team{{Name: "team"}}, nil))
+	c.addWorker("w0", 8)
+	c.addWorker("w1", 8)
+	for _, test := range []struct {
+		job     string
+		allowed []string
+		started string
+	}{{"a", []string{"w0"}, "w0"}, {"b", []string{"w0"}, "w0"}, {"b2", []string{"w0", "w1"}, "w1"}} {
+		c.addJob(test.job, workload.Step{Tasks: 1, Resources: cores(1), Image: test.job[:1]})
+		c.startTasks(nil)
+		call, ok := c.core.NewAdvicePass(c.now).Next(AdviceCapacity{MaxDuration: time.Second})
+		is.True(ok)
+		var tickets []workload.Ticket
+		for _, w := range test.allowed {
+			tickets = append(tickets, workload.Ticket{Worker: w, Token: "ticket for " + w})
+		}
+		c.core.HandleAdvice(call, tickets, nil, c.now)
+		starts := c.startTasks(nil)
+		is.Equal(len(starts), 1)
+		is.Equal(starts[0].Worker.ID, test.started)
+		is.Equal(starts[0].Order.Ticket, "ticket for "+test.started)
+	}
+}
+
+// Guards against a takeover halfway that forgets which images run where: a task that runs since
+// the earlier term counts as a neighbour, and its end, whose start was not observed, is no
+// evidence.
+func TestRunsOfAnEarlierTermAreNeighbours(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w0", 8)
+	c.addWorker("w1", 8)
+	spec := &workload.Job{ID: "a", Queue: "batch", Team: "team", AcceptedAt: c.now.UnixMilli(), Steps: []workload.Step{{Tasks: 3, Resources: cores(1), Image: "a"}}}
+	c.core.AddJob(spec, c.now)
+	c.core.Schedule(c.now)
+	c.takeOver(spec, c.core.TakeBatch(100, 1<<20).Progress[0].Data)
+	var used string
+	for id, w := range c.core.workers {
+		used = id
+		c.running[id] = map[workload.TaskID]workload.RunStatus{}
+		for task := range w.tasks {
+			c.running[id][task] = workload.RunStatus{Run: workload.Run{Task: task, Number: 1}}
+		}
+	}
+	is.Equal(len(c.running[used]), 3)
+	c.core.RestoreImagePairs([]ImagePair{{Slowed: "b", Beside: "a", Slowdown: 1.5, Observations: 100, Workers: 5}})
+	c.core.SetPolicy(Policy{SeparateImages: true}) // after the jobs were restored
+	c.addWorker("w0", 8)
+	c.addWorker("w1", 8)
+	c.core.Tick(c.now)
+	c.addJob("b", workload.Step{Tasks: 1, Resources: cores(1), Image: "b"})
+	starts := c.startTasks(nil)
+	is.Equal(len(starts), 1)
+	is.True(starts[0].Worker.ID != used)
+	for i := range 3 {
+		run := workload.Run{Task: workload.TaskID{StepID: workload.StepID{Job: "a"}, Index: i}, Number: 1}
+		c.now = c.now.Add(time.Second)
+		c.reportEnd(int64(i+1), Start{Worker: workload.Worker{ID: used}, Order: workload.StartOrder{Run: run}}, workload.RunDone, "")
+	}
+	in := c.core.interference
+	is.Equal(in.byName["a"].tasks, 0)
+	is.Equal(in.byName["a"].evidence, nil)
+	is.Equal(c.core.workers[used].imagePace, learnedPace{})
+}
+
 // Guards against operators who cannot clear a pair.
 func TestIgnoredPairIsDropped(t *testing.T) {
 	is := is.New(t)
