entry: start orders beyond direct_starts_per_s are relayed

In the seconds of overload the coordinator's processor is the bottleneck while the other hosts are idle. The setting direct_starts_per_s (default 0: no limit) bounds the start orders that the coordinator sends to workers itself. Without the setting, orders and the choice of hosts are as before.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -154,9 +154,11 @@
 	p.admission = newAdmission(a.Meter, s.LinkBytesPerSecond(), log)
 	p.metrics = newMetrics(p.admission, a.Meter, a.Rejected)
 	p.peers = newPeers(p.members, p.admission, a.Meter, log)
+	starts := newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond())
+	starts.limitStarts(s.DirectStartsPerS)
 	p.local = coordinator.New(coordinator.Coordinator{
 		Store: store, Jobs: jobs, Watch: p.watch, Workers: a.Workers,
-		Commander: newStartRelay(a.Commander, p.peers, s.LinkBytesPerSecond()),
+		Commander: starts,
 		Advisers:  func() []coordinator.Adviser { return p.peers.advisers(a.Advice) },
 		Log:       log, Observer: p.metrics, Retention: s.Retention() + retentionMargin,
 		LargerHostUp: p.members.largerHostUp, Policy: func() dispatch.Policy { return *p.policy.Load() }, ThinLink: s.thinLink(), Hosts: a.Hosts, OrderLease: s.OrderLease(),
--- /dev/null
+++ b/internal/entry/relaychoice_test.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"cuminloft/internal/rpc"
+	"cuminloft/internal/workload"
+)
+
+// newCountCell returns a coordinator's relay that limits direct starts only by number.
+func newCountCell(t *testing.T, hosts int, perSecond float64) *relayCell {
+	c := newRelayCell(t, hosts)
+	c.startRelay.direct = nil
+	c.limitStarts(perSecond)
+	return c
+}
+
+// ordersOf returns the start orders of jobs with the given number of tasks.
+func ordersOf(jobs, tasks int) []workload.StartOrder {
+	var out []workload.StartOrder
+	for j := range jobs {
+		for i := range tasks {
+			out = append(out, order(fmt.Sprintf("job-%03d", j), i))
+		}
+	}
+	return out
+}
+
+// runs returns the runs of orders and fails the test for a run that occurs twice.
+func runs(t *testing.T, lists ...[]workload.StartOrder) map[workload.Run]bool {
+	t.Helper()
+	out := map[workload.Run]bool{}
+	for _, orders := range lists {
+		for _, o := range orders {
+			if out[o.Run] {
+				t.Errorf("run %v was sent twice", o.Run)
+			}
+			out[o.Run] = true
+		}
+	}
+	return out
+}
+
+// Guards against a coordinator that sends more start orders than its processor allows for,
+// or that relays orders within the limit: replays one second of overload.
+func TestStartsBeyondTheNumberAreRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const perSecond = 100
+		c := newCountCell(t, 20, perSecond)
+		orders := ordersOf(300, 3)
+		for _, err := range c.startAll(t.Context(), orders, time.Second) {
+			is.NoErr(err)
+		}
+		direct, relayed := c.direct.take(), c.workers.take()
+		is.Equal(len(runs(t, direct, relayed)), len(orders))
+		saved := int(perSecond * directStartBurst.Seconds())
+		is.True(len(direct) >= perSecond && len(direct) <= perSecond+saved+1)
+		used, calls := 0, 0
+		for _, h := range c.hosts {
+			calls += h.calls
+			if h.calls > 0 {
+				used++
+			}
+		}
+		is.True(used <= countRelayHosts)
+		is.True(calls < len(relayed)*2/3) // several orders in a call
+	})
+}
+
+// Guards against relayed orders, and a changed choice of hosts, where no limit by number is
+// set: without a thin link every order goes directly, and over a thin link the host of a job
+// is the one that builds without the setting choose.
+func TestWithoutLimitByNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 20, 0)
+		is.True(c.directCount == nil)
+		orders := ordersOf(100, 3)
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(len(runs(t, c.direct.take())), len(orders))
+		is.Equal(len(c.workers.take()), 0)
+
+		c.startRelay.direct = rate.NewLimiter(0, 0)
+		want := map[string]string{"job-000": "host-9:1", "job-001": "host-18:1", "job-002": "host-17:1", "job-003": "host-18:1"}
+		for job, address := range want {
+			is.Equal(c.relayFor(job).address, address)
+		}
+	})
+}
+
+// Guards against starts that fail or wait with a relay host that is gone: it cannot be
+// dialled, so the coordinator sends its orders itself, and the next ones through others.
+func TestRelayHostGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 4, 1)
+		available := c.startRelay.hosts()
+		gone := peer{hostRow: hostRow{Address: "gone:1", CoreShare: 1e9}} // chosen for every job
+		away := false
+		c.startRelay.hosts = func() []peer {
+			if away {
+				return available
+			}
+			return append([]peer{gone}, available...)
+		}
+		c.startRelay.failed = func(context.Context, string, error) { away = true }
+		orders := ordersOf(4, 5)
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(len(runs(t, c.direct.take())), len(orders))
+		next := ordersOf(8, 5)[len(orders):]
+		began := time.Now()
+		for _, err := range c.startAll(t.Context(), next, 0) {
+			is.NoErr(err)
+		}
+		is.True(time.Since(began) <= relayBatchDelay) // the choice is not kept after a failure
+		is.Equal(len(runs(t, c.direct.take(), c.workers.take())), len(next))
+		is.True(away)
+	})
+}
+
+// Guards against orders that are lost, repeated or asked of it again where the relay host is
+// an older build without the call.
+func TestRelayHostOfOlderBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		calls := 0
+		c.serveOnly(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			http.NotFound(w, r)
+		}))
+		for range 3 {
+			orders := ordersOf(1, 10)
+			for _, err := range c.startAll(t.Context(), orders, 0) {
+				is.NoErr(err)
+			}
+			is.Equal(len(runs(t, c.direct.take())), len(orders))
+		}
+		is.Equal(calls, 1)
+		is.Equal(c.failed, 1)
+		time.Sleep(noRelayPeriod)
+		is.NoErr(c.startAll(t.Context(), ordersOf(1, 2), 0)[0])
+		is.Equal(calls, 2) // it may have been updated since
+	})
+}
+
+// Guards against a run that is started twice, or that counts as refused, where the relay host
+// carries out the orders but answers after the time limit: they may have been carried out, so
+// the coordinator does not send them as if no worker could have got them.
+func TestRelayHostAnswersLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 4) // one direct start
+		relayed := rpc.NewCellServer(c.hosts[0])
+		c.serveOnly(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer := newHeldAnswer(w)
+			relayed.ServeHTTP(answer, r.WithContext(context.WithoutCancel(r.Context())))
+			time.Sleep(relayBatchTimeout + relayBatchDelay)
+			answer.release()
+		}))
+		orders := ordersOf(2, 5)
+		began := time.Now()
+		unanswered := 0
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			if err != nil {
+				is.True(errors.Is(err, workload.ErrNoAnswer))
+				is.True(!errors.Is(err, workload.ErrUnhealthy))
+				unanswered++
+			}
+		}
+		is.True(time.Since(began) <= relayBatchTimeout+relayBatchDelay)
+		is.Equal(unanswered, len(orders)-1)
+		is.Equal(len(c.direct.take()), 1)
+		is.Equal(len(runs(t, c.workers.take())), len(orders)-1)
+		is.Equal(c.failed, 1)
+		time.Sleep(relayBatchTimeout) // the late answer is written
+	})
+}
+
+// heldAnswer holds back the body of an answer.
+type heldAnswer struct {
+	http.ResponseWriter
+	body []byte
+}
+
+func newHeldAnswer(w http.ResponseWriter) *heldAnswer { return &heldAnswer{ResponseWriter: w} }
+
+func (a *heldAnswer) WriteHeader(int) {}
+
+func (a *heldAnswer) Write(p []byte) (int, error) {
+	a.body = append(a.body, p...)
+	return len(p), nil
+}
+
+func (a *heldAnswer) release() { _, _ = a.ResponseWriter.Write(a.body) } // the caller is gone
+
+// Guards against small hosts that get as many orders as large ones, and against jobs that
+// change their host when another one comes or goes.
+func TestRelaysAreChosenByCoreShare(t *testing.T) {
+	is := is.New(t)
+	c := &startRelay{noRelayFor: map[string]time.Time{}}
+	var all []peer
+	for i, share := range []float64{0.8, 0.8, 0.4, 0.2, 0} {
+		all = append(all, peer{hostRow: hostRow{Address: fmt.Sprintf("10.0.0.%d:1", i), CoreShare: share}})
+	}
+	c.hosts = func() []peer { return all }
+	now := time.Unix(0, 0)
+	const jobs = 20000
+	count, host := map[string]float64{}, map[string]string{}
+	for i := range jobs {
+		job := fmt.Sprintf("%016x", i)
+		host[job] = c.countRelayFor(job, now)
+		count[host[job]]++
+	}
+	for _, h := range all {
+		share := h.CoreShare
+		if share == 0 {
+			share = unknownCoreShare
+		}
+		want := jobs * share / (0.8 + 0.8 + 0.4 + 0.2 + unknownCoreShare)
+		if got := count[h.Address]; math.Abs(got-want) > 5*math.Sqrt(want) {
+			t.Errorf("host with share %v relays %v jobs, want about %v", share, got, want)
+		}
+	}
+	gone := all[1].Address
+	all = append(append([]peer{}, all[:1]...), all[2:]...)
+	now = now.Add(relayChoiceAge)
+	for job, before := range host {
+		if after := c.countRelayFor(job, now); after != before && before != gone {
+			t.Fatalf("job %s moved from %s to %s", job, before, after)
+		}
+	}
+	all = nil
+	is.Equal(c.countRelayFor("j", now.Add(relayChoiceAge)), "") // sent directly
+}
+
+// Guards against settings of the limit that are taken over although they make no sense.
+func TestDirectStartsSetting(t *testing.T) {
+	is := is.New(t)
+	with := func(value string) string {
+		return strings.Replace(goodSettings, `"grace_s": 6,`, `"grace_s": 6, "direct_starts_per_s": `+value+`,`, 1)
+	}
+	s, err := ParseSettings("entry.hujson", []byte(goodSettings))
+	is.NoErr(err)
+	is.Equal(s.DirectStartsPerS, 0.0)
+	for value, valid := range map[string]bool{"0": true, "250": true, "0.5": true, "-1": false, "1e300": false, `"250"`: false} {
+		_, err := ParseSettings("entry.hujson", []byte(with(value)))
+		is.Equal(err == nil, valid)
+	}
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -47,6 +47,9 @@
 	// LinkMbps is the capacity of the host's network link, in Mbit/s; 0: unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	LogLevel string  `json:"log_level,omitempty"` // debug, info or error; default info
+	// DirectStartsPerS is the number of start orders per second that the coordinator sends to
+	// workers itself; it relays further ones through other hosts. 0: no limit.
+	DirectStartsPerS float64 `json:"direct_starts_per_s,omitempty"`
 	// Scheduling switches parts of scheduling; each is off by default.
 	Scheduling Scheduling `json:"scheduling,omitempty"`
 }
@@ -79,6 +82,9 @@
 // defaultOrderLeaseMS is the platform's usual order lease.
 const defaultOrderLeaseMS = 3000
 
+// maxDirectStartsPerS bounds the setting direct_starts_per_s: no processor sends that many.
+const maxDirectStartsPerS = 1_000_000
+
 // Codes of problems in settings.
 const (
 	codeMissing strictjson.Code = "missing"
@@ -128,6 +134,9 @@
 	if s.GraceS < 0 || s.ShowEndedS < 0 || s.MemoryMB < 0 || s.Cores < 0 || s.OrderLeaseMS < 0 || s.MaxDescriptors < 0 || s.LinkMbps < 0 {
 		problems = append(problems, doc.Problem("", codeInvalid, "grace_s, show_ended_s, memory_mb, cores, order_lease_ms, max_descriptors and link_mbps must not be negative", ""))
 	}
+	if s.DirectStartsPerS < 0 || s.DirectStartsPerS > maxDirectStartsPerS {
+		problems = append(problems, doc.Problem("direct_starts_per_s", codeInvalid, fmt.Sprintf("direct_starts_per_s must be from 0 (no limit) to %d", maxDirectStartsPerS), ""))
+	}
 	if err := s.Scheduling.policy().Check(); err != nil {
 		problems = append(problems, doc.Problem("scheduling", codeInvalid, err.Error(), ""))
 	}
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -48,7 +48,8 @@
 )
 
 // startRelay is a Commander that relays start orders through other hosts while these
-// orders would take more than directStartShare of this host's link. Load pattern:
+// orders would take more than directStartShare of this host's link, or would be more than
+// the set number per second (relaychoice.go). Load pattern:
 // hundreds of starts a second, each with its job's spec of 1 kB, at a coordinator with a
 // link of 2 Mbit/s. All orders of a job are relayed through the same host, which keeps
 // the job's spec, so that the spec is sent once.
@@ -60,10 +61,13 @@
 	failed func(ctx context.Context, address string, err error)
 	log    logr.Logger
 	direct *rate.Limiter // bytes of start orders to workers; nil: no limit
+	// directCount limits the number of start orders to workers; nil: no limit.
+	directCount *rate.Limiter
 
 	mu         sync.Mutex
 	relays     map[string]*relayHost // by address
 	noRelayFor map[string]time.Time  // by address: end of noRelayPeriod
+	choice     relayChoice           // while directCount is set
 }
 
 func newStartRelay(direct workload.Commander, p *peers, linkBytesPerSecond float64) *startRelay {
@@ -81,7 +85,7 @@
 
 // Start implements workload.Commander.
 func (r *startRelay) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
-	if r.direct == nil || r.direct.AllowN(time.Now(), startOrderOverhead+len(o.Spec)) {
+	if r.isDirect(time.Now(), startOrderOverhead+len(o.Spec)) {
 		return r.Commander.Start(ctx, w, o)
 	}
 	host := r.relayFor(o.Run.Task.Job)
@@ -101,13 +105,32 @@
 	}
 }
 
-// relayFor returns the host that relays the orders of a job, or nil if there is none. It
-// is the host with the highest hash, so that most jobs keep their host when others come
-// or go.
+// relayFor returns the host that relays the orders of a job, or nil if there is none.
 func (r *startRelay) relayFor(job string) *relayHost {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	best := ""
+	if r.directCount != nil {
+		best = r.countRelayFor(job, now)
+	} else {
+		best = r.linkRelayFor(job, now)
+	}
+	if best == "" {
+		return nil
+	}
+	host := r.relays[best]
+	if host == nil {
+		host = &relayHost{relay: r, address: best, specs: newSpecCache(senderSpecs)}
+		r.relays[best] = host
+	}
+	return host
+}
+
+// linkRelayFor returns the address of the host that relays the orders of a job while only
+// the link limits direct starts, or "" if there is none. It is the host with the highest
+// hash, so that most jobs keep their host when others come or go. The caller holds mu.
+func (r *startRelay) linkRelayFor(job string, now time.Time) string {
 	best, bestHash := "", uint64(0)
 	for _, h := range r.hosts() {
 		if now.Before(r.noRelayFor[h.Address]) {
@@ -119,15 +142,7 @@
 			best, bestHash = h.Address, sum
 		}
 	}
-	if best == "" {
-		return nil
-	}
-	host := r.relays[best]
-	if host == nil {
-		host = &relayHost{relay: r, address: best, specs: newSpecCache(senderSpecs)}
-		r.relays[best] = host
-	}
-	return host
+	return best
 }
 
 // errNotRelayed: the order was certainly not carried out by the relay.
@@ -206,11 +221,12 @@
 		answer = errNotRelayed
 	}
 	var refusal twirp.Error
+	h.relay.mu.Lock()
 	if errors.As(err, &refusal) && refusal.Code() == twirp.BadRoute { // an older build
-		h.relay.mu.Lock()
 		h.relay.noRelayFor[h.address] = time.Now().Add(noRelayPeriod)
-		h.relay.mu.Unlock()
 	}
+	h.relay.choice = relayChoice{} // without this host, unless it stays available
+	h.relay.mu.Unlock()
 	h.relay.log.Info("start orders not relayed", "through", h.address, "orders", len(batch), "cause", err.Error())
 	for _, p := range batch {
 		p.result <- startAnswer{err: answer}
