httpjson: connection hooks of a call are not combined by reflection

httptrace combines the hooks of two traces with reflect.Value.Call: 12% of the processor time of a start in a profile of BenchmarkStarts. The guard of a command's connection is now called by the one trace of Do, after its own hook as before. Heartbeats and the other commands to workers take the same path.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -156,14 +156,29 @@
 	return nil, readError(resp)
 }
 
+type gotConnKey struct{}
+
+// WithGotConn returns a context with which each call passes its connection to gotConn before
+// it is sent over it. It replaces httptrace.WithClientTrace, whose hooks would be combined
+// with those of Do by reflection, at an eighth of the processor time of a small call.
+func WithGotConn(ctx context.Context, gotConn func(httptrace.GotConnInfo)) context.Context {
+	return context.WithValue(ctx, gotConnKey{}, gotConn)
+}
+
 // Do sends req and returns the answer, whatever its status is. The error is a
 // *TransportError.
 func Do(c *http.Client, req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
+	gotConn, _ := req.Context().Value(gotConnKey{}).(func(httptrace.GotConnInfo))
 	trace := &httptrace.ClientTrace{
 		// The transport requests another connection only if it sent nothing over the last one.
 		GetConn: func(string) { connected.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if gotConn != nil {
+				gotConn(info)
+			}
+		},
 	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := c.Do(req)
