--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -134,6 +134,21 @@
 	})
 }
 
+// Guards against starts that wait for a relay where no other host is available.
+func TestNoRelayHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 0, 1)
+		orders := ordersOf(3, 5)
+		began := time.Now()
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(len(runs(t, c.direct.take())), len(orders))
+	})
+}
+
 // Guards against orders that are lost, repeated or asked of it again where the relay host is
 // an older build without the call.
 func TestRelayHostOfOlderBuild(t *testing.T) {
