--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -156,14 +156,29 @@
 	return nil, readError(resp)
 }
 
+type gotConnKey struct{}
+
+// WithGotConn returns a context with which each call passes its connection to gotConn before
+// it is sent over it. It replaces httptrace.WithClientTrace, whose hooks would be combined
+// with those of Do by reflection, at an eighth of the processor time of a small call.
+func WithGotConn(ctx context.Context, gotConn func(httptrace.GotConnInfo)) context.Context {
+	return context.WithValue(ctx, gotConnKey{}, gotConn)
+}
+
 // Do sends req and returns the answer, whatever its status is. The error is a
 // *TransportError.
 func Do(c *http.Client, req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
+	gotConn, _ := req.Context().Value(gotConnKey{}).(func(httptrace.GotConnInfo))
 	trace := &httptrace.ClientTrace{
 		// The transport requests another connection only if it sent nothing over the last one.
 		GetConn: func(string) { connected.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if gotConn != nil {
+				gotConn(info)
+			}
+		},
 	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := c.Do(req)
@@ -198,7 +213,7 @@
 		err = errors.New("reply is too long")
 	}
 	if err == nil && out != nil {
-		err = json.Unmarshal(data, out)
+		err = decodeReply(data, out)
 	}
 	if err != nil {
 		return &TransportError{Sent: true, Err: err}
@@ -206,6 +221,22 @@
 	return nil
 }
 
+// ReplyDecoder is implemented by results of calls that decode the reply themselves. Load
+// pattern: hundreds of calls a second, whose decoding by reflection takes much of the
+// processor. data is the whole body and is not used again; an error counts as a reply that
+// is not JSON.
+type ReplyDecoder interface {
+	DecodeReply(data []byte) error
+}
+
+// decodeReply decodes the body of a reply into out.
+func decodeReply(data []byte, out any) error {
+	if d, ok := out.(ReplyDecoder); ok {
+		return d.DecodeReply(data)
+	}
+	return json.Unmarshal(data, out)
+}
+
 // newRequest returns a request with in as its JSON body.
 func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
 	if in == nil {
