--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -131,6 +131,7 @@
 			}
 		}
 		c.recordCall(s, q, call)
+		c.noteCall(s)
 		return call, true
 	}
 	return AdviceCall{}, false
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,6 +53,7 @@
 	pass            *schedulingPass // the latest scheduling pass
 	lookahead       *lookahead      // the latest lookahead, reused for lookaheadMaxAge
 	needsScheduling bool            // an event may have made it possible to start a task
+	pastUse         pastUseTurns
 	adviceStats     AdviceStats
 }
 
@@ -77,6 +78,7 @@
 		reservedWorkers: map[string]*worker{},
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
+		pastUse:         pastUseTurns{perPass: pastUsePerPass},
 	}
 }
 
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -61,6 +61,10 @@
 			out.Tasks[c.waitReason(r)] += s.pending
 		}
 	}
+	for _, s := range c.stepsAwaitingTurn() {
+		out.Steps++
+		out.OldestAge = max(out.OldestAge, now.Sub(timeOfMillis(s.job.spec.AcceptedAt)))
+	}
 	out.IdleMilliCores = c.idleMilliCores()
 	for _, p := range c.pass.pools {
 		out.OpenMilliCores += p.capacity
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -105,6 +105,7 @@
 	index int
 	steps []*step
 	objective
+	inTurn bool // it is in pastUseTurns.queue
 }
 
 // job is an accepted job.
--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -39,8 +39,8 @@
 	return longest
 }
 
-// refresh recomputes the objective when more is known about the steps.
-func (o *occurrence) refresh(c *Core, q *workload.Queue) {
+// currentBasis returns the basis of an objective that is computed now.
+func (o *occurrence) currentBasis() int {
 	basis := 1
 	for _, s := range o.steps {
 		if s.finished() {
@@ -51,6 +51,12 @@
 		}
 		basis += s.failedRuns
 	}
+	return basis
+}
+
+// refresh recomputes the objective when more is known about the steps.
+func (o *occurrence) refresh(c *Core, q *workload.Queue) {
+	basis := o.currentBasis()
 	if basis == o.basis {
 		return
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -14,15 +14,22 @@
 	rank rank
 }
 
-// readySteps returns the steps that could start tasks, ordered by rank. Services have no
-// objective: a missing service task is always urgent, whatever the age of its job.
+// readySteps returns the steps that could start tasks, ordered by rank; of those past their
+// useful time only the ones whose turn it is. Services have no objective: a missing service
+// task is always urgent, whatever the age of its job.
 func (c *Core) readySteps(now time.Time) []rankedStep {
 	var out []rankedStep
 	for _, j := range c.active {
+		if len(j.occurrences) == 1 && j.occurrences[0].waitsForTurn() {
+			continue // the most frequent case in a backlog, checked first
+		}
 		if j.state.Final() || c.isSuspended(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
+			if o.waitsForTurn() {
+				continue
+			}
 			var r rank
 			ranked := false
 			for _, s := range o.steps {
@@ -32,6 +39,10 @@
 				if !ranked {
 					r, ranked = c.rankOf(j, o, now), true
 				}
+				if o.pastUse(r, now) && !o.hasService() {
+					c.pastUse.add(o)
+					break
+				}
 				if s.spec.Service {
 					out = append(out, rankedStep{s, rank{groupUrgent, now}})
 					continue
@@ -40,6 +51,7 @@
 			}
 		}
 	}
+	out = c.appendTurns(out, now)
 	sort.Slice(out, func(a, b int) bool {
 		if out[a].rank != out[b].rank {
 			return out[a].rank.before(out[b].rank)
@@ -131,8 +143,12 @@
 // RefreshReadySteps recomputes the steps with tasks to start and the schedulable workers.
 // It places no tasks. Advice passes use its result.
 func (c *Core) RefreshReadySteps(now time.Time) {
+	changed := c.needsScheduling
 	c.needsScheduling = false
 	c.ready = c.readySteps(now)
+	if changed { // steps that have had their turn may be placed now
+		c.pastUse.left = len(c.pastUse.queue)
+	}
 	for _, r := range c.ready {
 		r.step.advice.newTickets = false
 	}
@@ -161,11 +177,12 @@
 			c.reserve(s, now)
 		}
 	}
+	c.pastUse.endTurn()
 	return placed
 }
 
 // NeedsScheduling reports whether a scheduling pass may find a task to place.
-func (c *Core) NeedsScheduling() bool { return c.needsScheduling }
+func (c *Core) NeedsScheduling() bool { return c.needsScheduling || c.pastUse.left > 0 }
 
 // fitOnWorker returns how many more tasks of the step fit into the worker's free
 // capacity.
