--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -55,6 +55,7 @@
 	pass            *schedulingPass // the latest scheduling pass
 	lookahead       *lookahead      // the latest lookahead, reused for lookaheadMaxAge
 	needsScheduling bool            // an event may have made it possible to start a task
+	pastUse         pastUseTurns
 	adviceStats     AdviceStats
 
 	interference      *interference // nil if Policy.SeparateImages is not set
@@ -84,6 +85,7 @@
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
 		speeds:          newSpeeds(),
+		pastUse:         pastUseTurns{perPass: pastUsePerPass},
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -111,6 +111,7 @@
 	index int
 	steps []*step
 	objective
+	inTurn bool // it is in pastUseTurns.queue
 }
 
 // job is an accepted job.
