dispatch: reserve capacity for gangs by amount (reserve_amounts)

Cause: a reservation takes whole workers, also where the gang needs a fraction of them, so the bound on reserved workers is reached while cores are idle.

Change: a reservation is an amount on a worker from an expected start on. Gangs share workers; single tasks and gangs of a worse rank are placed beside the amounts if they end before or leave them free. A gang takes the consecutive slots of the lowest cost, never later than its previous expected start. Reservations are kept for 100 ms and dropped with their gang or worker.

--- a/internal/dispatch/advicegang.go
+++ b/internal/dispatch/advicegang.go
@@ -17,10 +17,25 @@
 	if s.advice.tickets == nil {
 		return c.firstGangCall(r, q, capacity, now)
 	}
+	if c.policy.RenewFirst {
+		if named, suffices := c.renewalCall(r, q, now); suffices || len(named) > 0 {
+			return named
+		}
+		return c.furtherGangCall(r, q, capacity)
+	}
 	if unknown := c.furtherGangCall(r, q, capacity); len(unknown) > 0 {
 		return unknown
 	}
-	candidates, expected := c.callCandidates(r, slices.Values(c.allowedByAdvice(s, q, c.pass.schedulableFor(s, q))), now, true)
+	named, _ := c.renewalCall(r, q, now)
+	return named
+}
+
+// renewalCall chooses workers known to be allowed whose tickets are to be renewed: those with
+// free capacity if the gang is expected to fit there, or else those with capacity reserved for
+// it, shortly before its start. It reports whether the gang is expected to fit.
+func (c *Core) renewalCall(r rankedStep, q *workload.Queue, now time.Time) (named []string, fits bool) {
+	s := r.step
+	candidates, expected := c.callCandidates(r, slices.Values(c.gangWorkersByAdvice(s, q, c.pass.schedulableFor(s, q))), now, true)
 	if expected >= float64(len(s.tasks)) {
 		sort.Slice(candidates, func(a, b int) bool {
 			x, y := candidates[a], candidates[b]
@@ -33,25 +48,22 @@
 			return x.id < y.id
 		})
 		named, _ := trimCandidates(s, q, candidates)
-		return named
+		return named, true
 	}
 	if s.reservedFrom.IsZero() {
-		return nil
+		return nil, false
 	}
 	var reserved []string
-	for id, w := range c.reservedWorkers {
-		if w.reservation.step != s {
-			continue
-		}
+	for _, w := range c.reservedFor(s) {
 		if _, valid := s.advice.validTicket(w, c.sendTime(now)); !valid {
-			reserved = append(reserved, id)
+			reserved = append(reserved, w.info.ID)
 		}
 	}
 	if len(reserved) == 0 || s.reservedFrom.Sub(now) > q.Advice.Duration(len(reserved)) {
-		return nil
+		return nil, false
 	}
 	sort.Strings(reserved)
-	return reserved
+	return reserved, false
 }
 
 // firstGangCall chooses the workers of a gang's first call: those with free capacity, if
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -47,16 +47,22 @@
 
 // Load pattern: the second after a burst, with a backlog that does not fit.
 func BenchmarkScheduleBacklog(b *testing.B) {
-	for _, size := range []struct{ workers, jobs int }{{48, 600}, {930, 2000}} {
-		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
-			c := backlogCell(b, size.workers, size.jobs)
-			b.ResetTimer()
-			for b.Loop() {
-				c.core.Schedule(c.now)
-				c.core.NewAdvicePass(c.now).Next(AdviceCapacity{MaxDuration: time.Nanosecond}) // examines all steps, makes no call
-				c.core.NewAdvicePass(c.now).Next(AdviceCapacity{MaxDuration: time.Second})
-			}
-		})
+	for _, size := range []struct{ workers, jobs int }{{48, 600}, {350, 500}, {930, 2000}} {
+		for _, amounts := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/jobs=%d/amounts=%v", size.workers, size.jobs, amounts), func(b *testing.B) {
+				c := backlogCell(b, size.workers, size.jobs)
+				c.core.SetPolicy(Policy{ReserveAmounts: amounts, RenewFirst: amounts})
+				began := cpuTime(b)
+				b.ResetTimer()
+				for i := 0; b.Loop(); i++ {
+					now := c.now.Add(time.Duration(i%50) * 20 * time.Millisecond) // the tickets stay valid
+					c.core.Schedule(now)
+					c.core.NewAdvicePass(now).Next(AdviceCapacity{MaxDuration: time.Nanosecond}) // examines all steps, makes no call
+					c.core.NewAdvicePass(now).Next(AdviceCapacity{MaxDuration: time.Second})
+				}
+				b.ReportMetric(float64(cpuTime(b)-began)/float64(b.N), "cpu-ns/op")
+			})
+		}
 	}
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,8 +41,10 @@
 	// tasks were last checked.
 	stopsDue        bool
 	tasksCheckedAt  time.Time
-	storeAnswered   bool                   // the store has answered a commit since then
-	reservedWorkers map[string]*worker     // workers with capacity reserved for gangs, as of the latest scheduling pass
+	storeAnswered   bool               // the store has answered a commit since then
+	reservedWorkers map[string]*worker // workers with capacity reserved for gangs, as of the latest scheduling pass
+	reservations    gangReservations
+	levels          []capacityLevel        // scratch memory of appendAmountSlots
 	isolatedWorkers map[string]int         // by pool: workers beside whose suspects nothing starts
 	silent          map[string]silentTasks // by worker ID
 	urgentHeadroom
@@ -75,6 +77,7 @@
 		adviceStats:     newAdviceStats(),
 		durationModels:  map[string]*durationModel{},
 		reservedWorkers: map[string]*worker{},
+		reservations:    gangReservations{byStep: map[*step]*gangReservation{}, milliCores: map[string]int64{}},
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
 	}
@@ -171,13 +174,17 @@
 type Stats struct {
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
-	ReservedWorkers                              int // workers with capacity reserved for gangs
-	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
+	ReservedWorkers                              int   // workers with capacity reserved for gangs
+	ReservedMilliCores                           int64 // reserved for gangs by amount
+	HeldJobs                                     int   // accepted jobs that do not run, since their progress cannot be read
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
 	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
+	for _, n := range c.reservations.milliCores {
+		s.ReservedMilliCores += n
+	}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -170,8 +170,8 @@
 		if c.reservedForOther(s, w, r.rank, now) {
 			continue
 		}
-		fits[WaitsForGangReservation] += fitOnWorker(w, s)
-		n := c.fitBesideHeadroom(w, s, r.rank)
+		fits[WaitsForGangReservation] += c.fitBesideAmounts(r, w, fitOnWorker(w, s), now)
+		n := c.fitBesideOthers(r, w, now)
 		fits[WaitsForUrgentHeadroom] += n
 		if q.Advice != nil {
 			if _, ok := s.advice.validTicket(w, c.sendTime(now)); !ok {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -13,6 +13,7 @@
 	if plan == nil || !c.gangFitsRow(s, plan) {
 		return false
 	}
+	c.dropReservation(s)
 	run := 0
 	for i := range s.tasks {
 		run = max(run, s.tasks[i].run)
@@ -56,7 +57,7 @@
 	withCapacity := make([]gangWorker, 0, len(workers))
 	fits := 0
 	for _, w := range workers {
-		if n := c.fitBesideHeadroom(w, s, r.rank); n > 0 {
+		if n := c.fitToPlace(r, w); n > 0 {
 			withCapacity = append(withCapacity, gangWorker{w, n})
 			fits += n
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -97,7 +97,10 @@
 	durations        measuredDurations
 	gangEnd          time.Time // when a running gang is expected to end, as of gangEndAsOf
 	gangEndAsOf      time.Time
-	reservedFrom     time.Time // when the capacity reserved for this gang should be free; zero without reservation
+	reservedFrom     time.Time     // when the capacity reserved for this gang should be free; zero without reservation
+	expectedStart    time.Time     // startAt of its latest reservation by amount
+	expected         time.Duration // expected duration of a task as of expectedIn
+	expectedIn       *schedulingPass
 }
 
 // occurrence is one execution of the job's steps.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -144,7 +144,7 @@
 func (c *Core) Schedule(now time.Time) bool {
 	c.RefreshReadySteps(now)
 	placed := false
-	c.clearReservations()
+	mayReserve := c.beginPassReservations(now)
 	for _, r := range c.ready {
 		s := r.step
 		if s.closed {
@@ -154,11 +154,13 @@
 			placed = c.placeTasks(r) || placed
 			continue
 		}
-		s.reservedFrom = time.Time{}
+		if !c.policy.ReserveAmounts {
+			s.reservedFrom = time.Time{}
+		}
 		if c.placeGang(r) {
 			placed = true
-		} else if r.rank.group <= groupLate && !c.waitsAfterCrashes(s, c.queueOf(s.job)) && c.fitInTeamLimit(s) >= len(s.tasks) {
-			c.reserve(s, now)
+		} else if mayReserve && s.reservedFrom.IsZero() && r.rank.group <= groupLate && !c.waitsAfterCrashes(s, c.queueOf(s.job)) && c.fitInTeamLimit(s) >= len(s.tasks) {
+			c.reserveFor(r, now)
 		}
 	}
 	return placed
@@ -302,7 +304,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		if c.fitBesideHeadroom(w, r.step, r.rank) == 0 || !w.acceptsBesideSuspects(t.isolates()) {
+		if c.fitToPlace(r, w) == 0 || !w.acceptsBesideSuspects(t.isolates()) {
 			continue
 		}
 		score := c.placeScore(r.step, w) + w.suspectScore(t.crashCount)
@@ -355,6 +357,7 @@
 	s.busy++
 	t.startedApart = t.isolates() && c.youngRuns(w, s.job) == 0
 	c.chargeTask(w, s, i)
+	c.forgetExpectations(w)
 	j := s.job
 	j.homeAZ = w.info.AZ
 	token := c.useTicket(&s.advice, w, now)
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Policy switches the parts of scheduling that a deployment asks for in its settings. The zero
@@ -57,6 +58,11 @@
 	if p == c.policy {
 		return
 	}
+	c.clearReservations()
+	for s := range c.reservations.byStep {
+		c.dropReservation(s)
+	}
+	c.reservations.computedAt = time.Time{}
 	c.policy = p
 	c.needsScheduling = true
 	c.emit("scheduling policy in force", "learn speeds", p.LearnSpeeds, "slow factor", p.SlowFactor, "reserve amounts", p.ReserveAmounts,
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -50,8 +50,8 @@
 	if p == nil || float64(len(c.reservedWorkers)) >= maxReservedShare*float64(len(p.workers)) {
 		return
 	}
-	for _, w := range c.allowedByAdvice(s, q, p.workers) {
-		if w.reservation == nil && s.matchesLabel(w) {
+	for _, w := range c.gangWorkersByAdvice(s, q, p.workers) {
+		if w.reservation == nil {
 			slots = c.appendSlots(slots, s, w, now)
 		}
 	}
@@ -231,5 +231,5 @@
 	if n == 0 || c.reservedForOther(r.step, w, r.rank, now) {
 		return 0
 	}
-	return n
+	return c.fitBesideAmounts(r, w, n, now)
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -37,10 +37,12 @@
 	// slowdown is the smoothed ratio of the time that tasks take on this worker to their
 	// estimates; 0 before the first report.
 	slowdown      float64
-	leavesAt      time.Time       // when a draining worker may leave; zero if unknown
-	reservation   *reservation    // set by the latest scheduling pass; nil if no capacity is reserved
-	schedulableIn *schedulingPass // the latest scheduling pass in which the worker was schedulable
-	poolIndex     int             // index in poolState.workers of that pass
+	leavesAt      time.Time        // when a draining worker may leave; zero if unknown
+	reservation   *reservation     // set by the latest scheduling pass; nil if no capacity is reserved
+	amounts       []reservedAmount // reserved for gangs, in order of time
+	amountsIn     *schedulingPass  // the pass for which reservedAmount.free is computed
+	schedulableIn *schedulingPass  // the latest scheduling pass in which the worker was schedulable
+	poolIndex     int              // index in poolState.workers of that pass
 }
 
 // Health of a worker, judged by the outcomes of its runs.
