--- a/internal/dispatch/advicegang.go
+++ b/internal/dispatch/advicegang.go
@@ -154,23 +154,5 @@
 		return nil
 	}
 	sort.Slice(unknown, func(a, b int) bool { return unknown[a].id < unknown[b].id })
-	unknown = unknown[:min(len(unknown), maxCallWorkers)]
-	if c.policy.RenewFirst && capacity.FewIdle {
-		return candidateIDs(c.trimFurther(s, unknown, capacity.gangChoice()*len(s.tasks)-fits))
-	}
-	return candidateIDs(unknown)
-}
-
-// trimFurther returns the first of the workers that no call has named yet, as many as are
-// likely to suffice for the missing tasks. Load pattern: hosts that are all busy with calls for
-// gangs. A call for 100 workers takes 1.1 s there, half of the validity of a ticket.
-func (c *Core) trimFurther(s *step, unknown []adviceCandidate, missing int) []adviceCandidate {
-	expected := 0.0
-	for i, x := range unknown {
-		if i >= minCallWorkers && expected >= float64(missing) {
-			return unknown[:i]
-		}
-		expected += assumedAllowedShare * float64(fitCount(c.workers[x.id].info.Capacity, s.spec.RequiredCapacity()))
-	}
-	return unknown
+	return candidateIDs(unknown[:min(len(unknown), maxCallWorkers)])
 }
--- a/internal/dispatch/renewfirst_test.go
+++ b/internal/dispatch/renewfirst_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against calls for a larger choice of workers while a gang has free capacity and only
-// its tickets have expired, and against long calls of that kind while hosts are busy.
+// its tickets have expired.
 func TestTicketsAreRenewedBeforeFurtherWorkersAreNamed(t *testing.T) {
 	for name, test := range map[string]struct {
 		policy  Policy
@@ -24,7 +24,6 @@
 		"gang fits":                 {Policy{RenewFirst: true}, 8, false, true, 8},
 		"gang fits, few idle hosts": {Policy{RenewFirst: true}, 8, true, true, 8},
 		"does not fit":              {Policy{RenewFirst: true}, 1, false, false, maxCallWorkers},
-		"does not fit, few idle":    {Policy{RenewFirst: true}, 1, true, false, 60},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatch/reserveamount.go
+++ b/internal/dispatch/reserveamount.go
@@ -36,7 +36,8 @@
 	rank       rank // at the time of the reservation
 	startAt    time.Time
 	workers    []*worker // each once
-	milliCores int64     // thousandths of a core on all workers
+	pool       string
+	milliCores int64 // thousandths of a core on all workers
 }
 
 // reservedAmount is the capacity that is reserved on one worker for tasks of a gang.
@@ -89,7 +90,7 @@
 		return
 	}
 	delete(c.reservations.byStep, s)
-	c.reservations.milliCores[c.queueOf(s.job).Pool] -= res.milliCores
+	c.reservations.milliCores[res.pool] -= res.milliCores
 	s.reservedFrom = time.Time{}
 	for _, w := range res.workers {
 		w.amounts = slices.DeleteFunc(w.amounts, func(a reservedAmount) bool { return a.reservation == res })
@@ -139,7 +140,7 @@
 	spare = min(spare, len(following))
 	slots = slots[:len(slots)+spare]
 	need += size.MilliCores * int64(spare)
-	res := &gangReservation{step: s, rank: r.rank, startAt: startAt, milliCores: need}
+	res := &gangReservation{step: s, rank: r.rank, startAt: startAt, pool: q.Pool, milliCores: need}
 	slices.SortFunc(slots, func(a, b slot) int { return strings.Compare(a.worker.info.ID, b.worker.info.ID) })
 	for len(slots) > 0 {
 		w, n := slots[0].worker, 1
