--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,8 +42,10 @@
 	// tasks were last checked.
 	stopsDue        bool
 	tasksCheckedAt  time.Time
-	storeAnswered   bool                   // the store has answered a commit since then
-	reservedWorkers map[string]*worker     // workers with capacity reserved for gangs, as of the latest scheduling pass
+	storeAnswered   bool               // the store has answered a commit since then
+	reservedWorkers map[string]*worker // workers with capacity reserved for gangs, as of the latest scheduling pass
+	reservations    gangReservations
+	levels          []capacityLevel        // scratch memory of appendAmountSlots
 	isolatedWorkers map[string]int         // by pool: workers beside whose suspects nothing starts
 	silent          map[string]silentTasks // by worker ID
 	urgentHeadroom
@@ -82,6 +84,7 @@
 		adviceStats:     newAdviceStats(),
 		durationModels:  map[string]*durationModel{},
 		reservedWorkers: map[string]*worker{},
+		reservations:    gangReservations{byStep: map[*step]*gangReservation{}, milliCores: map[string]int64{}},
 		isolatedWorkers: map[string]int{},
 		silent:          map[string]silentTasks{},
 		speeds:          newSpeeds(),
@@ -181,6 +184,7 @@
 	ActiveJobs, Workers, Reachable, RunningTasks int
 	UsedMilliCores, CapacityMilliCores           int64
 	ReservedWorkers                              int            // workers with capacity reserved for gangs
+	ReservedMilliCores                           int64          // reserved for gangs by amount
 	HeldJobs                                     int            // accepted jobs that do not run, since their progress cannot be read
 	SlowWorkers                                  map[string]int // by pool, if speeds are learned
 	ImagePairs                                   int            // pairs of images that are kept apart
@@ -192,6 +196,9 @@
 	if c.interference != nil {
 		s.ImagePairs = len(c.interference.pairs)
 	}
+	for _, n := range c.reservations.milliCores {
+		s.ReservedMilliCores += n
+	}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -104,6 +104,9 @@
 	reservedFrom     time.Time // when the capacity reserved for this gang should be free; zero without reservation
 	compared         []comparedRun
 	usualTails       map[int64]usualTail // of a service, by the thousandths of a core of the workers
+	expectedStart    time.Time           // startAt of its latest reservation by amount
+	expected         time.Duration       // expected duration of a task as of expectedIn
+	expectedIn       *schedulingPass
 }
 
 // occurrence is one execution of the job's steps.
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Policy switches the parts of scheduling that a deployment asks for in its settings. The zero
@@ -60,6 +61,11 @@
 	if c.policy.LearnSpeeds && !p.LearnSpeeds {
 		c.forgetSlowWorkers()
 	}
+	c.clearReservations()
+	for s := range c.reservations.byStep {
+		c.dropReservation(s)
+	}
+	c.reservations.computedAt = time.Time{}
 	c.policy = p
 	c.switchInterference()
 	c.needsScheduling = true
