dispatch: urgent jobs that can hardly be on time rank behind the others (start_margins)

In seconds of overload urgent jobs were placed in the order of their latest start. Each was started just before it, and since durations are uncertain most were late. A queue's deviation of actual over predicted durations is learned now, and an urgent job past the start that it would need if its durations were one deviation shorter, less the time to store, start and report, ranks behind the urgent jobs that are not. Without the switch nothing changes.

The replay gets a pattern (fullOverload) in which urgent jobs wait for urgent jobs.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -173,11 +173,12 @@
 	UsedMilliCores, CapacityMilliCores           int64
 	ReservedWorkers                              int // workers with capacity reserved for gangs
 	HeldJobs                                     int // accepted jobs that do not run, since their progress cannot be read
+	TightSteps                                   int // steps that wait behind others since their jobs can hardly be on time
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held), TightSteps: c.tightSteps()}
 	for _, w := range c.workers {
 		s.Workers++
 		if w.reachable {
--- a/internal/dispatch/durations.go
+++ b/internal/dispatch/durations.go
@@ -23,21 +23,35 @@
 	// overdueRemaining is the share of its estimate that a run past its estimate is
 	// assumed to need, if its speed is unknown.
 	overdueRemaining = 0.2
+	// minDeviationSteps is the number of steps of a queue from which the deviation of
+	// their durations counts as known. The first predictions are the declared estimates.
+	minDeviationSteps = 10
+	// maxDeviation bounds the influence of one step on the deviation, as the logarithm of
+	// actual over predicted duration. One stalled run in thirty would otherwise account for
+	// most of it.
+	maxDeviation = 1.1 // a factor of three
 )
 
 // durationModel relates the durations of a queue's steps to their declared estimates. It
 // is a linear regression between the logarithms, on sums with exponential decay.
-type durationModel struct{ n, x, y, xx, xy float64 }
+type durationModel struct {
+	n, x, y, xx, xy float64
+	// squares sums up, with the same decay, the squared logarithm of each actual over its
+	// predicted duration.
+	squares float64
+}
 
 // add adds a step with its declared estimate and its duration.
 func (m *durationModel) add(estimate, duration time.Duration) {
 	if estimate <= 0 || duration <= 0 {
 		return
 	}
+	deviation := math.Log(duration.Seconds() / m.predict(estimate).Seconds())
 	x, y := math.Log(estimate.Seconds()), math.Log(duration.Seconds())
-	for _, sum := range [...]*float64{&m.n, &m.x, &m.y, &m.xx, &m.xy} {
+	for _, sum := range [...]*float64{&m.n, &m.x, &m.y, &m.xx, &m.xy, &m.squares} {
 		*sum *= historyDecay
 	}
+	m.squares += min(maxDeviation*maxDeviation, deviation*deviation)
 	m.n++
 	m.x, m.y, m.xx, m.xy = m.x+x, m.y+y, m.xx+x*x, m.xy+x*y
 }
@@ -58,6 +72,15 @@
 	return time.Duration(math.Exp(y) * float64(time.Second))
 }
 
+// deviation returns the standard deviation of the logarithm of actual over predicted
+// durations; false while too few steps are known.
+func (m *durationModel) deviation() (float64, bool) {
+	if m == nil || m.n < minDeviationSteps {
+		return 0, false
+	}
+	return math.Sqrt(m.squares / m.n), true
+}
+
 // measuredDurations holds the durations of a step's tasks, as far as its runs have shown
 // them.
 type measuredDurations struct {
--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -22,6 +22,7 @@
 	// steps, steps with a measured duration, and failed runs, plus 1. It is 0 before the
 	// first computation.
 	basis int
+	startMargin
 }
 
 // criticalPath returns the length of the longest dependency chain, where step i takes
@@ -81,19 +82,25 @@
 	groupExpired         // no longer worth anything
 )
 
-// rank orders steps: by group, then by the latest time at which the rest of the job can
-// start and still meet the goal of its group. Load pattern: a burst beyond the cell's
-// capacity. Jobs that can no longer be on time yield, so that a backlog does not make
-// every later job late too.
+// rank orders steps: by group, then tight jobs behind the others, then by the latest time at
+// which the rest of the job can start and still meet the goal of its group. Load
+// pattern: a burst beyond the cell's capacity. Jobs that can no longer be on time yield, so
+// that a backlog does not make every later job late too.
 type rank struct {
 	group       int
 	latestStart time.Time
+	// tight is set if the job can hardly be on time any more, see isTight. Only urgent jobs
+	// are tight, and none without Policy.StartMargins.
+	tight bool
 }
 
 func (r rank) before(o rank) bool {
 	if r.group != o.group {
 		return r.group < o.group
 	}
+	if r.tight != o.tight {
+		return o.tight
+	}
 	return r.latestStart.Before(o.latestStart)
 }
 
@@ -109,14 +116,14 @@
 	latestStart, lateEnd := begin.Add(o.onTimeWithin-remaining), begin.Add(lateFactor*o.onTimeWithin)
 	switch {
 	case j.overRate:
-		return rank{groupOverRate, latestStart}
+		return rank{group: groupOverRate, latestStart: latestStart}
 	case !now.After(latestStart) && q.Priority == 0:
-		return rank{groupUrgent, latestStart}
+		return rank{groupUrgent, latestStart, c.isTight(o, q, latestStart, now)}
 	case !now.After(latestStart):
-		return rank{groupOnTime, latestStart}
+		return rank{group: groupOnTime, latestStart: latestStart}
 	case !now.After(lateEnd.Add(-remaining)):
-		return rank{groupLate, lateEnd.Add(-remaining)}
+		return rank{group: groupLate, latestStart: lateEnd.Add(-remaining)}
 	default:
-		return rank{groupExpired, latestStart}
+		return rank{group: groupExpired, latestStart: latestStart}
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 					r, ranked = c.rankOf(j, o, now), true
 				}
 				if s.spec.Service {
-					out = append(out, rankedStep{s, rank{groupUrgent, now}})
+					out = append(out, rankedStep{s, rank{group: groupUrgent, latestStart: now}})
 					continue
 				}
 				out = append(out, rankedStep{s, r})
--- a/internal/dispatch/replay_full_test.go
+++ b/internal/dispatch/replay_full_test.go
@@ -40,6 +40,25 @@
 	})
 }
 
+// fullOverload has the load of fullBursts on two sevenths of its cell, and 10 times the urgent
+// work for 6 s: together more than twice the capacity, so that urgent jobs wait for urgent jobs.
+func fullOverload() pattern {
+	p := pattern{workers: 100, cores: 16, memory: 64, hosts: 11, length: 24 * time.Second, kinds: fullCell(),
+		at: map[time.Duration]func(*replay){
+			0: func(r *replay) {
+				for queue := range r.factor {
+					r.factor[queue] = 1.2
+				}
+			},
+			6 * time.Second:  factor("urgent", 10),
+			12 * time.Second: factor("urgent", 1.2),
+		}}
+	for i := range p.kinds {
+		p.kinds[i].perSecond *= 2.0 / 7
+	}
+	return p
+}
+
 // unlikeWorkers returns a mix of jobs for workers of 32 cores of which a third takes 2.4 times
 // as long as the others: gangs of 16 tasks of 9 cores, batches of 25 tasks, and urgent jobs of
 // 0.7 s of which one run in twenty fails.
@@ -85,9 +104,9 @@
 // TestPolicyComparison logs what a policy is worth on these loads. It compares with
 // -replay.seeds more seeds.
 func TestPolicyComparison(t *testing.T) {
-	for name, p := range map[string]func() pattern{"full": fullBursts, "unlike": unlikeBursts} {
+	for name, p := range map[string]func() pattern{"full": fullBursts, "unlike": unlikeBursts, "overload": fullOverload} {
 		for seed := range *replaySeeds {
-			for _, policy := range []Policy{{}} {
+			for _, policy := range []Policy{{}, {StartMargins: true}} {
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
 					playPolicy(t, p(), policy, uint64(seed))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -97,6 +97,7 @@
 	m.gauges.WithLabelValues("used_millicores").Set(float64(s.UsedMilliCores))
 	m.gauges.WithLabelValues("capacity_millicores").Set(float64(s.CapacityMilliCores))
 	m.gauges.WithLabelValues("workers_with_kept_room").Set(float64(s.ReservedWorkers))
+	m.gauges.WithLabelValues("tight_steps").Set(float64(s.TightSteps))
 	m.gauges.WithLabelValues("open_millicores").Set(float64(w.OpenMilliCores))
 	m.gauges.WithLabelValues("idle_millicores_beside_waiting_tasks").Set(float64(w.IdleMilliCores))
 	m.gauges.WithLabelValues("tasks_out_of_reach").Set(float64(away.Tasks))
