cli, entry, dispatch: cuminloft explain

Operators could see why accepted work waits, but not where a job would go before it is sent. POST /explain on the metrics listener of the coordinator takes a job in the callers' format and answers with its group and position in the order, the candidates, what excludes the other workers, what it would wait for, and whether it would be refused and when to retry. The core answers with the code of the decisions and changes nothing. The command asks the given hosts in order.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 	Config   configCommand   `cmd:"" group:"operators" help:"Check, show and compare configurations."`
 	Key      keyCommand      `cmd:"" group:"operators" help:"Make keys."`
 	Status   statusCommand   `cmd:"" group:"operators" help:"Show AZs, hosts, shards, workers and teams."`
+	Explain  explainCommand  `cmd:"" group:"operators" help:"Show where a job would go now, without sending it."`
 	Timeline timelineCommand `cmd:"" group:"operators" help:"Show what happened, over all processes."`
 	Run      runCommand      `cmd:"" group:"callers" help:"Send a direct request and print its answer."`
 	Submit   submitCommand   `cmd:"" group:"callers" help:"Submit a job."`
--- a/internal/coordinator/query_test.go
+++ b/internal/coordinator/query_test.go
@@ -28,6 +28,13 @@
 			}
 			return err
 		},
+		"explanation": func(ctx context.Context, c *Coordinator) error {
+			explained, err := c.Explain(ctx, &workload.Job{})
+			if explained.Refused != "" {
+				t.Errorf("explanation %+v beside the error %v", explained, err)
+			}
+			return err
+		},
 	}
 	for name, ask := range queries {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -32,11 +32,7 @@
 				if !ranked {
 					r, ranked = c.rankOf(j, o, now), true
 				}
-				if s.spec.Service {
-					out = append(out, rankedStep{s, rank{group: groupUrgent, latestStart: now}})
-					continue
-				}
-				out = append(out, rankedStep{s, r})
+				out = append(out, rankedStep{s, stepRank(s, r, now)})
 			}
 		}
 	}
@@ -53,6 +49,14 @@
 	return out
 }
 
+// stepRank returns the rank of a step of an occurrence with rank r.
+func stepRank(s *step, r rank, now time.Time) rank {
+	if s.spec.Service {
+		return rank{group: groupUrgent, latestStart: now}
+	}
+	return r
+}
+
 // startable reports whether the step has tasks to start. A gang has none while members of
 // its previous run may still be running.
 func (s *step) startable() bool {
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -123,14 +123,20 @@
 
 // admit decides whether to accept a new job. Otherwise it returns when to retry.
 func (a *admission) admit() (retryAfter time.Duration, ok bool) {
+	share := a.admittedNow()
+	if share >= 1 || rand.Float64() < share {
+		return 0, true
+	}
+	return retryLinkFull, false
+}
+
+// admittedNow returns the share of new jobs that this host accepts.
+func (a *admission) admittedNow() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	share := a.ownShare()
 	if time.Since(a.leaderAt) < leaderAdmissionAge {
 		share = min(share, a.leader)
 	}
-	if share >= 1 || rand.Float64() < share {
-		return 0, true
-	}
-	return retryLinkFull, false
+	return share
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -45,6 +45,8 @@
 	// Callers serves the callers' API, Readiness the load balancer's readiness check.
 	Callers   func(handle func(context.Context, intake.Request) intake.Reply) http.Handler
 	Readiness func(ready func() bool) http.Handler
+	// ReadJob decodes a job in the callers' format; nil if jobs cannot be explained.
+	ReadJob func(io.Reader) (*workload.Job, error)
 }
 
 // Timing of the shutdown and limits of the servers.
@@ -355,7 +357,7 @@
 		{p.settings.CallersListen, p.adapter.Meter.Handler(p.closeConnections(p.adapter.Callers(p.intake.Handle)), "callers")},
 		{p.settings.ReadinessListen, p.adapter.Readiness(p.ready)},
 		{p.settings.RPCListen, p.adapter.Meter.Handler(rpc.NewCellServer(service), "host calls served")},
-		{p.settings.MetricsListen, p.metrics.handler()},
+		{p.settings.MetricsListen, p.metricsHandler()},
 	}
 	var out []*server
 	for _, h := range handlers {
