--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -79,6 +79,10 @@
 	target := url.URL{Scheme: "http", Host: address, Path: entry.ExplainPath, RawQuery: url.Values{"queue": {c.Queue}, "team": {c.Team}}.Encode()}
 	var out entry.Explanation
 	err := httpjson.Call(ctx, client, http.MethodPost, target.String(), job, &out)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return out, errors.New("the answer is not an explanation; the host may run an older build")
+	}
 	return out, err
 }
 
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -44,6 +44,7 @@
 	refusing := answering(t, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.WriteJSON(w, entry.Explanation{AdmittedShare: 1, JobExplanation: dispatch.JobExplanation{Refused: "there is no queue"}})
 	})
+	older := answering(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("# HELP a metric\n")) })
 	for name, test := range map[string]struct {
 		hosts, job string
 		flags      []string
@@ -52,11 +53,13 @@
 	}{
 		"text": {hosts: other + "," + coordinator, job: "{}", out: []string{"50% of new jobs; retry after 1000 ms", "group: urgent, behind",
 			"behind 3 waiting steps with 7 tasks", "2 tasks as a gang: waits for advice; 1 candidates", "w1", "excluded: 4 workers (cordoned)"}},
-		"JSON":           {hosts: coordinator, job: "{}", flags: []string{"-o", "json"}, out: []string{`"tasks_ahead": 7`, `"waits_for": "advice"`}},
-		"refused":        {hosts: refusing, job: "{}", out: []string{"would be refused: there is no queue; a retry does not help"}},
-		"no coordinator": {hosts: other, job: "{}", code: ExitUnreachable, err: []string{"no host that coordinates", "h1 does not coordinate"}},
-		"no JSON":        {hosts: coordinator, job: "{", code: ExitUsage, err: []string{"no valid JSON"}},
-		"malformed":      {hosts: malformed, job: "{}", code: ExitUsage, err: []string{"step without tasks"}},
+		"JSON":              {hosts: coordinator, job: "{}", flags: []string{"-o", "json"}, out: []string{`"tasks_ahead": 7`, `"waits_for": "advice"`}},
+		"refused":           {hosts: refusing, job: "{}", out: []string{"would be refused: there is no queue; a retry does not help"}},
+		"no coordinator":    {hosts: other, job: "{}", code: ExitUnreachable, err: []string{"no host that coordinates", "h1 does not coordinate"}},
+		"older build first": {hosts: older + "," + refusing, job: "{}", out: []string{"would be refused"}},
+		"older build":       {hosts: older, job: "{}", code: ExitUnreachable, err: []string{"not an explanation"}},
+		"no JSON":           {hosts: coordinator, job: "{", code: ExitUsage, err: []string{"no valid JSON"}},
+		"malformed":         {hosts: malformed, job: "{}", code: ExitUsage, err: []string{"step without tasks"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
