--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -188,11 +188,12 @@
 	HeldJobs                                     int            // accepted jobs that do not run, since their progress cannot be read
 	SlowWorkers                                  map[string]int // by pool, if speeds are learned
 	ImagePairs                                   int            // pairs of images that are kept apart
+	TightSteps                                   int            // steps that wait behind others since their jobs can hardly be on time
 }
 
 // Stats returns the current gauges.
 func (c *Core) Stats() Stats {
-	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held), SlowWorkers: maps.Clone(c.speeds.slowByPool)}
+	s := Stats{ActiveJobs: len(c.active), ReservedWorkers: len(c.reservedWorkers), HeldJobs: len(c.held), TightSteps: c.tightSteps(), SlowWorkers: maps.Clone(c.speeds.slowByPool)}
 	if c.interference != nil {
 		s.ImagePairs = len(c.interference.pairs)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -43,11 +43,7 @@
 					c.pastUse.add(o)
 					break
 				}
-				if s.spec.Service {
-					out = append(out, rankedStep{s, rank{groupUrgent, now}})
-					continue
-				}
-				out = append(out, rankedStep{s, r})
+				out = append(out, rankedStep{s, stepRank(s, r, now)})
 			}
 		}
 	}
@@ -65,6 +61,14 @@
 	return out
 }
 
+// stepRank returns the rank of a step of an occurrence with rank r.
+func stepRank(s *step, r rank, now time.Time) rank {
+	if s.spec.Service {
+		return rank{group: groupUrgent, latestStart: now}
+	}
+	return r
+}
+
 // startable reports whether the step has tasks to start. A gang has none while members of
 // its previous run may still be running.
 func (s *step) startable() bool {
