--- a/internal/dispatch/replay_full_test.go
+++ b/internal/dispatch/replay_full_test.go
@@ -87,7 +87,7 @@
 func TestPolicyComparison(t *testing.T) {
 	for name, p := range map[string]func() pattern{"full": fullBursts, "unlike": unlikeBursts} {
 		for seed := range *replaySeeds {
-			for _, policy := range []Policy{{}, {ReserveAmounts: true}} {
+			for _, policy := range []Policy{{}, {ReserveAmounts: true}, {ReserveAmounts: true, RenewFirst: true}} {
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
 					playPolicy(t, p(), policy, uint64(seed))
