--- a/internal/dispatch/replay_full_test.go
+++ b/internal/dispatch/replay_full_test.go
@@ -106,7 +106,8 @@
 func TestPolicyComparison(t *testing.T) {
 	for name, p := range map[string]func() pattern{"full": fullBursts, "unlike": unlikeBursts, "overload": fullOverload} {
 		for seed := range *replaySeeds {
-			for _, policy := range []Policy{{}, {LearnSpeeds: true}, {ReserveAmounts: true}, {StartMargins: true}, {LearnSpeeds: true, ReserveAmounts: true, StartMargins: true, RenewFirst: true}} {
+			for _, policy := range []Policy{{}, {LearnSpeeds: true}, {ReserveAmounts: true, RenewFirst: true}, {StartMargins: true},
+				{LearnSpeeds: true, ReserveAmounts: true, StartMargins: true, RenewFirst: true}} {
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
 					playPolicy(t, p(), policy, uint64(seed))
