--- a/internal/dispatch/speedplace_test.go
+++ b/internal/dispatch/speedplace_test.go
@@ -72,13 +72,13 @@
 		evacuateFast bool
 		slow, fast   int // expected starts
 	}{
-		"fits on fast workers":                            {tasks: 12, priority: 1, fast: 12},
-		"waits for fast workers":                          {tasks: 4, priority: 1, fillFast: true},
-		"does not fit twice on the fast ones":             {tasks: 26, priority: 1, slow: 2, fast: 24},
-		"fast workers are evacuated":                      {tasks: 4, priority: 1, evacuateFast: true, slow: 4},
-		"an urgent gang takes fast workers first":         {tasks: 26, priority: 0, slow: 2, fast: 24},
-		"an urgent gang does not wait for fast workers":   {tasks: 4, priority: 0, fillFast: true, slow: 4},
-		"an urgent gang fits on the fast workers, and so": {tasks: 4, priority: 0, fast: 4},
+		"fits on fast workers":                          {tasks: 12, priority: 1, fast: 12},
+		"waits for fast workers":                        {tasks: 4, priority: 1, fillFast: true},
+		"does not fit twice on the fast ones":           {tasks: 26, priority: 1, slow: 2, fast: 24},
+		"fast workers are evacuated":                    {tasks: 4, priority: 1, evacuateFast: true, slow: 4},
+		"an urgent gang takes fast workers first":       {tasks: 26, priority: 0, slow: 2, fast: 24},
+		"an urgent gang does not wait for fast workers": {tasks: 4, priority: 0, fillFast: true, slow: 4},
+		"an urgent gang fits on the fast workers":       {tasks: 4, priority: 0, fast: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/dispatch/speedreplay_test.go
+++ b/internal/dispatch/speedreplay_test.go
@@ -9,7 +9,7 @@
 )
 
 // playDecisions plays a pattern with a policy. It returns the events of the core in the order in
-// which they happened, from the first that does not concern the policy.
+// which they happened, without that of the policy itself.
 func playDecisions(p pattern, policy Policy) []string {
 	r := newReplay(p, 0)
 	r.core.SetPolicy(policy)
