--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -87,11 +87,11 @@
 // pattern: a burst beyond the cell's capacity. Jobs that can no longer be on time yield, so
 // that a backlog does not make every later job late too.
 type rank struct {
-	group       int
-	latestStart time.Time
+	group int32
 	// tight is set if the job can hardly be on time any more, see isTight. Only urgent jobs
 	// are tight, and none without Policy.StartMargins.
-	tight bool
+	tight       bool
+	latestStart time.Time
 }
 
 func (r rank) before(o rank) bool {
@@ -118,7 +118,7 @@
 	case j.overRate:
 		return rank{group: groupOverRate, latestStart: latestStart}
 	case !now.After(latestStart) && q.Priority == 0:
-		return rank{groupUrgent, latestStart, c.isTight(o, q, latestStart, now)}
+		return rank{group: groupUrgent, latestStart: latestStart, tight: c.isTight(o, q, latestStart, now)}
 	case !now.After(latestStart):
 		return rank{group: groupOnTime, latestStart: latestStart}
 	case !now.After(lateEnd.Add(-remaining)):
--- a/internal/dispatch/startmargin_test.go
+++ b/internal/dispatch/startmargin_test.go
@@ -42,7 +42,7 @@
 		priority     int
 		switchedOff  bool
 		durationSeen bool
-		group        int
+		group        int32
 		tight        bool
 	}{
 		"before the margin":           {deviation: math.Log(2), age: 1390 * time.Millisecond, group: groupUrgent},
