--- a/internal/dispatch/imageevidence.go
+++ b/internal/dispatch/imageevidence.go
@@ -92,6 +92,7 @@
 
 // comparedRun is a run that ended, to be compared with its siblings.
 type comparedRun struct {
+	in     *interference // of the shares
 	worker *worker
 	logs   float64 // logarithm of the duration in seconds
 	shares []imageShare
@@ -105,11 +106,13 @@
 		return
 	}
 	duration := now.Sub(t.speedFrom)
-	if t.run == 1 && !t.startSentAt.IsZero() && !t.speedFrom.IsZero() && t.speedFromPercent == 0 && duration > 0 {
-		s.compared = append(s.compared, comparedRun{w, math.Log(duration.Seconds()), m.shares(w, now)})
+	if t.run == 1 && !t.startSentAt.IsZero() && !t.speedFrom.IsZero() && t.speedFromPercent == 0 && !m.from.After(t.speedFrom) && duration > 0 {
+		s.compared = append(s.compared, comparedRun{m.in, w, math.Log(duration.Seconds()), m.shares(w, now)})
 	}
 	if s.done+1 >= len(s.tasks) || len(s.compared) >= maxComparedRuns {
-		c.compareSiblings(m.image, s.compared, now)
+		// Indices of images from before the switch was last turned off mean other images.
+		runs := slices.DeleteFunc(s.compared, func(r comparedRun) bool { return r.in != m.in })
+		c.compareSiblings(m.image, runs, now)
 		s.compared = nil
 	}
 }
--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -325,6 +325,43 @@
 	is.True(pairs[0].Slowdown > 1.5 && pairs[0].Slowdown < 2.5)
 }
 
+// Guards against evidence from before the switch was turned off and on, whose indices mean other
+// images.
+func TestRunsBeforeTheSwitchAreNotCompared(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.core.SetPolicy(Policy{SeparateImages: true})
+	c.addWorker("w0", 4)
+	c.addWorker("w1", 4)
+	c.addJob("j", workload.Step{Tasks: 8, Resources: cores(1), Image: "a"})
+	starts := c.startTasks(nil)
+	is.Equal(len(starts), 8)
+	seq := map[string]int64{}
+	end := func(st Start) {
+		seq[st.Worker.ID]++
+		c.now = c.now.Add(time.Second)
+		c.reportEnd(seq[st.Worker.ID], st, workload.RunDone, "")
+	}
+	for _, st := range starts[:4] {
+		end(st)
+	}
+	s := c.core.findStep(workload.StepID{Job: "j"})
+	is.Equal(len(s.compared), 4)
+	c.core.SetPolicy(Policy{})
+	for _, st := range starts[4:6] {
+		end(st) // while the switch is off, nothing is recorded
+	}
+	is.Equal(len(s.compared), 4)
+	c.core.SetPolicy(Policy{SeparateImages: true})
+	for _, st := range starts[6:] {
+		end(st)
+	}
+	is.Equal(len(s.compared), 0)
+	for _, w := range c.core.workers {
+		is.Equal(w.imagePace, learnedPace{}) // the two runs left are too few
+	}
+}
+
 // Guards against unbounded memory: more images than maxImages come and go.
 func TestImagesAreBounded(t *testing.T) {
 	is := is.New(t)
