--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -26,6 +26,7 @@
 	suspended      map[string]time.Time // by job ID: when the store last rejected the job's progress, see Suspend
 	heldAcks       map[string]int64     // by worker: ends after this sequence number are not acknowledged, see Suspend
 	active         map[string]*job      // jobs without a final state, or with tasks that may be running
+	toRank         map[string]*job      // the active jobs that each pass ranks, see Core.park
 	workers        map[string]*worker
 	unacked        map[string]*worker         // workers with reported ends that are applied but not yet stored
 	changedWorkers map[string]bool            // workers whose WorkerView may have changed
@@ -67,6 +68,7 @@
 		suspended:       map[string]time.Time{},
 		heldAcks:        map[string]int64{},
 		active:          map[string]*job{},
+		toRank:          map[string]*job{},
 		workers:         map[string]*worker{},
 		unacked:         map[string]*worker{},
 		changedWorkers:  map[string]bool{},
--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -187,6 +187,7 @@
 	if j.state.Final() {
 		if j.idle() {
 			delete(c.active, j.spec.ID)
+			delete(c.toRank, j.spec.ID)
 		}
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -163,6 +163,7 @@
 	j := &job{spec: spec, state: workload.Queued, storedState: workload.Queued}
 	c.jobs[spec.ID] = j
 	c.active[spec.ID] = j
+	c.toRank[spec.ID] = j
 	c.applyTeamRate(j)
 	c.openOccurrences(j, now)
 	c.needsScheduling = true
@@ -282,6 +283,7 @@
 	}
 	if j.idle() {
 		delete(c.active, j.spec.ID)
+		delete(c.toRank, j.spec.ID)
 	}
 	c.needsScheduling = true
 }
@@ -439,6 +441,7 @@
 func (c *Core) RemoveJob(id string) {
 	delete(c.jobs, id)
 	delete(c.active, id)
+	delete(c.toRank, id)
 }
 
 // teamUsage returns the resources of a team's tasks that may be running.
--- a/internal/dispatch/pastuse.go
+++ b/internal/dispatch/pastuse.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// park excludes a job from ranking until it leaves the turns or has a run. Without a run nothing
+// becomes known that changes its objective. Jobs on a schedule are not parked: their further
+// occurrences open on time.
+func (c *Core) park(j *job) {
+	if j.spec.Occurrences() == 1 && len(j.occurrences) == 1 && j.occurrences[0].inTurn && j.idle() {
+		delete(c.toRank, j.spec.ID)
+	}
+}
+
+// unpark includes a job in ranking again.
+func (c *Core) unpark(j *job) {
+	if c.active[j.spec.ID] == j {
+		c.toRank[j.spec.ID] = j
+	}
+}
+
 // endTurn moves what the pass has considered behind the others.
 func (p *pastUseTurns) endTurn() {
 	p.left = max(0, min(p.left, len(p.queue))-p.taken)
@@ -103,11 +119,17 @@
 		steps := c.stepsInTurn(o)
 		if len(steps) == 0 {
 			o.inTurn = false
+			c.unpark(o.steps[0].job)
 			continue
 		}
-		kept = append(kept, o)
-		p.taken++
 		r := c.rankOf(o.steps[0].job, o, now)
+		if o.pastUse(r, now) {
+			kept = append(kept, o)
+			p.taken++
+		} else { // the clock was set back
+			o.inTurn = false
+			c.unpark(o.steps[0].job)
+		}
 		for _, s := range steps {
 			if !considered[s] {
 				n++
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,15 +19,13 @@
 // task is always urgent, whatever the age of its job.
 func (c *Core) readySteps(now time.Time) []rankedStep {
 	var out []rankedStep
-	for _, j := range c.active {
-		if len(j.occurrences) == 1 && j.occurrences[0].waitsForTurn() {
-			continue // the most frequent case in a backlog, checked first
-		}
+	for _, j := range c.toRank {
 		if j.state.Final() || c.isSuspended(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
 			if o.waitsForTurn() {
+				c.park(j)
 				continue
 			}
 			var r rank
@@ -41,6 +39,7 @@
 				}
 				if o.pastUse(r, now) && !o.hasService() {
 					c.pastUse.add(o)
+					c.park(j)
 					break
 				}
 				if s.spec.Service {
@@ -373,6 +372,7 @@
 	t.startedApart = t.isolates() && c.youngRuns(w, s.job) == 0
 	c.chargeTask(w, s, i)
 	j := s.job
+	c.unpark(j)
 	j.homeAZ = w.info.AZ
 	token := c.useTicket(&s.advice, w, now)
 	j.starts = append(j.starts, Start{Worker: w.info, DecidedAt: now, Order: workload.StartOrder{
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -345,6 +345,7 @@
 	}
 	if !j.state.Final() || !j.idle() {
 		c.active[spec.ID] = j
+		c.toRank[spec.ID] = j
 	}
 	if cancelled {
 		c.Cancel(spec.ID, now)
