--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -48,7 +48,7 @@
 	if len(c.ready) == 0 {
 		return out
 	}
-	defer func(latest *schedulingPass) { c.pass = latest }(c.pass)
+	defer c.preservePass()()
 	c.pass = c.newPass(now)
 	for _, r := range c.ready {
 		s := r.step
