--- a/internal/dispatch/imageevidence.go
+++ b/internal/dispatch/imageevidence.go
@@ -78,9 +78,14 @@
 
 func clamp(x, most float64) float64 { return max(-most, min(most, x)) }
 
-// paceOf returns the pace of a worker that other parts have learned, as the logarithm of the
+// paceOf returns the pace of a worker that is learned for placement, as the logarithm of the
 // durations there relative to other workers; 0 if it is not known.
-func (c *Core) paceOf(*worker) float64 { return 0 }
+func (c *Core) paceOf(w *worker) float64 {
+	if w.speed == nil || w.speed.observations < minSlowObservations {
+		return 0
+	}
+	return w.speed.pace
+}
 
 // imagePaceOf returns the pace by which runs on a worker are corrected, and whether it is known.
 func (c *Core) imagePaceOf(w *worker) (float64, bool) {
