--- a/internal/dispatch/advicegang.go
+++ b/internal/dispatch/advicegang.go
@@ -65,7 +65,7 @@
 		return nil, false
 	}
 	sort.Strings(reserved)
-	return reserved, false
+	return reserved[:min(len(reserved), maxCallWorkers)], false
 }
 
 // firstGangCall chooses the workers of a gang's first call: those with free capacity, if
--- a/internal/dispatch/renewfirst_test.go
+++ b/internal/dispatch/renewfirst_test.go
@@ -61,3 +61,41 @@
 		})
 	}
 }
+
+// Guards against renewals that name more workers than a call may: capacity is reserved for a wide
+// gang on more than maxCallWorkers workers.
+func TestRenewalNamesNoMoreWorkersThanACallMay(t *testing.T) {
+	for name, policy := range map[string]Policy{
+		"renew first": {ReserveAmounts: true, RenewFirst: true},
+		"amounts":     {ReserveAmounts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t)
+			c.core.SetCell(workload.NewCell(2, []workload.Queue{
+				{Name: "batch", Pool: "pool", MaxAttempts: 2, Slack: 20, Allowance: time.Second,
+					Advice: &workload.AdviceCost{PerCall: 100 * time.Millisecond, PerWorker: 10 * time.Millisecond, Validity: 2 * time.Second}},
+				{Name: "fill", Pool: "pool", MaxAttempts: 2, Slack: 20, Allowance: time.Second},
+			}, []workload.Team{{Name: "team", Weight: 1000}}, nil))
+			c.core.SetPolicy(policy)
+			for i := range 200 {
+				c.addWorker(fmt.Sprintf("w%03d", i), 8)
+			}
+			c.core.AddJob(&workload.Job{ID: "fill", Queue: "fill", Team: "team", AcceptedAt: c.now.UnixMilli(),
+				Steps: []workload.Step{{Tasks: 200, Resources: cores(8), Estimate: time.Second}}}, c.now)
+			is.Equal(len(c.startTasks(nil)), 200)
+			c.addJob("j", workload.Step{Tasks: 70, Resources: cores(5), Gang: true, Estimate: time.Second})
+			s := c.core.findStep(workload.StepID{Job: "j"})
+			s.advice.tickets, s.advice.denied = map[string]ticket{}, map[string]bool{}
+			for i := range 200 {
+				s.advice.tickets[fmt.Sprintf("w%03d", i)] = ticket{} // allowed, and expired
+			}
+			c.now = c.now.Add(reservationMaxAge)
+			c.core.Schedule(c.now)
+			is.True(len(c.core.reservedFor(s)) > maxCallWorkers)
+			call, ok := c.core.NewAdvicePass(c.now).Next(AdviceCapacity{MaxDuration: 10 * time.Second, FewIdle: true})
+			is.True(ok)
+			is.True(len(call.Workers) <= maxCallWorkers)
+		})
+	}
+}
