--- a/internal/dispatch/reserveamount.go
+++ b/internal/dispatch/reserveamount.go
@@ -294,7 +294,11 @@
 	c.expectFree(w, now)
 	s := r.step
 	size := s.spec.RequiredCapacity()
-	end := now.Add(time.Duration(amountBackfillMargin * float64(c.expectedInPass(s))))
+	duration := float64(c.expectedInPass(s))
+	if w.isSlow() {
+		duration *= w.speed.ratio
+	}
+	end := now.Add(time.Duration(amountBackfillMargin * duration))
 	held := model.Resources{MilliCores: c.pass.headroomAgainst(w, r.rank)}
 	for i := range w.amounts {
 		a := &w.amounts[i]
--- a/internal/dispatch/speedplace_test.go
+++ b/internal/dispatch/speedplace_test.go
@@ -258,3 +258,20 @@
 	})
 	is.Equal(len(c.WorkerSpeeds()), 0)
 }
+
+// Guards against a task on a slow worker that is expected to end before a reservation begins,
+// but takes longer there and delays the gang.
+func TestTaskOnSlowWorkerBesideReservation(t *testing.T) {
+	is := is.New(t)
+	c := unlikeCell(t, 1, 9, nil)
+	c.core.SetPolicy(Policy{LearnSpeeds: true, ReserveAmounts: true})
+	c.core.Schedule(c.now)
+	c.addJob("j", workload.Step{Tasks: 1, Resources: cores(4), Estimate: time.Second})
+	s := c.core.findStep(workload.StepID{Job: "j"})
+	later := rankedStep{s, rank{group: groupOnTime, latestStart: c.now.Add(time.Hour)}}
+	for id, free := range map[string]bool{"fast0": true, "slow0": false} {
+		w := c.core.workers[id]
+		w.addAmount(reservedAmount{reservation: &gangReservation{step: &step{}, rank: rank{group: groupOnTime}, startAt: c.now.Add(4 * time.Second)}, size: cores(16)})
+		is.Equal(c.core.fitBesideAmounts(later, w, 1, c.now) == 1, free) // it takes 1 s, or 2.4 s on the slow worker
+	}
+}
