--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -56,6 +56,10 @@
 	fastQuantile = 0.25
 	// speedCheckInterval is how often the workers of a pool are compared.
 	speedCheckInterval = 200 * time.Millisecond
+	// maxPaceShift is by how much the paces of a pool are moved at most at one check towards
+	// a median of 0. Single long runs raise all paces by 0.0003 for each run. The shift is
+	// small, since just after a takeover few of the pool's workers are known.
+	maxPaceShift = 0.002
 	// forgottenObservations is the weight below which the pace of a worker that is gone is
 	// forgotten.
 	forgottenObservations = 0.1
@@ -223,16 +227,23 @@
 			paces[w.info.Pool] = append(paces[w.info.Pool], w.speed.pace)
 		}
 	}
-	fast := map[string]float64{}
+	// Only differences have a meaning, but a worker that joins begins with a pace of 0. So the
+	// paces of a pool are kept around 0.
+	fast, shift := map[string]float64{}, map[string]float64{}
 	for pool, known := range paces {
 		if len(known) >= minKnownPaces {
 			slices.Sort(known)
-			fast[pool] = known[int(fastQuantile*float64(len(known)))]
+			shift[pool] = max(-maxPaceShift, min(maxPaceShift, known[len(known)/2]))
+			fast[pool] = known[int(fastQuantile*float64(len(known)))] - shift[pool]
 		}
 	}
 	clear(c.speeds.slowByPool)
 	for _, w := range c.workers {
-		if w.speed == nil || !w.registered {
+		if w.speed == nil {
+			continue
+		}
+		w.speed.pace -= shift[w.info.Pool]
+		if !w.registered {
 			continue
 		}
 		pace, known := fast[w.info.Pool]
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -279,3 +280,21 @@
 	l.run(15, nil)
 	is.Equal(len(l.core.WorkerSpeeds()), 0)
 }
+
+// Guards against paces that all grow with time because of single long runs. Workers that join
+// later have a pace of 0 and would make all others look slow.
+func TestPacesDoNotDrift(t *testing.T) {
+	is := is.New(t)
+	l := newSpeedLoad(t, 1, thirdSlow(30, 1))
+	l.run(3600, nil)
+	sum := 0.0
+	for _, v := range l.core.speeds.byWorker {
+		sum += v.pace
+	}
+	is.True(math.Abs(sum/30) < 0.1)
+	for range 15 {
+		l.slowdown = append(l.slowdown, 1)
+		l.addWorker(l.id(len(l.slowdown)-1), 16)
+	}
+	l.run(30, func() { is.Equal(len(l.core.Stats().SlowWorkers), 0) })
+}
