--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -392,7 +392,8 @@
 // avoidsSlow reports whether a gang takes no slow worker: the others that it may use, or for
 // which it may still request advice, hold it twice over when empty. Load pattern: gangs in a
 // pool with slow workers. One with a slow member holds all its cores twice as long. An urgent
-// gang takes whatever is free.
+// gang takes whatever is free. So does one past its useful time: no capacity is reserved for it,
+// and the other workers may be full of services or of a stream of small tasks.
 func (c *Core) avoidsSlow(s *step, q *workload.Queue) bool {
 	if !s.spec.Gang || q.Priority == 0 || c.pass.slowRatio(q.Pool) == 1 {
 		return false
@@ -400,11 +401,21 @@
 	now, choice := c.pass.now, &s.speedChoice
 	if age := now.Sub(choice.madeAt); choice.madeAt.IsZero() || age < 0 || age >= gangSpeedMaxAge || choice.version != c.speeds.version ||
 		choice.tickets != len(s.advice.tickets) || choice.denied != len(s.advice.denied) {
-		*choice = gangSpeedChoice{c.fitsOnFast(s, q), now, c.speeds.version, len(s.advice.tickets), len(s.advice.denied)}
+		*choice = gangSpeedChoice{!c.isPastUse(s, now) && c.fitsOnFast(s, q), now, c.speeds.version, len(s.advice.tickets), len(s.advice.denied)}
 	}
 	return choice.avoidsSlow
 }
 
+// isPastUse reports whether the step's occurrence earns nothing any more.
+func (c *Core) isPastUse(s *step, now time.Time) bool {
+	for _, o := range s.job.occurrences {
+		if o.index == s.id.Occurrence {
+			return o.pastUse(c.rankOf(s.job, o, now), now)
+		}
+	}
+	return false
+}
+
 // fitsOnFast reports whether a gang fits gangsAvoidSlowFactor times on the workers that are
 // not slow, if these were empty.
 func (c *Core) fitsOnFast(s *step, q *workload.Queue) bool {
--- a/internal/dispatch/speedplace_test.go
+++ b/internal/dispatch/speedplace_test.go
@@ -275,3 +275,27 @@
 		is.Equal(c.core.fitBesideAmounts(later, w, 1, c.now) == 1, free) // it takes 1 s, or 2.4 s on the slow worker
 	}
 }
+
+// Guards against a gang that never starts although slow workers are free: the fast ones are full
+// of services. Past its useful time it takes any worker.
+func TestGangPastItsUseTakesSlowWorkers(t *testing.T) {
+	is := is.New(t)
+	c := unlikeCell(t, 1, 2, nil)
+	c.fill("a", 6)
+	c.addJob("gang", workload.Step{Tasks: 4, Resources: cores(4), Gang: true, Estimate: time.Second})
+	slow, fast := c.startedOn()
+	is.Equal(slow+fast, 0)
+	for range 40 {
+		c.now = c.now.Add(500 * time.Millisecond)
+		for id := range c.core.workers {
+			c.reportInventory(id, workload.Inventory{})
+		}
+		for _, v := range c.core.speeds.byWorker {
+			v.observations = maxSpeedObservations // other work keeps showing the speeds
+		}
+		s, f := c.startedOn()
+		slow, fast = slow+s, fast+f
+	}
+	is.Equal(slow, 4)
+	is.Equal(fast, 0)
+}
