dispatch: a review that ends a pair of images leaves the image's other estimates

Ending a pair drops the evidence of the slowed image. The review then went on with the estimates that it had made from that evidence, and the coordinator crashed with a nil pointer if one of them showed a slowdown. The review now leaves the rest of the image's estimates; they are learned again.

The new test panics without the change.

--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -214,6 +214,9 @@
 			continue
 		}
 		for _, e := range estimates[a] {
+			if a.evidence == nil {
+				break // a pair of this image has ended, so all of them are learned again
+			}
 			if in.images[e.beside] != nil {
 				c.judgePair(a, in.images[e.beside], e, deviation, now)
 			}
