dispatch: occurrences that are of use again leave the turns at once

More may become known of a job past its useful time, so that its objective grows. It was then ranked in the next pass, but stayed in the queue of turns: it was considered twice in that pass if its turn came, and in later passes only in its turn, up to 50 passes later.

The new test, without the change: 2 and 0 considerations in a pass instead of 1.

--- a/internal/dispatch/pastuse.go
+++ b/internal/dispatch/pastuse.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// remove takes an occurrence that is of use again out of the queue.
+func (p *pastUseTurns) remove(o *occurrence) {
+	if o.inTurn {
+		o.inTurn = false
+		p.queue = slices.DeleteFunc(p.queue, func(other *occurrence) bool { return other == o })
+	}
+}
+
 // park excludes a job from ranking until it leaves the turns or has a run. Without a run nothing
 // becomes known that changes its objective. Jobs on a schedule are not parked: their further
 // occurrences open on time.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -42,6 +42,7 @@
 					c.park(j)
 					break
 				}
+				c.pastUse.remove(o)
 				out = append(out, rankedStep{s, stepRank(s, r, now)})
 			}
 		}
