dispatch: separating images respects the preference for fast workers

A task that was placed on a fast worker could be moved to a slow one, where it takes longer than beside the other image: the comparison left out the score of the speed. It now has the score of the placement.

The new test starts the urgent task on a slow worker without the change.

--- a/internal/dispatch/imageplace.go
+++ b/internal/dispatch/imageplace.go
@@ -77,14 +77,15 @@
 func (c *Core) quieterWorker(r rankedStep, from *worker, workers []*worker) *worker {
 	s := r.step
 	var best *worker
+	speed := c.speedPreference(r)
 	from.used = from.used.Sub(s.spec.RequiredCapacity()) // as if the task were not placed yet
-	bestScore := c.placeScore(s, from) + c.neighbourPenalty(s, from, true)
+	bestScore := c.placeScore(s, from) + speed.score(from) + c.neighbourPenalty(s, from, true)
 	from.used = from.used.Add(s.spec.RequiredCapacity())
 	for _, w := range workers {
 		if w == from || c.fitBesideOthers(r, w, c.pass.now) == 0 {
 			continue
 		}
-		score := c.placeScore(s, w) + c.neighbourPenalty(s, w, false)
+		score := c.placeScore(s, w) + speed.score(w) + c.neighbourPenalty(s, w, false)
 		if score < bestScore || best != nil && score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
