dispatch: explanations of jobs consider speeds and reserved amounts

ExplainJob listed candidates whose capacity is reserved by amount, listed slow workers for gangs that avoid them, and sorted the candidates without the preference for speed. It now uses the functions of the placement.

The new tests fail without the change.

--- a/internal/dispatch/explainjob.go
+++ b/internal/dispatch/explainjob.go
@@ -148,13 +148,21 @@
 // explainStep explains a step of a job that is not registered.
 func (c *Core) explainStep(r rankedStep, index int) StepExplanation {
 	s, q := r.step, c.queueOf(r.step.job)
+	speed, avoidsSlow := noPreference, c.avoidsSlow(s, q)
+	if !s.spec.Gang {
+		speed = c.speedPreference(r)
+	}
 	out := StepExplanation{Step: index, Tasks: len(s.tasks), Gang: s.spec.Gang, WaitsFor: c.waitReason(r), Excluded: map[string]int{}}
 	for _, w := range c.workers {
-		if reason := c.exclusion(r, q, w); reason != "" {
+		reason := c.exclusion(r, q, w)
+		if reason == "" && avoidsSlow && w.isSlow() {
+			reason = "slow, avoided by gangs"
+		}
+		if reason != "" {
 			out.Excluded[reason]++
 			continue
 		}
-		out.Candidates = append(out.Candidates, Candidate{w.info.ID, w.info.AZ, c.fitBesideHeadroom(w, s, r.rank), c.placeScore(s, w)})
+		out.Candidates = append(out.Candidates, Candidate{w.info.ID, w.info.AZ, c.fitBesideOthers(r, w, c.pass.now), c.placeScore(s, w) + speed.score(w)})
 	}
 	slices.SortFunc(out.Candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.Worker, b.Worker))
@@ -179,9 +187,9 @@
 		return string(WaitsForCapacity)
 	case !w.acceptsBesideSuspects(s.isolates()):
 		return string(WaitsAfterCrashes)
-	case c.reservedForOther(s, w, r.rank, now):
+	case c.reservedForOther(s, w, r.rank, now), c.fitBesideAmounts(r, w, fitOnWorker(w, s), now) == 0:
 		return string(WaitsForGangReservation)
-	case c.fitBesideHeadroom(w, s, r.rank) == 0:
+	case c.fitBesideOthers(r, w, now) == 0:
 		return string(WaitsForUrgentHeadroom)
 	}
 	return ""
