dispatch: tests of the turns compare groups of one type

Since ranks hold the group as int32, two tests compared it with an untyped constant and failed: TestJobLeavesTheTurnsWhenMoreIsKnown and TestStepsLeaveTheTurns. They compare the same values, of one type.

--- a/internal/dispatch/pastuse_test.go
+++ b/internal/dispatch/pastuse_test.go
@@ -158,7 +158,7 @@
 	s.failedRuns, s.maxFailedTime = 1, 30*time.Second // the objective allows for failures
 	c.core.Schedule(c.now)
 	is.Equal(c.core.ready[0].step, s)
-	is.Equal(c.core.ready[0].rank.group, groupOnTime)
+	is.Equal(c.core.ready[0].rank.group, int32(groupOnTime))
 }
 
 // Guards against decisions about steps that can earn something that depend on the backlog: their
@@ -217,5 +217,5 @@
 	}
 	is.Equal(len(c.core.ready), 2*pastUsePerPass)
 	is.Equal(len(c.core.pastUse.queue), 0)
-	is.Equal(c.core.ready[0].rank.group, groupOnTime)
+	is.Equal(c.core.ready[0].rank.group, int32(groupOnTime))
 }
