dispatch: steps that pass their useful time during a call for advice use its tickets

Only calls that were made for a step in the turns were noted. A step that expired while its call was in progress, or that returned to the turns after a failed run, waited for its turn behind the backlog, longer than its tickets are valid, and needed another call.

--- a/internal/dispatch/pastuse.go
+++ b/internal/dispatch/pastuse.go
@@ -182,6 +182,17 @@
 	return out
 }
 
+// addTurn adds an occurrence that is past its useful time, and notes the steps whose calls for
+// advice were made before. Their tickets would otherwise expire before its turn.
+func (c *Core) addTurn(o *occurrence, now time.Time) {
+	c.pastUse.add(o)
+	for _, s := range o.steps {
+		if c.isAdvised(s, now) {
+			c.noteCall(s)
+		}
+	}
+}
+
 // noteCall records that a call for advice is made for a step.
 func (c *Core) noteCall(s *step) {
 	if c.turnOf(s) != nil && !slices.Contains(c.pastUse.advised, s) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -38,7 +38,7 @@
 					r, ranked = c.rankOf(j, o, now), true
 				}
 				if o.pastUse(r, now) && !o.hasService() {
-					c.pastUse.add(o)
+					c.addTurn(o, now)
 					c.park(j)
 					break
 				}
