dispatch: runs in progress when image separation is turned on are no evidence

Until the next event the core did not know the time, so the observation of these runs seemed to begin at time zero, and their neighbours seemed to be present for no share of it. They counted as runs without neighbours, and the first report of a service's tail as a whole span.

--- a/internal/dispatch/imageevidence.go
+++ b/internal/dispatch/imageevidence.go
@@ -111,7 +111,7 @@
 		return
 	}
 	duration := now.Sub(t.speedFrom)
-	if t.run == 1 && !t.startSentAt.IsZero() && !t.speedFrom.IsZero() && t.speedFromPercent == 0 && !m.from.After(t.speedFrom) && duration > 0 {
+	if t.run == 1 && !t.startSentAt.IsZero() && !t.speedFrom.IsZero() && t.speedFromPercent == 0 && !m.from.IsZero() && !m.from.After(t.speedFrom) && duration > 0 {
 		s.compared = append(s.compared, comparedRun{m.in, w, math.Log(duration.Seconds()), m.shares(w, now)})
 	}
 	if s.done+1 >= len(s.tasks) || len(s.compared) >= maxComparedRuns {
@@ -179,6 +179,10 @@
 	if m == nil || m.in != c.interference || s.spec.TailTarget <= 0 || r.Load <= 0 {
 		return
 	}
+	if m.from.IsZero() { // its neighbours were not observed before this report
+		m.restart(w, now)
+		return
+	}
 	m.reports++
 	m.logs += math.Log(r.Load)
 	if now.Sub(m.from) < serviceSpan {
--- a/internal/dispatch/imagepresence.go
+++ b/internal/dispatch/imagepresence.go
@@ -71,7 +71,7 @@
 type presenceMark struct {
 	in    *interference // ignored if the switch was off since
 	image *image
-	from  time.Time
+	from  time.Time // zero for tasks that ran already when the switch was turned on
 	sums  []imagePresence
 	// Service tasks: the number and the sum of logarithms of the reported tail latencies.
 	reports int
