--- a/internal/dispatch/pastuse.go
+++ b/internal/dispatch/pastuse.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// remove takes an occurrence that is of use again out of the queue.
+func (p *pastUseTurns) remove(o *occurrence) {
+	if o.inTurn {
+		o.inTurn = false
+		p.queue = slices.DeleteFunc(p.queue, func(other *occurrence) bool { return other == o })
+	}
+}
+
 // park excludes a job from ranking until it leaves the turns or has a run. Without a run nothing
 // becomes known that changes its objective. Jobs on a schedule are not parked: their further
 // occurrences open on time.
@@ -174,6 +182,17 @@
 	return out
 }
 
+// addTurn adds an occurrence that is past its useful time, and notes the steps whose calls for
+// advice were made before. Their tickets would otherwise expire before its turn.
+func (c *Core) addTurn(o *occurrence, now time.Time) {
+	c.pastUse.add(o)
+	for _, s := range o.steps {
+		if c.isAdvised(s, now) {
+			c.noteCall(s)
+		}
+	}
+}
+
 // noteCall records that a call for advice is made for a step.
 func (c *Core) noteCall(s *step) {
 	if c.turnOf(s) != nil && !slices.Contains(c.pastUse.advised, s) {
