--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -357,7 +357,9 @@
 
 // listen opens the listeners.
 func (p *process) listen() ([]*server, error) {
-	service := &peerService{elector: p.elector, local: p.local, advice: p.adapter.Advice, intake: p.intake, starts: newStartServer(p.adapter.Commander),
+	starts := newStartServer(p.adapter.Commander)
+	starts.limitRelayedStarts(p.settings.DirectStartsPerS)
+	service := &peerService{elector: p.elector, local: p.local, advice: p.adapter.Advice, intake: p.intake, starts: starts,
 		admission: p.admission, omitJobs: p.settings.thinLink()}
 	handlers := []struct {
 		address string
--- a/internal/entry/relaychoice.go
+++ b/internal/entry/relaychoice.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/time/rate"
+
+	"cuminloft/internal/workload"
 )
 
 // Choice of hosts for start orders beyond the number per second that is sent directly.
@@ -23,12 +26,46 @@
 	relayChoiceAge = 100 * time.Millisecond
 	// unknownCoreShare is the assumed share of a core of a host that does not tell it.
 	unknownCoreShare = 1
+	// countRelayedTimeout bounds a worker's answer to an order that is relayed because of the
+	// number of starts. The other orders of the call wait for it, and the coordinator waits
+	// 200 ms for the first answer to an order.
+	countRelayedTimeout = 150 * time.Millisecond
+	// maxUnanswered bounds the runs that are known as not answered. It is more than are
+	// relayed in the second within which an order is repeated.
+	maxUnanswered = 2048
 )
 
 // limitStarts limits the start orders that are sent directly, per second; 0: no limit.
 func (r *startRelay) limitStarts(perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	r.directCount = rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond*directStartBurst.Seconds())))
+	var err error
+	if r.unanswered, err = lru.New[workload.Run, struct{}](maxUnanswered); err != nil {
+		panic(err) // lru.New fails only for a size that is not positive
+	}
+}
+
+// noteUnanswered records that a relayed order of a run was not answered.
+func (r *startRelay) noteUnanswered(run workload.Run) {
+	if r.unanswered != nil {
+		r.unanswered.Add(run, struct{}{})
+	}
+}
+
+// isRepeat reports whether an order repeats a relayed one that was not answered. It is sent
+// directly: the same relay host, or another order of its call, would hold it up again, and
+// the run would count as not answered.
+func (r *startRelay) isRepeat(run workload.Run) bool {
+	return r.unanswered != nil && r.unanswered.Remove(run)
+}
+
+// limitRelayedStarts makes the server of relayed orders answer before the first attempt of
+// an order ends, if the cell limits direct starts per second.
+func (s *startServer) limitRelayedStarts(perSecond float64) {
 	if perSecond > 0 {
-		r.directCount = rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond*directStartBurst.Seconds())))
+		s.timeout = countRelayedTimeout
 	}
 }
 
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -279,3 +280,73 @@
 		is.Equal(err == nil, valid)
 	}
 }
+
+// Guards against a start whose attempts are all lost with one relay host that is frozen: the
+// repeat of an order was relayed through the same host, since the call that it had not
+// answered was still in progress.
+func TestRepeatOfAnUnansweredOrderIsDirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		thaw := make(chan struct{})
+		c.serveOnly(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-thaw }))
+		defer time.Sleep(2 * relayBatchTimeout)
+		defer close(thaw)
+		w := &workload.Worker{ID: "w", Address: "a:1"}
+		_, err := c.Start(t.Context(), w, order("j", 0))
+		is.NoErr(err) // the direct start
+		c.direct.take()
+		first, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err = c.Start(first, w, order("j", 1))
+		is.True(errors.Is(err, workload.ErrNoAnswer))
+		is.Equal(len(c.direct.take()), 0)
+		began := time.Now()
+		second, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_, err = c.Start(second, w, order("j", 1))
+		is.NoErr(err)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(len(c.direct.take()), 1)
+	})
+}
+
+// frozenWorker is a Commander at which one worker does not answer.
+type frozenWorker struct {
+	*startRecorder
+	worker string
+}
+
+func (c frozenWorker) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
+	if w.ID == c.worker {
+		<-ctx.Done()
+		return 0, workload.ErrNoAnswer
+	}
+	return c.startRecorder.Start(ctx, w, o)
+}
+
+// Guards against a frozen worker that makes the orders to other workers in the same relayed
+// call count as not answered, after which no tasks are placed on these workers for some time.
+func TestFrozenWorkerHoldsUpNoOtherRelayedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		c.hosts[0].starts.commander = frozenWorker{c.workers, "frozen"}
+		c.hosts[0].starts.limitRelayedStarts(1)
+		_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+		is.NoErr(err) // the direct start
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		errs := make([]error, 3)
+		var wg sync.WaitGroup
+		for i, id := range []string{"w", "frozen", "x"} {
+			wg.Go(func() { _, errs[i] = c.Start(ctx, &workload.Worker{ID: id, Address: "a:1"}, order("j", i+1)) })
+		}
+		wg.Wait()
+		is.Equal(c.hosts[0].calls, 1)
+		is.NoErr(errs[0])
+		is.True(errors.Is(errs[1], workload.ErrNoAnswer))
+		is.NoErr(errs[2])
+		time.Sleep(relayBatchTimeout)
+	})
+}
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -68,6 +68,9 @@
 	relays     map[string]*relayHost // by address
 	noRelayFor map[string]time.Time  // by address: end of noRelayPeriod
 	choice     relayChoice           // while directCount is set
+	// unanswered are the latest runs whose relayed order was not answered; nil unless
+	// directCount is set.
+	unanswered *lru.Cache[workload.Run, struct{}]
 }
 
 func newStartRelay(direct workload.Commander, p *peers, linkBytesPerSecond float64) *startRelay {
@@ -85,7 +88,7 @@
 
 // Start implements workload.Commander.
 func (r *startRelay) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
-	if r.isDirect(time.Now(), startOrderOverhead+len(o.Spec)) {
+	if r.isRepeat(o.Run) || r.isDirect(time.Now(), startOrderOverhead+len(o.Spec)) {
 		return r.Commander.Start(ctx, w, o)
 	}
 	host := r.relayFor(o.Run.Task.Job)
@@ -99,8 +102,12 @@
 		if errors.Is(a.err, errNotRelayed) {
 			return r.Commander.Start(ctx, w, o)
 		}
+		if errors.Is(a.err, workload.ErrNoAnswer) {
+			r.noteUnanswered(o.Run)
+		}
 		return a.clockMS, a.err
 	case <-ctx.Done():
+		r.noteUnanswered(o.Run)
 		return 0, fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, host.address, ctx.Err())
 	}
 }
@@ -268,10 +275,11 @@
 type startServer struct {
 	commander workload.Commander
 	specs     *lru.Cache[string, string] // by job
+	timeout   time.Duration              // of the workers' answers
 }
 
 func newStartServer(c workload.Commander) *startServer {
-	return &startServer{c, newSpecCache(maxKnownSpecs)}
+	return &startServer{c, newSpecCache(maxKnownSpecs), relayedStartTimeout}
 }
 
 // startRuns sends all orders at once and returns the workers' answers.
@@ -279,7 +287,7 @@
 	for job, spec := range r.Specs {
 		s.specs.Add(job, spec)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayedStartTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	reply := &rpc.StartRunsReply{Results: make([]*rpc.RunStartResult, len(r.Starts))}
 	var wg sync.WaitGroup
