--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -471,7 +471,7 @@
 		}
 		order := st.Order
 		if l.waitsFor(given.incarnation) {
-			order.Incarnation = 0
+			order.Incarnation, order.HeldIncarnation = 0, given.incarnation
 		}
 		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, order)
 		if errors.Is(err, workload.ErrRestarted) {
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -329,3 +329,38 @@
 		is.True(notSent > committedLate && notSent <= starts+committedLate)
 	})
 }
+
+// startRecorder is a fakeWorker that records start orders.
+type startRecorder struct {
+	*fakeWorker
+	starts []workload.StartOrder
+}
+
+func (r *startRecorder) Start(_ context.Context, _ *workload.Worker, o workload.StartOrder) (int64, error) {
+	r.starts = append(r.starts, o)
+	return r.clock(), nil
+}
+
+// Guards against an order that names no incarnation at all beside a heartbeat that waits: a
+// host that relays it does not know for which incarnation it is meant.
+func TestStartBesideAHeartbeatTellsTheIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &startRecorder{fakeWorker: &fakeWorker{began: time.Now(), incarnation: 3}}
+		l := newLink(newLinkSet(&Coordinator{Commander: r}, 1, renewedNow, make(chan any, 10_000)),
+			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Incarnation: 3})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			l.run(ctx)
+		}()
+		time.Sleep(heartbeatWaitBusy / 2) // the second heartbeat waits
+		l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now()}, l.newLease())
+		is.Equal(len(r.starts), 1)
+		is.Equal(r.starts[0].Incarnation, int64(0))
+		is.Equal(r.starts[0].HeldIncarnation, int64(3))
+		cancel()
+		<-ended
+	})
+}
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -350,3 +350,41 @@
 		time.Sleep(relayBatchTimeout)
 	})
 }
+
+// Guards against a run that a later incarnation of its worker starts, with a lease by the
+// clock of the earlier one: an order that was not bound to an incarnation, since the
+// coordinator's heartbeat waited at the worker, may be sent by a slow relay host after the
+// worker has restarted.
+func TestRelayedOrderIsBoundToAnIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		orders := ordersOf(1, 2)
+		for i := range orders {
+			orders[i].Incarnation, orders[i].HeldIncarnation = 0, 7
+		}
+		for _, o := range orders {
+			is.NoErr(c.startAll(t.Context(), []workload.StartOrder{o}, 0)[0])
+		}
+		direct, relayed := c.direct.take(), c.workers.take()
+		is.True(len(direct) == 1 && len(relayed) == 1)
+		is.Equal(direct[0].Incarnation, int64(0)) // the heartbeat's connection shows that it lives
+		is.Equal(relayed[0].Incarnation, int64(7))
+	})
+}
+
+// Guards against workers that get no tasks, and jobs that do not start, while only the relay
+// host of these jobs is cut off from the workers.
+func TestRelayHostCutOffFromAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		c.workers.err = fmt.Errorf("%w: no route to host", workload.ErrUnhealthy)
+		orders := ordersOf(2, 5)
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(len(c.workers.take()), len(orders)-1)
+		is.Equal(len(runs(t, c.direct.take())), len(orders))
+	})
+}
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -96,10 +96,11 @@
 		return r.Commander.Start(ctx, w, o)
 	}
 	result := make(chan startAnswer, 1)
-	host.add(pendingStart{w, o, result})
+	host.add(pendingStart{w, r.bound(o), result})
 	select {
 	case a := <-result:
-		if errors.Is(a.err, errNotRelayed) {
+		if errors.Is(a.err, errNotRelayed) || r.isCutOff(a.err) {
+			r.noteUnanswered(o.Run) // so that a repeat is direct as well
 			return r.Commander.Start(ctx, w, o)
 		}
 		if errors.Is(a.err, workload.ErrNoAnswer) {
