--- a/internal/entry/relaychoice.go
+++ b/internal/entry/relaychoice.go
@@ -118,10 +118,29 @@
 	return best
 }
 
+// noteSilent records that a host did not answer an order in time. Orders of other runs go
+// through other hosts while its call is in progress, which may take relayBatchTimeout:
+// workers whose orders it does not answer get no tasks for some time.
+func (r *startRelay) noteSilent(h *relayHost) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.silentUntil = time.Now().Add(relayBatchTimeout)
+	r.choice = relayChoice{}
+}
+
 // chooseRelays returns the countRelayHosts available hosts with the highest scores. If a
-// host comes or goes, at most one host of the choice changes. The caller holds mu.
+// host comes or goes, at most one host of the choice changes. Silent hosts are left out,
+// unless most hosts are silent: then the cause is likely to be this host. The caller holds
+// mu.
 func (r *startRelay) chooseRelays(now time.Time) []peer {
 	hosts := slices.DeleteFunc(slices.Clone(r.hosts()), func(h peer) bool { return now.Before(r.noRelayFor[h.Address]) })
+	answering := slices.DeleteFunc(slices.Clone(hosts), func(h peer) bool {
+		host := r.relays[h.Address]
+		return host != nil && now.Before(host.silentUntil)
+	})
+	if 2*len(answering) >= len(hosts) {
+		hosts = answering
+	}
 	if len(hosts) <= countRelayHosts {
 		return hosts
 	}
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -388,3 +388,42 @@
 		is.Equal(len(runs(t, c.direct.take())), len(orders))
 	})
 }
+
+// Guards against orders that go through a frozen host until its first call has failed after
+// relayBatchTimeout, and against orders that go directly since most hosts are silent.
+func TestSilentRelayHostIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 3, 1)
+		available := c.startRelay.hosts()
+		thaw := make(chan struct{})
+		c.network.listen(t, "frozen:1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-thaw }))
+		defer time.Sleep(2 * relayBatchTimeout)
+		defer close(thaw)
+		frozen := peer{hostRow: hostRow{Address: "frozen:1", CoreShare: 1e9}} // chosen for every job
+		c.startRelay.hosts = func() []peer { return append([]peer{frozen}, available...) }
+		orders := ordersOf(3, 1)
+		is.NoErr(c.startAll(t.Context(), orders[:1], 0)[0]) // the direct start
+		first, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		is.True(errors.Is(c.startAll(first, orders[1:2], 0)[0], workload.ErrNoAnswer))
+		began := time.Now()
+		is.NoErr(c.startAll(t.Context(), orders[2:], 0)[0])
+		is.True(time.Since(began) <= relayBatchDelay)
+		is.Equal(len(c.workers.take()), 1)
+		chosen := func() int {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return len(c.chooseRelays(time.Now()))
+		}
+		for _, h := range available {
+			c.noteSilent(c.relayHostOf(h.Address))
+		}
+		is.Equal(chosen(), 4) // all are silent
+		time.Sleep(relayBatchTimeout)
+		c.noteSilent(c.relayHostOf(frozen.Address)) // after the end of its call
+		is.Equal(chosen(), 3)
+		time.Sleep(relayBatchTimeout)
+		is.Equal(chosen(), 4) // it is asked again
+	})
+}
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -109,6 +109,9 @@
 		return a.clockMS, a.err
 	case <-ctx.Done():
 		r.noteUnanswered(o.Run)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.noteSilent(host)
+		}
 		return 0, fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, host.address, ctx.Err())
 	}
 }
@@ -127,10 +130,15 @@
 	if best == "" {
 		return nil
 	}
-	host := r.relays[best]
+	return r.relayHostOf(best)
+}
+
+// relayHostOf returns the host with an address. The caller holds mu.
+func (r *startRelay) relayHostOf(address string) *relayHost {
+	host := r.relays[address]
 	if host == nil {
-		host = &relayHost{relay: r, address: best, specs: newSpecCache(senderSpecs)}
-		r.relays[best] = host
+		host = &relayHost{relay: r, address: address, specs: newSpecCache(senderSpecs)}
+		r.relays[address] = host
 	}
 	return host
 }
@@ -176,6 +184,9 @@
 	mu      sync.Mutex
 	pending []pendingStart
 	specs   *lru.Cache[string, string] // by job: specs that the host has been sent
+	// silentUntil is set if an order was not answered in time and no call has ended since. It
+	// is guarded by relay.mu.
+	silentUntil time.Time
 }
 
 // add queues an order and, if it is the first one, schedules the batch.
@@ -198,6 +209,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
 	defer cancel()
 	reply, err := h.relay.client(h.address).StartIncarnationRuns(ctx, request)
+	h.relay.mu.Lock()
+	h.silentUntil = time.Time{}
+	h.relay.mu.Unlock()
 	if err == nil && len(reply.Results) != len(batch) {
 		err = fmt.Errorf("%d results for %d start orders", len(reply.Results), len(batch))
 	}
