--- a/internal/entry/relaychoice.go
+++ b/internal/entry/relaychoice.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"errors"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/time/rate"
+
+	"cuminloft/internal/workload"
 )
 
 // Choice of hosts for start orders beyond the number per second that is sent directly.
@@ -23,12 +27,62 @@
 	relayChoiceAge = 100 * time.Millisecond
 	// unknownCoreShare is the assumed share of a core of a host that does not tell it.
 	unknownCoreShare = 1
+	// countRelayedTimeout bounds a worker's answer to an order that is relayed because of the
+	// number of starts. The other orders of the call wait for it, and the coordinator waits
+	// 200 ms for the first answer to an order.
+	countRelayedTimeout = 150 * time.Millisecond
+	// maxUnanswered bounds the runs that are known as not answered. It is more than are
+	// relayed in the second within which an order is repeated.
+	maxUnanswered = 2048
 )
 
 // limitStarts limits the start orders that are sent directly, per second; 0: no limit.
 func (r *startRelay) limitStarts(perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	r.directCount = rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond*directStartBurst.Seconds())))
+	var err error
+	if r.unanswered, err = lru.New[workload.Run, struct{}](maxUnanswered); err != nil {
+		panic(err) // lru.New fails only for a size that is not positive
+	}
+}
+
+// noteUnanswered records that a relayed order of a run was not answered.
+func (r *startRelay) noteUnanswered(run workload.Run) {
+	if r.unanswered != nil {
+		r.unanswered.Add(run, struct{}{})
+	}
+}
+
+// isRepeat reports whether an order repeats a relayed one that was not answered. It is sent
+// directly: the same relay host, or another order of its call, would hold it up again, and
+// the run would count as not answered.
+func (r *startRelay) isRepeat(run workload.Run) bool {
+	return r.unanswered != nil && r.unanswered.Remove(run)
+}
+
+// isCutOff reports whether the relay host may have been unable to reach a worker that the
+// coordinator reaches. The error proves that the order was not carried out.
+func (r *startRelay) isCutOff(err error) bool {
+	return r.directCount != nil && errors.Is(err, workload.ErrUnhealthy)
+}
+
+// bound returns an order as it is relayed. The coordinator's heartbeat shows nothing of the
+// time at which a relay host sends an order, so it is bound to the incarnation at which that
+// heartbeat waits: on the clock of a later one, its lease might end hours later.
+func (r *startRelay) bound(o workload.StartOrder) workload.StartOrder {
+	if r.directCount != nil && o.Incarnation == 0 {
+		o.Incarnation = o.HeldIncarnation
+	}
+	return o
+}
+
+// limitRelayedStarts makes the server of relayed orders answer before the first attempt of
+// an order ends, if the cell limits direct starts per second.
+func (s *startServer) limitRelayedStarts(perSecond float64) {
 	if perSecond > 0 {
-		r.directCount = rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond*directStartBurst.Seconds())))
+		s.timeout = countRelayedTimeout
 	}
 }
 
@@ -64,10 +118,29 @@
 	return best
 }
 
+// noteSilent records that a host did not answer an order in time. Orders of other runs go
+// through other hosts while its call is in progress, which may take relayBatchTimeout:
+// workers whose orders it does not answer get no tasks for some time.
+func (r *startRelay) noteSilent(h *relayHost) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.silentUntil = time.Now().Add(relayBatchTimeout)
+	r.choice = relayChoice{}
+}
+
 // chooseRelays returns the countRelayHosts available hosts with the highest scores. If a
-// host comes or goes, at most one host of the choice changes. The caller holds mu.
+// host comes or goes, at most one host of the choice changes. Silent hosts are left out,
+// unless most hosts are silent: then the cause is likely to be this host. The caller holds
+// mu.
 func (r *startRelay) chooseRelays(now time.Time) []peer {
 	hosts := slices.DeleteFunc(slices.Clone(r.hosts()), func(h peer) bool { return now.Before(r.noRelayFor[h.Address]) })
+	answering := slices.DeleteFunc(slices.Clone(hosts), func(h peer) bool {
+		host := r.relays[h.Address]
+		return host != nil && now.Before(host.silentUntil)
+	})
+	if 2*len(answering) >= len(hosts) {
+		hosts = answering
+	}
 	if len(hosts) <= countRelayHosts {
 		return hosts
 	}
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -279,3 +280,150 @@
 		is.Equal(err == nil, valid)
 	}
 }
+
+// Guards against a start whose attempts are all lost with one relay host that is frozen: the
+// repeat of an order was relayed through the same host, since the call that it had not
+// answered was still in progress.
+func TestRepeatOfAnUnansweredOrderIsDirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		thaw := make(chan struct{})
+		c.serveOnly(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-thaw }))
+		defer time.Sleep(2 * relayBatchTimeout)
+		defer close(thaw)
+		w := &workload.Worker{ID: "w", Address: "a:1"}
+		_, err := c.Start(t.Context(), w, order("j", 0))
+		is.NoErr(err) // the direct start
+		c.direct.take()
+		first, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err = c.Start(first, w, order("j", 1))
+		is.True(errors.Is(err, workload.ErrNoAnswer))
+		is.Equal(len(c.direct.take()), 0)
+		began := time.Now()
+		second, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_, err = c.Start(second, w, order("j", 1))
+		is.NoErr(err)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(len(c.direct.take()), 1)
+	})
+}
+
+// frozenWorker is a Commander at which one worker does not answer.
+type frozenWorker struct {
+	*startRecorder
+	worker string
+}
+
+func (c frozenWorker) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
+	if w.ID == c.worker {
+		<-ctx.Done()
+		return 0, workload.ErrNoAnswer
+	}
+	return c.startRecorder.Start(ctx, w, o)
+}
+
+// Guards against a frozen worker that makes the orders to other workers in the same relayed
+// call count as not answered, after which no tasks are placed on these workers for some time.
+func TestFrozenWorkerHoldsUpNoOtherRelayedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		c.hosts[0].starts.commander = frozenWorker{c.workers, "frozen"}
+		c.hosts[0].starts.limitRelayedStarts(1)
+		_, err := c.Start(t.Context(), &workload.Worker{ID: "w", Address: "a:1"}, order("j", 0))
+		is.NoErr(err) // the direct start
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		errs := make([]error, 3)
+		var wg sync.WaitGroup
+		for i, id := range []string{"w", "frozen", "x"} {
+			wg.Go(func() { _, errs[i] = c.Start(ctx, &workload.Worker{ID: id, Address: "a:1"}, order("j", i+1)) })
+		}
+		wg.Wait()
+		is.Equal(c.hosts[0].calls, 1)
+		is.NoErr(errs[0])
+		is.True(errors.Is(errs[1], workload.ErrNoAnswer))
+		is.NoErr(errs[2])
+		time.Sleep(relayBatchTimeout)
+	})
+}
+
+// Guards against a run that a later incarnation of its worker starts, with a lease by the
+// clock of the earlier one: an order that was not bound to an incarnation, since the
+// coordinator's heartbeat waited at the worker, may be sent by a slow relay host after the
+// worker has restarted.
+func TestRelayedOrderIsBoundToAnIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		orders := ordersOf(1, 2)
+		for i := range orders {
+			orders[i].Incarnation, orders[i].HeldIncarnation = 0, 7
+		}
+		for _, o := range orders {
+			is.NoErr(c.startAll(t.Context(), []workload.StartOrder{o}, 0)[0])
+		}
+		direct, relayed := c.direct.take(), c.workers.take()
+		is.True(len(direct) == 1 && len(relayed) == 1)
+		is.Equal(direct[0].Incarnation, int64(0)) // the heartbeat's connection shows that it lives
+		is.Equal(relayed[0].Incarnation, int64(7))
+	})
+}
+
+// Guards against workers that get no tasks, and jobs that do not start, while only the relay
+// host of these jobs is cut off from the workers.
+func TestRelayHostCutOffFromAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		c.workers.err = fmt.Errorf("%w: no route to host", workload.ErrUnhealthy)
+		orders := ordersOf(2, 5)
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		is.Equal(len(c.workers.take()), len(orders)-1)
+		is.Equal(len(runs(t, c.direct.take())), len(orders))
+	})
+}
+
+// Guards against orders that go through a frozen host until its first call has failed after
+// relayBatchTimeout, and against orders that go directly since most hosts are silent.
+func TestSilentRelayHostIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 3, 1)
+		available := c.startRelay.hosts()
+		thaw := make(chan struct{})
+		c.network.listen(t, "frozen:1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-thaw }))
+		defer time.Sleep(2 * relayBatchTimeout)
+		defer close(thaw)
+		frozen := peer{hostRow: hostRow{Address: "frozen:1", CoreShare: 1e9}} // chosen for every job
+		c.startRelay.hosts = func() []peer { return append([]peer{frozen}, available...) }
+		orders := ordersOf(3, 1)
+		is.NoErr(c.startAll(t.Context(), orders[:1], 0)[0]) // the direct start
+		first, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		is.True(errors.Is(c.startAll(first, orders[1:2], 0)[0], workload.ErrNoAnswer))
+		began := time.Now()
+		is.NoErr(c.startAll(t.Context(), orders[2:], 0)[0])
+		is.True(time.Since(began) <= relayBatchDelay)
+		is.Equal(len(c.workers.take()), 1)
+		chosen := func() int {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return len(c.chooseRelays(time.Now()))
+		}
+		for _, h := range available {
+			c.noteSilent(c.relayHostOf(h.Address))
+		}
+		is.Equal(chosen(), 4) // all are silent
+		time.Sleep(relayBatchTimeout)
+		c.noteSilent(c.relayHostOf(frozen.Address)) // after the end of its call
+		is.Equal(chosen(), 3)
+		time.Sleep(relayBatchTimeout)
+		is.Equal(chosen(), 4) // it is asked again
+	})
+}
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -68,6 +68,9 @@
 	relays     map[string]*relayHost // by address
 	noRelayFor map[string]time.Time  // by address: end of noRelayPeriod
 	choice     relayChoice           // while directCount is set
+	// unanswered are the latest runs whose relayed order was not answered; nil unless
+	// directCount is set.
+	unanswered *lru.Cache[workload.Run, struct{}]
 }
 
 func newStartRelay(direct workload.Commander, p *peers, linkBytesPerSecond float64) *startRelay {
@@ -85,7 +88,7 @@
 
 // Start implements workload.Commander.
 func (r *startRelay) Start(ctx context.Context, w *workload.Worker, o workload.StartOrder) (int64, error) {
-	if r.isDirect(time.Now(), startOrderOverhead+len(o.Spec)) {
+	if r.isRepeat(o.Run) || r.isDirect(time.Now(), startOrderOverhead+len(o.Spec)) {
 		return r.Commander.Start(ctx, w, o)
 	}
 	host := r.relayFor(o.Run.Task.Job)
@@ -93,14 +96,22 @@
 		return r.Commander.Start(ctx, w, o)
 	}
 	result := make(chan startAnswer, 1)
-	host.add(pendingStart{w, o, result})
+	host.add(pendingStart{w, r.bound(o), result})
 	select {
 	case a := <-result:
-		if errors.Is(a.err, errNotRelayed) {
+		if errors.Is(a.err, errNotRelayed) || r.isCutOff(a.err) {
+			r.noteUnanswered(o.Run) // so that a repeat is direct as well
 			return r.Commander.Start(ctx, w, o)
 		}
+		if errors.Is(a.err, workload.ErrNoAnswer) {
+			r.noteUnanswered(o.Run)
+		}
 		return a.clockMS, a.err
 	case <-ctx.Done():
+		r.noteUnanswered(o.Run)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.noteSilent(host)
+		}
 		return 0, fmt.Errorf("%w: relayed through %s: %w", workload.ErrNoAnswer, host.address, ctx.Err())
 	}
 }
@@ -119,10 +130,15 @@
 	if best == "" {
 		return nil
 	}
-	host := r.relays[best]
+	return r.relayHostOf(best)
+}
+
+// relayHostOf returns the host with an address. The caller holds mu.
+func (r *startRelay) relayHostOf(address string) *relayHost {
+	host := r.relays[address]
 	if host == nil {
-		host = &relayHost{relay: r, address: best, specs: newSpecCache(senderSpecs)}
-		r.relays[best] = host
+		host = &relayHost{relay: r, address: address, specs: newSpecCache(senderSpecs)}
+		r.relays[address] = host
 	}
 	return host
 }
@@ -168,6 +184,9 @@
 	mu      sync.Mutex
 	pending []pendingStart
 	specs   *lru.Cache[string, string] // by job: specs that the host has been sent
+	// silentUntil is set if an order was not answered in time and no call has ended since. It
+	// is guarded by relay.mu.
+	silentUntil time.Time
 }
 
 // add queues an order and, if it is the first one, schedules the batch.
@@ -190,6 +209,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
 	defer cancel()
 	reply, err := h.relay.client(h.address).StartIncarnationRuns(ctx, request)
+	h.relay.mu.Lock()
+	h.silentUntil = time.Time{}
+	h.relay.mu.Unlock()
 	if err == nil && len(reply.Results) != len(batch) {
 		err = fmt.Errorf("%d results for %d start orders", len(reply.Results), len(batch))
 	}
@@ -268,10 +290,11 @@
 type startServer struct {
 	commander workload.Commander
 	specs     *lru.Cache[string, string] // by job
+	timeout   time.Duration              // of the workers' answers
 }
 
 func newStartServer(c workload.Commander) *startServer {
-	return &startServer{c, newSpecCache(maxKnownSpecs)}
+	return &startServer{c, newSpecCache(maxKnownSpecs), relayedStartTimeout}
 }
 
 // startRuns sends all orders at once and returns the workers' answers.
@@ -279,7 +302,7 @@
 	for job, spec := range r.Specs {
 		s.specs.Add(job, spec)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayedStartTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	reply := &rpc.StartRunsReply{Results: make([]*rpc.RunStartResult, len(r.Starts))}
 	var wg sync.WaitGroup
