--- a/internal/dispatch/reserveamount.go
+++ b/internal/dispatch/reserveamount.go
@@ -294,11 +294,11 @@
 	c.expectFree(w, now)
 	s := r.step
 	size := s.spec.RequiredCapacity()
-	duration := float64(c.expectedInPass(s))
-	if w.isSlow() {
-		duration *= w.speed.ratio
+	margin := float64(amountBackfillMargin)
+	if w.isSlow() { // the large margin covers most of what a task takes longer there
+		margin = max(margin, backfillMargin*w.speed.ratio)
 	}
-	end := now.Add(time.Duration(amountBackfillMargin * duration))
+	end := now.Add(time.Duration(margin * float64(c.expectedInPass(s))))
 	held := model.Resources{MilliCores: c.pass.headroomAgainst(w, r.rank)}
 	for i := range w.amounts {
 		a := &w.amounts[i]
