--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -392,6 +392,8 @@
 			if l.incarnation != known {
 				return false
 			}
+			l.set.coordinator.Log.Info("incarnation answers", "worker", l.worker.ID, "born", inv.Incarnation, "before", known,
+				"clock", inv.ClockMS, "leases end in", time.Until(l.leasesEndBy))
 			l.incarnation, l.clock = inv.Incarnation, 0
 		}
 		l.setClock(inv.Incarnation, inv.ClockMS)
@@ -459,6 +461,7 @@
 	if st.Order.Incarnation == 0 {
 		st.Order.Incarnation = given.incarnation
 	}
+	attempts := 0
 	err := l.sendOrder(ctx, func(call context.Context) error {
 		if time.Since(st.DecidedAt) > maxStartAge {
 			return workload.ErrStartExpired
@@ -473,6 +476,10 @@
 		if l.waitsFor(given.incarnation) {
 			order.Incarnation, order.HeldIncarnation = 0, given.incarnation
 		}
+		if attempts++; attempts > 1 {
+			l.set.coordinator.Log.Info("start repeated", "task", order.Run.Task.String(), "run", order.Run.Number, "worker", l.worker.ID,
+				"born", given.incarnation, "bound", order.Incarnation != 0, "lease until", order.LeaseUntil, "age", time.Since(st.DecidedAt))
+		}
 		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, order)
 		if errors.Is(err, workload.ErrRestarted) {
 			l.restarted(given.incarnation)
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -33,7 +33,8 @@
 		}
 		return
 	}
-	c.emit("start refused", "task", run.Task.String(), "run", run.Number, "worker", st.Worker.ID, "cause", err.Error())
+	c.emit("start refused", "task", run.Task.String(), "run", run.Number, "worker", st.Worker.ID,
+		"born", st.Order.Incarnation, "lease until", st.Order.LeaseUntil, "cause", err.Error())
 	c.handleStartError(s, run.Task.Index, w, st, err, now)
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -398,6 +398,6 @@
 		Run: workload.Run{Task: s.taskID(i), Number: run}, Incarnation: w.incarnation, Spec: j.spec.Spec, Checkpoint: checkpoint, Ticket: token,
 	}})
 	c.markDirty(j)
-	c.emit("run assigned", "task", s.taskID(i).String(), "run", run, "worker", w.info.ID,
+	c.emit("run assigned", "task", s.taskID(i).String(), "run", run, "worker", w.info.ID, "born", w.incarnation,
 		"age", now.Sub(timeOfMillis(j.spec.AcceptedAt)), "estimate", s.spec.Estimate, "checkpoint", checkpoint != "")
 }
