--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -78,6 +78,8 @@
 	workload.Worker
 	registered  bool
 	unreachable bool
+	silent      bool   // calls get no answer; those still under way afterwards are carried out
+	silentSince int64  // incarnation that went silent last
 	fencedOff   int64  // if set, calls under a higher fence get no answer
 	answerOnce  func() // if set, one heartbeat is answered although the worker is unreachable
 	began       time.Time
@@ -211,6 +213,16 @@
 	if target.Address != w.Address {
 		return nil, workload.ErrReplaced
 	}
+	if w.silent {
+		for w.silent && ctx.Err() == nil {
+			f.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			f.mu.Lock()
+		}
+		if ctx.Err() != nil || incarnation != 0 && incarnation != w.Incarnation { // its connection has ended
+			return nil, workload.ErrNoAnswer
+		}
+	}
 	if incarnation != 0 && incarnation != w.Incarnation && !w.unreachable {
 		return nil, workload.ErrRestarted
 	}
@@ -242,11 +254,18 @@
 	if err != nil {
 		return workload.Inventory{}, err
 	}
+	incarnation := w.Incarnation
 	for deadline := time.Now().Add(o.Wait); len(w.ends) == 0 && time.Now().Before(deadline) && ctx.Err() == nil; {
 		f.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
 		f.mu.Lock()
 	}
+	if w.silentSince == incarnation {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return workload.Inventory{}, workload.ErrNoAnswer
+	}
 	if w.unreachable {
 		return workload.Inventory{}, workload.ErrNoAnswer
 	}
@@ -345,6 +364,23 @@
 	w.runs, w.highest = map[workload.TaskID]int{}, map[workload.TaskID]int{}
 }
 
+// goSilent ends a worker without a reset of its connections, until it restarts.
+func (f *fleet) goSilent(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.silent, w.silentSince = true, w.Incarnation
+}
+
+// restartAfterSilence is restart for a worker that went silent. It carries out the calls
+// that are still under way and are not bound to a connection of the earlier incarnation.
+func (f *fleet) restartAfterSilence(id string) {
+	f.restart(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].silent = false
+}
+
 // setUnreachable cuts a worker off from the coordinators, or ends that state.
 func (f *fleet) setUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
--- a/internal/coordinator/restart_test.go
+++ b/internal/coordinator/restart_test.go
@@ -58,6 +58,45 @@
 	}
 }
 
+// Guards against starts that are repeated to the next incarnation of a worker that has
+// restarted in silence, with a lease by the clock of the earlier one.
+func TestStartIsNotRepeatedToALaterIncarnation(t *testing.T) {
+	for name, connected := range map[string]time.Duration{
+		"cut off at once":           0,
+		"cut off after a heartbeat": 1500 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silence = 500 * time.Millisecond // shorter than two attempts of an order
+				is := is.New(t)
+				f := newFleet(t, 2)
+				l, _, _ := f.leadService(2) // heartbeats wait at both workers
+				defer l.stop()
+				time.Sleep(2 * longestLease)
+				f.goSilent("w0")
+				f.goSilent("w1")
+				job := serviceJob(1)
+				job.ID = "00000000000000a2"
+				is.NoErr(l.Jobs.Insert(t.Context(), job))
+				time.Sleep(silence)
+				for _, id := range []string{"w0", "w1"} {
+					f.restartAfterSilence(id)
+					f.setRegistered(id, true)
+				}
+				for deadline := time.Now().Add(placementTime); !f.runs(job) && time.Now().Before(deadline); {
+					time.Sleep(time.Millisecond)
+				}
+				is.True(f.runs(job))
+				time.Sleep(connected)
+				f.setUnreachable(f.placeOf(taskOf(job, 0)), true)
+				time.Sleep(2 * longestLease) // the fleet fails the test if a second run starts beside the first
+				is.True(f.runs(job))
+				is.True(f.gap() <= serviceRestart)
+			})
+		})
+	}
+}
+
 // A start that was decided for an incarnation is not sent to the next one, which may be of
 // another kind: its capacity is read with its registration.
 func TestStartIsNotSentToALaterIncarnation(t *testing.T) {
