--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -122,7 +122,6 @@
 	leaseless      bool      // the latest heartbeat gave no lease
 	answered       bool      // the worker counts as in reach
 	failures       int       // consecutive heartbeats without an answer
-	waiting        int64     // incarnation that a heartbeat in progress waits for; 0 if there is none
 }
 
 func newLink(set *linkSet, l dispatch.WorkerView) *link {
@@ -339,19 +338,11 @@
 		order.Incarnation = known
 	}
 	l.leaseless = order.LeaseUntil == 0
-	if order.Wait > 0 {
-		l.waiting = order.Incarnation
-	}
 	l.mu.Unlock()
 	sentAt := time.Now()
 	call, cancel := context.WithTimeout(ctx, order.Wait+l.set.answerTimes.timeout(failures))
 	inv, err := l.set.coordinator.Commander.Heartbeat(call, &l.worker, order)
 	cancel()
-	if order.Wait > 0 {
-		l.mu.Lock()
-		l.waiting = 0
-		l.mu.Unlock()
-	}
 	if err == nil {
 		if took := time.Since(sentAt); took >= order.Wait { // otherwise the worker has waited for an unknown time
 			l.set.answerTimes.add(took - order.Wait)
@@ -472,15 +463,11 @@
 		if st.Order.Incarnation != given.incarnation {
 			return workload.ErrRestarted
 		}
-		order := st.Order
-		if l.waitsFor(given.incarnation) {
-			order.Incarnation, order.HeldIncarnation = 0, given.incarnation
-		}
 		if attempts++; attempts > 1 {
-			l.set.coordinator.Log.Info("start repeated", "task", order.Run.Task.String(), "run", order.Run.Number, "worker", l.worker.ID,
-				"born", given.incarnation, "bound", order.Incarnation != 0, "lease until", order.LeaseUntil, "age", time.Since(st.DecidedAt))
+			l.set.coordinator.Log.Info("start repeated", "task", st.Order.Run.Task.String(), "run", st.Order.Run.Number, "worker", l.worker.ID,
+				"born", given.incarnation, "lease until", given.until, "age", time.Since(st.DecidedAt))
 		}
-		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, order)
+		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, st.Order)
 		if errors.Is(err, workload.ErrRestarted) {
 			l.restarted(given.incarnation)
 			return err
@@ -494,16 +481,6 @@
 	l.post(ctx, startResult{st, err})
 }
 
-// waitsFor reports whether a heartbeat in progress waits for an end at an incarnation. Its
-// connection is reset if the incarnation ends, so a start need not be bound to a connection
-// that is known: to get to know a new one takes an inventory. Load pattern: hundreds of starts
-// a second on workers with many tasks, over a thin link.
-func (l *link) waitsFor(incarnation int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return incarnation != 0 && l.waiting == incarnation && l.failures == 0
-}
-
 // stop sends a stop order.
 func (l *link) stop(ctx context.Context, st dispatch.StopOrder) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -341,9 +341,9 @@
 	return r.clock(), nil
 }
 
-// Guards against an order that names no incarnation at all beside a heartbeat that waits: a
-// host that relays it does not know for which incarnation it is meant.
-func TestStartBesideAHeartbeatTellsTheIncarnation(t *testing.T) {
+// Guards against a start that names no incarnation while a heartbeat waits at the worker: it
+// may reach the next one before the heartbeat fails.
+func TestStartBesideAHeartbeatIsBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := &startRecorder{fakeWorker: &fakeWorker{began: time.Now(), incarnation: 3}}
@@ -358,8 +358,7 @@
 		time.Sleep(heartbeatWaitBusy / 2) // the second heartbeat waits
 		l.start(ctx, dispatch.Start{Worker: l.worker, DecidedAt: time.Now()}, l.newLease())
 		is.Equal(len(r.starts), 1)
-		is.Equal(r.starts[0].Incarnation, int64(0))
-		is.Equal(r.starts[0].HeldIncarnation, int64(3))
+		is.Equal(r.starts[0].Incarnation, int64(3))
 		cancel()
 		<-ended
 	})
--- a/internal/entry/relaychoice.go
+++ b/internal/entry/relaychoice.go
@@ -68,16 +68,6 @@
 	return r.directCount != nil && errors.Is(err, workload.ErrUnhealthy)
 }
 
-// bound returns an order as it is relayed. The coordinator's heartbeat shows nothing of the
-// time at which a relay host sends an order, so it is bound to the incarnation at which that
-// heartbeat waits: on the clock of a later one, its lease might end hours later.
-func (r *startRelay) bound(o workload.StartOrder) workload.StartOrder {
-	if r.directCount != nil && o.Incarnation == 0 {
-		o.Incarnation = o.HeldIncarnation
-	}
-	return o
-}
-
 // limitRelayedStarts makes the server of relayed orders answer before the first attempt of
 // an order ends, if the cell limits direct starts per second.
 func (s *startServer) limitRelayedStarts(perSecond float64) {
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -352,23 +352,22 @@
 }
 
 // Guards against a run that a later incarnation of its worker starts, with a lease by the
-// clock of the earlier one: an order that was not bound to an incarnation, since the
-// coordinator's heartbeat waited at the worker, may be sent by a slow relay host after the
-// worker has restarted.
+// clock of the earlier one: a slow relay host may send the order after the worker has
+// restarted.
 func TestRelayedOrderIsBoundToAnIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCountCell(t, 1, 1)
 		orders := ordersOf(1, 2)
 		for i := range orders {
-			orders[i].Incarnation, orders[i].HeldIncarnation = 0, 7
+			orders[i].Incarnation = 7
 		}
 		for _, o := range orders {
 			is.NoErr(c.startAll(t.Context(), []workload.StartOrder{o}, 0)[0])
 		}
 		direct, relayed := c.direct.take(), c.workers.take()
 		is.True(len(direct) == 1 && len(relayed) == 1)
-		is.Equal(direct[0].Incarnation, int64(0)) // the heartbeat's connection shows that it lives
+		is.Equal(direct[0].Incarnation, int64(7))
 		is.Equal(relayed[0].Incarnation, int64(7))
 	})
 }
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -96,7 +96,7 @@
 		return r.Commander.Start(ctx, w, o)
 	}
 	result := make(chan startAnswer, 1)
-	host.add(pendingStart{w, r.bound(o), result})
+	host.add(pendingStart{w, o, result})
 	select {
 	case a := <-result:
 		if errors.Is(a.err, errNotRelayed) || r.isCutOff(a.err) {
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -60,13 +60,9 @@
 	Spec        string
 	LeaseUntil  int64 // end of the lease on the worker's clock, in milliseconds
 	Incarnation int64 // the one whose clock LeaseUntil refers to; 0 if workers name none
-	// HeldIncarnation is the one whose clock LeaseUntil refers to if Incarnation is 0 because a
-	// heartbeat of this process waits at it. An order that another process may send later
-	// needs it.
-	HeldIncarnation int64
-	Fence           int64
-	Checkpoint      string
-	Ticket          string
+	Fence       int64
+	Checkpoint  string
+	Ticket      string
 }
 
 // Outcome is the way in which a run ended on its worker.
