--- a/internal/coordinator/elector.go
+++ b/internal/coordinator/elector.go
@@ -114,6 +114,9 @@
 	chain          *commitChain
 }
 
+// firstFence returns the lowest fence of the term's orders.
+func (t *Term) firstFence() int64 { return t.Epoch - fencesPerTerm + 1 }
+
 // setLeaseEnds converts the end of earlier leases in the record to this host's clock.
 func (t *Term) setLeaseEnds(store platform.Store) {
 	reading, ok := platform.StoreClock(store)
@@ -336,7 +339,7 @@
 func (e *Elector) takeLeadership(ctx context.Context, from leaderRows) {
 	silent := time.Since(e.changedAt)
 	c := &commitChain{store: e.Store, last: from}
-	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + 1,
+	record := LeaderRecord{Leader: e.Host, Address: e.Address, Epoch: from.newestEpoch() + fencesPerTerm,
 		EarlierLeasesEndMS: ceilMillis(from.active().allLeasesEnd()), LeaseBounds: from.active().LeaseBounds}
 	renewal := newRenewal(&from.active().LeaderRecord)
 	renewal.announce(&record)
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -34,7 +34,9 @@
 	// longestGap is the longest time for which a task had no run.
 	longestGap time.Duration
 	listTime   time.Duration // how long a listing of the registry takes
-	log        logr.Logger   // of coordinators
+	// startsLate, if set, is when starts are carried out that the workers leave unanswered.
+	startsLate time.Duration
+	log        logr.Logger // of coordinators
 	operators  *operatorFeed
 	hosts      workload.HostOperator // nil: none
 	// wrap and configure change a host's path to the store, and its coordinator before it
@@ -182,6 +184,12 @@
 	f.ended[task] = time.Now()
 }
 
+// Epochs of the first leaders of a cell.
+const (
+	firstEpoch  = fencesPerTerm
+	secondEpoch = 2 * fencesPerTerm
+)
+
 // longestLease is the longest lease that a worker gives its runs, on its own clock.
 const longestLease = 10 * time.Second
 
@@ -288,6 +296,24 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if late := f.startsLate; late > 0 {
+		time.AfterFunc(late, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			order := o
+			order.Incarnation = 0 // whichever is there then
+			_, _ = f.start(f.t.Context(), target, order)
+		})
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return 0, workload.ErrNoAnswer
+	}
+	return f.start(ctx, target, o)
+}
+
+// start carries out a start order. The caller holds mu.
+func (f *fleet) start(ctx context.Context, target *workload.Worker, o workload.StartOrder) (int64, error) {
 	w, err := f.call(ctx, target, o.Incarnation, o.Fence, o.LeaseUntil)
 	if err != nil {
 		return 0, err
@@ -364,6 +390,14 @@
 	w.runs, w.highest = map[workload.TaskID]int{}, map[workload.TaskID]int{}
 }
 
+// delayStarts makes workers leave starts unanswered and carry them out after the given time;
+// 0 ends that state.
+func (f *fleet) delayStarts(late time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startsLate = late
+}
+
 // goSilent ends a worker without a reset of its connections, until it restarts.
 func (f *fleet) goSilent(id string) {
 	f.mu.Lock()
--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -22,6 +22,11 @@
 	"cuminloft/internal/wait"
 )
 
+// fencesPerTerm is the number of fences that a leader may use for its orders. They are above
+// the epochs of earlier leaders, and the highest is its own epoch. Each incarnation of a
+// worker that the leader meets has a higher one than those before.
+const fencesPerTerm = 1_000_000
+
 const (
 	leaderTable = "seat"
 	leaderKey   = "coordinator"
@@ -31,7 +36,8 @@
 type LeaderRecord struct {
 	Leader  string `json:"holder"`  // host name; empty after the leader resigned
 	Address string `json:"address"` // of the leader's RPC listener
-	// Epoch grows with each takeover and is the fence of the leader's orders.
+	// Epoch grows with each takeover and is the highest fence of the leader's orders, see
+	// fencesPerTerm. A build before that uses no other one.
 	Epoch int64 `json:"epoch"`
 	// Seq grows with each commit.
 	Seq int64 `json:"seq"`
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -112,6 +113,9 @@
 	ackIncarnation int64 // incarnation whose sequence numbers ack refers to
 	ackSent        int64 // sent with the latest heartbeat that was answered
 	incarnation    int64 // incarnation that answered the latest heartbeat; 0 if it has ended
+	fence          int64 // of the commands to the incarnation; earlier incarnations had lower ones
+	latest         int64 // latest incarnation known, also if it has ended
+	fenced         bool  // the incarnation has answered under its fence
 	tasks          int
 	shortTasks     bool      // a short task may be running
 	clock          int64     // latest reading of the incarnation's clock, milliseconds; 0 if there is none
@@ -126,7 +130,7 @@
 
 func newLink(set *linkSet, l dispatch.WorkerView) *link {
 	return &link{
-		set: set, worker: l.Worker, orders: make(chan struct{}, maxConcurrentOrders),
+		set: set, worker: l.Worker, fence: set.fence, orders: make(chan struct{}, maxConcurrentOrders),
 		ackChanged: make(chan struct{}, 1), notIdle: make(chan struct{}, 1), ack: l.Acked, ackIncarnation: l.Incarnation, tasks: l.Tasks,
 	}
 }
@@ -153,10 +157,17 @@
 	}
 }
 
-// idle reports whether the worker has no tasks and nothing is to be acknowledged. The
-// caller holds mu.
+// idle reports whether the worker has no tasks, nothing is to be acknowledged and its fence
+// is in force. The caller holds mu.
 func (l *link) idle() bool {
-	return l.tasks == 0 && l.ackSent == l.ack && l.incarnation == l.ackIncarnation
+	return l.tasks == 0 && l.fenced && l.ackSent == l.ack && l.incarnation == l.ackIncarnation
+}
+
+// currentFence returns the fence of the commands to the incarnation.
+func (l *link) currentFence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence
 }
 
 // leasesEnd returns the time by which all leases given by this link have expired.
@@ -208,7 +219,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.incarnation == incarnation {
-		l.incarnation, l.clock = 0, 0
+		l.incarnation, l.clock, l.fenced = 0, 0, false
 		signal(l.notIdle)
 	}
 }
@@ -217,13 +228,14 @@
 type lease struct {
 	until       int64 // on the incarnation's clock, in milliseconds; 0 is no lease
 	incarnation int64 // 0 if the worker names none
+	fence       int64 // of the commands to the incarnation
 }
 
 // newLease returns a lease given now.
 func (l *link) newLease() lease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return lease{l.leaseUntil(time.Now()), l.incarnation}
+	return lease{l.leaseUntil(time.Now()), l.incarnation, l.fence}
 }
 
 // leaseUntil returns the end of a lease given now, on the clock of the incarnation known.
@@ -312,9 +324,9 @@
 // heartbeat makes one heartbeat call and posts its result to the event loop.
 func (l *link) heartbeat(ctx context.Context, first bool) (workload.Inventory, error) {
 	l.mu.Lock()
-	order := workload.Heartbeat{Fence: l.set.fence}
+	var order workload.Heartbeat
 	failures := l.failures
-	if l.tasks > 0 && failures == 0 && !first {
+	if l.tasks > 0 && failures == 0 && l.fenced && !first {
 		order.Wait = l.busyWait()
 	}
 	l.mu.Unlock()
@@ -328,6 +340,7 @@
 	}
 	l.mu.Lock()
 	known := l.incarnation
+	order.Fence = l.fence
 	if !first {
 		order.AckSeq = l.ackSeq()
 	}
@@ -352,9 +365,10 @@
 		l.restarted(order.Incarnation)
 		return inv, err
 	}
-	if l.recordHeartbeat(order, known, inv, err) {
-		l.post(ctx, heartbeatResult{l.worker.ID, l.worker.Address, inv, sentAt, err})
+	if !l.recordHeartbeat(order, known, inv, err) {
+		return workload.Inventory{}, err
 	}
+	l.post(ctx, heartbeatResult{l.worker.ID, l.worker.Address, inv, sentAt, err})
 	return inv, err
 }
 
@@ -374,22 +388,24 @@
 // recordHeartbeat records the outcome of a heartbeat that was sent when the given
 // incarnation was the latest one known. It reports whether the outcome is to be passed on: a
 // single heartbeat without an answer is not, nor is the answer of an incarnation that was
-// not known before and may have ended since.
+// not known before and may have ended since, nor one under an earlier fence.
 func (l *link) recordHeartbeat(order workload.Heartbeat, known int64, inv workload.Inventory, err error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if order.Fence < l.fence {
+		return false
+	}
 	if err == nil {
 		if inv.Incarnation != l.incarnation {
 			if l.incarnation != known {
 				return false
 			}
-			l.set.coordinator.Log.Info("incarnation answers", "worker", l.worker.ID, "born", inv.Incarnation, "before", known,
-				"clock", inv.ClockMS, "leases end in", time.Until(l.leasesEndBy))
-			l.incarnation, l.clock = inv.Incarnation, 0
+			l.meet(inv)
 		}
 		l.setClock(inv.Incarnation, inv.ClockMS)
 		l.answered, l.failures, l.ackSent = true, 0, order.AckSeq
-		return true
+		l.fenced = order.Fence == l.fence
+		return l.fenced
 	}
 	l.failures++
 	if errors.Is(err, workload.ErrNoAnswer) && l.failures < lostContactFailures {
@@ -399,6 +415,19 @@
 	return true
 }
 
+// meet records that another incarnation answers. If commands were meant for an earlier one,
+// the next heartbeat raises the fence: a command that was left unanswered may be carried out
+// seconds later, and only an inventory from then on shows all runs that there may be. The
+// caller holds mu.
+func (l *link) meet(inv workload.Inventory) {
+	if l.latest != 0 && l.latest != inv.Incarnation {
+		l.fence = l.set.fenceAfter(l.fence)
+	}
+	l.set.coordinator.Log.Info("incarnation answers", "worker", l.worker.ID, "born", inv.Incarnation, "before", l.latest,
+		"clock", inv.ClockMS, "fence", l.fence, "leases end in", time.Until(l.leasesEndBy))
+	l.incarnation, l.latest, l.clock = inv.Incarnation, inv.Incarnation, 0
+}
+
 // ackSeq returns the last sequence number that may be acknowledged. It is 0 unless the
 // incarnation that the number refers to answered the latest heartbeat: a new
 // incarnation numbers its ends from the start and would drop ends that were never
@@ -448,7 +477,7 @@
 // A start that was decided for another incarnation is not sent: that one's capacity and
 // tickets say nothing about this one.
 func (l *link) start(ctx context.Context, st dispatch.Start, given lease) {
-	st.Order.Fence, st.Order.LeaseUntil = l.set.fence, given.until
+	st.Order.Fence, st.Order.LeaseUntil = given.fence, given.until
 	if st.Order.Incarnation == 0 {
 		st.Order.Incarnation = given.incarnation
 	}
@@ -468,6 +497,9 @@
 				"born", given.incarnation, "lease until", given.until, "age", time.Since(st.DecidedAt))
 		}
 		clock, err := l.set.coordinator.Commander.Start(call, &l.worker, st.Order)
+		if errors.Is(err, workload.ErrFenced) && given.fence < l.currentFence() {
+			err = fmt.Errorf("%w: %w", workload.ErrRestarted, err)
+		}
 		if errors.Is(err, workload.ErrRestarted) {
 			l.restarted(given.incarnation)
 			return err
@@ -484,7 +516,7 @@
 // stop sends a stop order.
 func (l *link) stop(ctx context.Context, st dispatch.StopOrder) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
-		return l.set.coordinator.Commander.Stop(call, &l.worker, st.Run, l.set.fence)
+		return l.set.coordinator.Commander.Stop(call, &l.worker, st.Run, l.currentFence())
 	}, 1)
 	st.Worker.Address = l.worker.Address // to which the order was sent
 	l.post(ctx, stopResult{st, err})
@@ -493,7 +525,7 @@
 // throttle sends a throttle order.
 func (l *link) throttle(ctx context.Context, o dispatch.ThrottleOrder) {
 	err := l.sendOrder(ctx, func(call context.Context) error {
-		return l.set.coordinator.Commander.Throttle(call, &l.worker, o.Run, o.Percent, l.set.fence)
+		return l.set.coordinator.Commander.Throttle(call, &l.worker, o.Run, o.Percent, l.currentFence())
 	}, 1)
 	if err != nil {
 		l.post(ctx, throttleFailed{o, err})
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -12,7 +12,8 @@
 // linkSet holds a link for each worker that the core wants to be in contact with.
 type linkSet struct {
 	coordinator     *Coordinator
-	fence           int64
+	fence           int64            // of the next link; no link that was closed had a higher one
+	lastFence       int64            // the highest that the term may use
 	leasesEndBefore func() time.Time // the time by which leases given now have to end
 	events          chan<- any
 	links           map[string]*link
@@ -23,8 +24,9 @@
 	running         sync.WaitGroup
 }
 
+// newLinkSet returns the set of a term whose lowest fence is given.
 func newLinkSet(c *Coordinator, fence int64, leasesEndBefore func() time.Time, events chan<- any) *linkSet {
-	return &linkSet{coordinator: c, fence: fence, leasesEndBefore: leasesEndBefore, events: events, links: map[string]*link{}, withheld: map[string]bool{},
+	return &linkSet{coordinator: c, fence: fence, lastFence: fence + fencesPerTerm - 1, leasesEndBefore: leasesEndBefore, events: events, links: map[string]*link{}, withheld: map[string]bool{},
 		shortHeartbeats: make(chan struct{}, maxShortHeartbeats)}
 }
 
@@ -36,6 +38,7 @@
 		var granted, leasesEnd time.Time // of a link that is replaced
 		if l != nil && (!wanted || l.worker.Address != v.Worker.Address) {
 			l.cancel()
+			s.fence = max(s.fence, s.fenceAfter(l.currentFence()))
 			granted, leasesEnd = l.withhold()
 			core.ExtendLease(id, leasesEnd)
 			delete(s.links, id)
@@ -57,6 +60,10 @@
 	s.count.Store(int64(len(s.links)))
 }
 
+// fenceAfter returns the fence for a worker that may still carry out commands of an earlier
+// one, which it is to refuse.
+func (s *linkSet) fenceAfter(fence int64) int64 { return min(fence+1, s.lastFence) }
+
 func (s *linkSet) spawn(f func()) {
 	s.running.Add(1)
 	go func() {
--- a/internal/coordinator/restart_test.go
+++ b/internal/coordinator/restart_test.go
@@ -97,6 +97,41 @@
 	}
 }
 
+// Guards against a start that an earlier incarnation has left unanswered and a later one
+// carries out, when the task runs again elsewhere: a stop that the earlier one confirmed does
+// not bind the later one.
+func TestLateStartIsRefusedByALaterIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			late     = 9 * time.Second
+			answered = time.Second // after both attempts of the order
+		)
+		is := is.New(t)
+		f := newFleet(t, 2)
+		l, _, _ := f.leadService(2)
+		defer l.stop()
+		time.Sleep(2 * longestLease)
+		f.delayStarts(late)
+		job := serviceJob(1)
+		job.ID = "00000000000000a2"
+		is.NoErr(l.Jobs.Insert(t.Context(), job))
+		time.Sleep(answered)
+		f.delayStarts(0)
+		began := time.Now()
+		for !f.runs(job) && time.Since(began) < late/2 {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(f.runs(job)) // the earlier incarnation has confirmed the stop of the first run
+		for _, id := range []string{"w0", "w1"} {
+			f.restart(id)
+			f.setRegistered(id, true)
+		}
+		time.Sleep(late) // the fleet fails the test if a second run starts beside the first
+		is.True(f.runs(job))
+		is.True(f.gap() <= serviceRestart)
+	})
+}
+
 // A start that was decided for an incarnation is not sent to the next one, which may be of
 // another kind: its capacity is read with its registration.
 func TestStartIsNotSentToALaterIncarnation(t *testing.T) {
--- a/internal/coordinator/termloop.go
+++ b/internal/coordinator/termloop.go
@@ -80,7 +80,7 @@
 		commits: make(chan commitRequest, 1), index: jobstore.NewProgressIndex(), endWaiters: endWaiters{}, loopTime: loopTime{},
 	}
 	t.hints = hintStorage{dueAt: time.Now().Add(t.hintInterval()), stored: map[string]storedHints{}}
-	t.links = newLinkSet(c, term.Epoch, t.leasesEndBefore, events)
+	t.links = newLinkSet(c, term.firstFence(), t.leasesEndBefore, events)
 	t.advice = newAdvicePool(c.Advisers, events)
 	t.maintenance = newMaintenanceController()
 	t.takeOverLeaseBounds()
--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -372,6 +372,29 @@
 	})
 }
 
+// Guards against orders that are relayed with the fence of another worker, which a later
+// incarnation does not refuse.
+func TestRelayedOrdersKeepTheirFences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCountCell(t, 1, 1)
+		orders := ordersOf(1, 5)
+		want := map[workload.Run]int64{}
+		for i := range orders {
+			orders[i].Fence = int64(6 + i%2)
+			want[orders[i].Run] = orders[i].Fence
+		}
+		for _, err := range c.startAll(t.Context(), orders, 0) {
+			is.NoErr(err)
+		}
+		relayed := c.workers.take()
+		is.Equal(len(relayed), len(orders)-1) // the others go directly
+		for _, o := range append(relayed, c.direct.take()...) {
+			is.Equal(o.Fence, want[o.Run])
+		}
+	})
+}
+
 // Guards against workers that get no tasks, and jobs that do not start, while only the relay
 // host of these jobs is cut off from the workers.
 func TestRelayHostCutOffFromAWorker(t *testing.T) {
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -199,13 +199,27 @@
 	}
 }
 
-// send relays the collected orders and passes on the answers.
+// send relays the collected orders.
 func (h *relayHost) send() {
 	h.mu.Lock()
-	batch := h.pending
+	pending := h.pending
 	h.pending = nil
+	h.mu.Unlock()
+	byFence := map[int64][]pendingStart{} // a call has one fence
+	for _, p := range pending {
+		byFence[p.order.Fence] = append(byFence[p.order.Fence], p)
+	}
+	for fence, batch := range byFence {
+		go h.sendBatch(batch, fence)
+	}
+}
+
+// sendBatch relays orders of one fence and passes on the answers.
+func (h *relayHost) sendBatch(batch []pendingStart, fence int64) {
+	h.mu.Lock()
 	request, added := h.request(batch)
 	h.mu.Unlock()
+	request.Fence = fence
 	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
 	defer cancel()
 	reply, err := h.relay.client(h.address).StartIncarnationRuns(ctx, request)
@@ -267,7 +281,6 @@
 			added = append(added, task.Job)
 			request.Specs[task.Job] = o.Spec
 		}
-		request.Fence = o.Fence
 		request.Starts = append(request.Starts, &rpc.RunStart{
 			Worker: p.worker.ID, Address: p.worker.Address, Job: task.Job, Occurrence: int32(task.Occurrence),
 			Step: int32(task.Step), Index: int32(task.Index), Run: int64(o.Run.Number),
