--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -392,7 +392,7 @@
 func (l *link) recordHeartbeat(order workload.Heartbeat, known int64, inv workload.Inventory, err error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if order.Fence < l.fence {
+	if order.Fence < l.fence && !errors.Is(err, workload.ErrReplaced) {
 		return false
 	}
 	if err == nil {
--- /dev/null
+++ b/internal/coordinator/overtaken_test.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"cuminloft/internal/dispatch"
+	"cuminloft/internal/workload"
+)
+
+// replacedWorker answers heartbeats that wait with ErrReplaced, at the end of their wait.
+type replacedWorker struct{ *fakeWorker }
+
+func (w *replacedWorker) Heartbeat(ctx context.Context, target *workload.Worker, o workload.Heartbeat) (workload.Inventory, error) {
+	inv, err := w.fakeWorker.Heartbeat(ctx, target, o)
+	if err == nil && o.Wait > 0 {
+		return workload.Inventory{}, workload.ErrReplaced
+	}
+	return inv, err
+}
+
+// Guards against a worker that counts as in reach for ever: its link ends when a worker with
+// another ID answers at the address, so the core has to learn of that answer, also if a
+// heartbeat that overtook it has met another incarnation and raised the fence.
+func TestReplacementIsReportedBesideANewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &replacedWorker{&fakeWorker{began: time.Now(), incarnation: 1}}
+		events := make(chan any, 1000)
+		noLeases := time.Now // the leadership was last renewed too long ago
+		l := newLink(newLinkSet(&Coordinator{Commander: f, Log: logr.Discard()}, 1, noLeases, events),
+			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Incarnation: 1})
+		var running sync.WaitGroup
+		running.Go(func() { l.run(t.Context()) }) // ends with ErrReplaced
+		time.Sleep(heartbeatWaitBusy / 2)         // the second heartbeat waits
+		f.mu.Lock()
+		f.incarnation = 2
+		f.mu.Unlock()
+		is.True(l.takeLeaseless())
+		_, _ = l.heartbeat(t.Context(), true) // as linkSet.renewLeaseless does
+		running.Wait()
+		replaced := false
+		for len(events) > 0 {
+			if r, ok := (<-events).(heartbeatResult); ok && errors.Is(r.err, workload.ErrReplaced) {
+				replaced = true
+			}
+		}
+		is.True(replaced)
+	})
+}
