--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -21,6 +21,8 @@
 	// clockDriftFactor covers a worker's clock that runs 2% slow.
 	clockDriftFactor = 1.03
 	leaseMargin      = 150 * time.Millisecond
+	// maxWorkerLease is the longest lease that a worker gives its runs.
+	maxWorkerLease = 10 * time.Second
 	// takeoverBound is the time after a leader's last commit by which all its leases have
 	// expired, so that its successor knows when a worker out of reach runs nothing. It
 	// outlasts a store outage of 7 s.
@@ -116,6 +118,7 @@
 	fence          int64 // of the commands to the incarnation; earlier incarnations had lower ones
 	latest         int64 // latest incarnation known, also if it has ended
 	fenced         bool  // the incarnation has answered under its fence
+	strayLease     bool  // it may have got a lease that was meant for an earlier one
 	tasks          int
 	shortTasks     bool      // a short task may be running
 	clock          int64     // latest reading of the incarnation's clock, milliseconds; 0 if there is none
@@ -255,11 +258,17 @@
 		return 0
 	}
 	l.grantedAt = now
+	l.countLease(l.clockReceived, duration)
+	return l.clock + duration.Milliseconds()
+}
+
+// countLease records that a lease of some duration on the worker's clock may have been given
+// at the given time. The caller holds mu.
+func (l *link) countLease(at time.Time, duration time.Duration) {
 	span := time.Duration(clockDriftFactor * float64(duration))
-	if end := l.clockReceived.Add(span + leaseMargin); end.After(l.leasesEndBy) {
+	if end := at.Add(span + leaseMargin); end.After(l.leasesEndBy) {
 		l.leasesEndBy = end
 	}
-	return l.clock + duration.Milliseconds()
 }
 
 // run sends heartbeats to the worker until ctx ends or a worker with another ID answers
@@ -405,6 +414,10 @@
 		l.setClock(inv.Incarnation, inv.ClockMS)
 		l.answered, l.failures, l.ackSent = true, 0, order.AckSeq
 		l.fenced = order.Fence == l.fence
+		if l.fenced && l.strayLease {
+			l.strayLease = false
+			l.countLease(time.Now(), maxWorkerLease)
+		}
 		return l.fenced
 	}
 	l.failures++
@@ -417,11 +430,12 @@
 
 // meet records that another incarnation answers. If commands were meant for an earlier one,
 // the next heartbeat raises the fence: a command that was left unanswered may be carried out
-// seconds later, and only an inventory from then on shows all runs that there may be. The
-// caller holds mu.
+// seconds later, and only an inventory from then on shows all runs that there may be. Until
+// then such a command may also give a lease, as long as the worker allows. The caller holds
+// mu.
 func (l *link) meet(inv workload.Inventory) {
 	if l.latest != 0 && l.latest != inv.Incarnation {
-		l.fence = l.set.fenceAfter(l.fence)
+		l.fence, l.strayLease = l.set.fenceAfter(l.fence), true
 	}
 	l.set.coordinator.Log.Info("incarnation answers", "worker", l.worker.ID, "born", inv.Incarnation, "before", l.latest,
 		"clock", inv.ClockMS, "fence", l.fence, "leases end in", time.Until(l.leasesEndBy))
