--- a/internal/dispatch/inventory.go
+++ b/internal/dispatch/inventory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cuminloft/internal/model"
 	"cuminloft/internal/workload"
 )
 
@@ -48,11 +49,14 @@
 		}
 	}
 	listed := make(map[workload.TaskID]bool, len(inv.Running))
+	hadStrays := !w.strays.IsZero()
+	w.strays = model.Resources{}
 	for _, r := range inv.Running {
 		listed[r.Run.Task] = true
 		c.applyRunning(w, r, requestedAt, now)
 		c.clearOutlived(w, r.Run, requestedAt, now)
 	}
+	c.needsScheduling = c.needsScheduling || hadStrays && w.strays.IsZero()
 	if len(inv.Ended) < workload.MaxEndsPerInventory {
 		c.dropUnlisted(w, listed, requestedAt, now)
 	}
@@ -73,6 +77,7 @@
 	s, t := c.findTask(r.Run.Task)
 	if t == nil || t.run != r.Run.Number || t.worker != w.info.ID || !t.state.mayRun() {
 		c.emit("stray run stopped", "task", r.Run.Task.String(), "run", r.Run.Number, "worker", w.info.ID)
+		w.strays = w.strays.Add(c.strayCapacity(w, r.Run.Task))
 		c.stopOrders = append(c.stopOrders, StopOrder{w.info, r.Run})
 		return
 	}
@@ -92,6 +97,15 @@
 	c.compareTail(w, s, t, r, now)
 }
 
+// strayCapacity returns the capacity that a stray run takes up until its worker no longer
+// lists it: all of it if the job is not known any more.
+func (c *Core) strayCapacity(w *worker, id workload.TaskID) model.Resources {
+	if j := c.jobs[id.Job]; j != nil && id.Step < len(j.spec.Steps) {
+		return j.spec.Steps[id.Step].RequiredCapacity()
+	}
+	return w.info.Capacity
+}
+
 // dropUnlisted ends the runs of tasks that are missing in an inventory although their
 // start or stop was confirmed before the inventory was requested. The start of a running
 // task that was restored after a takeover counts as confirmed, although startConfirmed is
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -18,7 +18,8 @@
 	incarnationSeenAt    time.Time // when an inventory first showed the incarnation; zero if only the registry did
 	refutedIncarnation   int64     // the latest one that the registry named and the worker itself did not
 	used                 model.Resources
-	bestEffortMilliCores int64 // thousandths of a core that best-effort tasks would use
+	strays               model.Resources // of the stray runs that the latest inventory lists
+	bestEffortMilliCores int64           // thousandths of a core that best-effort tasks would use
 	throttle             throttle
 	tasks                map[workload.TaskID]struct{} // tasks that may be running on it
 	appliedSeq           int64                        // ends of runs up to this sequence number are applied
@@ -210,7 +211,7 @@
 	delete(c.heldAcks, w.info.ID)
 	c.changedWorkers[w.info.ID] = true
 	w.reachable = false
-	w.health, w.slowdown = health{}, 0
+	w.health, w.slowdown, w.strays = health{}, 0, model.Resources{}
 	if w.speed != nil {
 		w.speed.newIncarnation(incarnation)
 	}
@@ -418,7 +419,7 @@
 
 // free returns the unused capacity.
 func (w *worker) free() model.Resources {
-	f := w.info.Capacity.Sub(w.used)
+	f := w.info.Capacity.Sub(w.used).Sub(w.strays)
 	f.Slots = 0
 	return f
 }
