--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -14,9 +14,12 @@
 	Progress     []workload.JobProgress
 	starts       []Start
 	storedStates map[*job]workload.State
-	acks         map[string]int64
+	acks         map[string]storedEnds // by worker
 }
 
+// storedEnds are the ends of a worker's incarnation up to a sequence number.
+type storedEnds struct{ incarnation, seq int64 }
+
 // TakeBatch returns the changes to store next, or nil if there are none. A batch has at
 // most maxJobs jobs and about maxBytes bytes.
 func (c *Core) TakeBatch(maxJobs, maxBytes int) *Batch {
@@ -42,9 +45,9 @@
 		j.starts = nil
 	}
 	if len(c.dirtyJobs) == 0 {
-		b.acks = make(map[string]int64, len(c.unacked))
+		b.acks = make(map[string]storedEnds, len(c.unacked))
 		for id, w := range c.unacked {
-			b.acks[id] = min(w.appliedSeq, c.ackLimit(id))
+			b.acks[id] = storedEnds{w.incarnation, min(w.appliedSeq, c.ackLimit(id))}
 		}
 	}
 	return b
@@ -121,9 +124,9 @@
 		j.storedState = state
 		c.resume(j)
 	}
-	for id, seq := range b.acks {
-		if w := c.workers[id]; w != nil && seq > w.ackedSeq && seq <= w.appliedSeq {
-			c.ackEnds(w, seq)
+	for id, ends := range b.acks {
+		if w := c.workers[id]; w != nil && w.incarnation == ends.incarnation && ends.seq > w.ackedSeq && ends.seq <= w.appliedSeq {
+			c.ackEnds(w, ends.seq)
 		}
 	}
 	c.withdrawUnfit(b.starts)
