--- a/internal/coordinator/overtaken_test.go
+++ b/internal/coordinator/overtaken_test.go
@@ -55,3 +55,51 @@
 		is.True(replaced)
 	})
 }
+
+// fenceRecorder is a fakeWorker that records when each fence was first seen.
+type fenceRecorder struct {
+	*fakeWorker
+	seen map[int64]time.Time
+}
+
+func (r *fenceRecorder) Heartbeat(ctx context.Context, target *workload.Worker, o workload.Heartbeat) (workload.Inventory, error) {
+	r.mu.Lock()
+	if _, ok := r.seen[o.Fence]; !ok {
+		r.seen[o.Fence] = time.Now()
+	}
+	r.mu.Unlock()
+	return r.fakeWorker.Heartbeat(ctx, target, o)
+}
+
+// Guards against an inventory of a later incarnation that is taken for complete although
+// commands under the fence of the earlier one may still be carried out.
+func TestInventoryUnderAnEarlierFenceIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const fence = 5
+		f := &fenceRecorder{&fakeWorker{began: time.Now(), incarnation: 1}, map[int64]time.Time{}}
+		events := make(chan any, 1000)
+		l := newLink(newLinkSet(&Coordinator{Commander: f, Log: logr.Discard()}, fence, renewedNow, events),
+			dispatch.WorkerView{Worker: workload.Worker{ID: "w", Address: "w:1"}, Tasks: 1, Incarnation: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { l.run(ctx) })
+		time.Sleep(3 * heartbeatWaitBusy)
+		f.mu.Lock()
+		f.incarnation = 2
+		f.mu.Unlock()
+		time.Sleep(5 * heartbeatWaitBusy)
+		cancel()
+		running.Wait()
+		raised, ok := f.seen[fence+1]
+		is.True(ok)
+		passedOn := 0
+		for len(events) > 0 {
+			if r, ok := (<-events).(heartbeatResult); ok && r.err == nil && r.inventory.Incarnation == 2 {
+				is.True(!r.sentAt.Before(raised))
+				passedOn++
+			}
+		}
+		is.True(passedOn > 0)
+	})
+}
