--- a/internal/dispatch/throttle_test.go
+++ b/internal/dispatch/throttle_test.go
@@ -57,3 +57,31 @@
 	c.addJob("more", workload.Step{Tasks: 1, Resources: cores(3)})
 	is.Equal(len(c.startTasks(nil)), 1) // best-effort tasks do not block other tasks
 }
+
+// Guards against a best-effort run at full speed beside a service that is too slow: a later
+// incarnation has begun the run anew, and the limit was sent to the earlier one.
+func TestLimitOfAnEarlierIncarnationIsTakenForThatOfALaterOne(t *testing.T) {
+	const later = testIncarnation + 1
+	is := is.New(t)
+	c := newCell(t)
+	c.addWorker("w", 8)
+	c.addJob("service", workload.Step{Tasks: 1, Resources: cores(2), Service: true, TailTarget: 100 * time.Millisecond})
+	c.addJob("fill", workload.Step{Tasks: 1, Resources: cores(4), BestEffort: true})
+	is.Equal(len(c.startTasks(nil)), 2)
+	report := func(incarnation int64) []ThrottleOrder {
+		c.now = c.now.Add(speedUpInterval)
+		for task, r := range c.running["w"] {
+			if task.Job == "service" {
+				r.Load = 95
+			}
+			c.running["w"][task] = r
+		}
+		c.reportInventory("w", workload.Inventory{Incarnation: incarnation})
+		return c.core.TakeThrottleOrders()
+	}
+	for len(report(testIncarnation)) > 0 { // until the run pauses
+	}
+	orders := report(later)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Percent, 0)
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -217,8 +217,11 @@
 	}
 	for id := range w.tasks {
 		if _, t := c.findTask(id); t != nil {
-			if !t.workerRestarted && t.incarnation != 0 && t.incarnation != incarnation {
-				t.workerRestarted, t.contactUntil = true, w.unreachableSince
+			if t.incarnation != 0 && t.incarnation != incarnation {
+				t.throttlePercent = fullSpeed // if this incarnation begins the run
+				if !t.workerRestarted {
+					t.workerRestarted, t.contactUntil = true, w.unreachableSince
+				}
 			}
 			t.incarnation = incarnation
 		}
