--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -438,8 +438,11 @@
 		l.fence, l.strayLease = l.set.fenceAfter(l.fence), true
 	}
 	l.set.coordinator.Log.Info("incarnation answers", "worker", l.worker.ID, "born", inv.Incarnation, "before", l.latest,
-		"clock", inv.ClockMS, "fence", l.fence, "leases end in", time.Until(l.leasesEndBy))
-	l.incarnation, l.latest, l.clock = inv.Incarnation, inv.Incarnation, 0
+		"clock", inv.ClockMS, "fence", l.fence, "leases end in", max(0, time.Until(l.leasesEndBy)))
+	l.incarnation, l.clock = inv.Incarnation, 0
+	if inv.Incarnation != 0 {
+		l.latest = inv.Incarnation
+	}
 }
 
 // ackSeq returns the last sequence number that may be acknowledged. It is 0 unless the
