--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -32,8 +32,8 @@
 				l := f.lead("host-1")
 				loaded := func() bool { term := l.currentTerm.Load(); return term != nil && term.loaded.Load() }
 				for !loaded() {
-					_, _, err := l.JobState(t.Context(), task.Job, 0)
-					is.True(errors.Is(err, errNotReady) || err == nil && loaded()) // by now
+					state, _, err := l.JobState(t.Context(), task.Job, 0)
+					is.True(errors.Is(err, errNotReady) || err == nil && loaded() && state == workload.Cancelled) // loaded by now
 					_, err = l.Pending(t.Context(), "q")
 					is.True(errors.Is(err, errNotReady) || err == nil && loaded())
 					time.Sleep(time.Millisecond)
