--- a/internal/coordinator/leaderrecord.go
+++ b/internal/coordinator/leaderrecord.go
@@ -25,7 +25,7 @@
 // fencesPerTerm is the number of fences that a leader may use for its orders. They are above
 // the epochs of earlier leaders, and the highest is its own epoch. Each incarnation of a
 // worker that the leader meets has a higher one than those before.
-const fencesPerTerm = 1_000_000
+const fencesPerTerm = 10_000
 
 const (
 	leaderTable = "seat"
--- a/internal/coordinator/linkset.go
+++ b/internal/coordinator/linkset.go
@@ -62,7 +62,13 @@
 
 // fenceAfter returns the fence for a worker that may still carry out commands of an earlier
 // one, which it is to refuse.
-func (s *linkSet) fenceAfter(fence int64) int64 { return min(fence+1, s.lastFence) }
+func (s *linkSet) fenceAfter(fence int64) int64 {
+	if fence >= s.lastFence {
+		s.coordinator.Log.Info("fences of the term are used up", "fence", fence)
+		return s.lastFence
+	}
+	return fence + 1
+}
 
 func (s *linkSet) spawn(f func()) {
 	s.running.Add(1)
