--- a/internal/entry/relaychoice_test.go
+++ b/internal/entry/relaychoice_test.go
@@ -384,9 +384,11 @@
 			orders[i].Fence = int64(6 + i%2)
 			want[orders[i].Run] = orders[i].Fence
 		}
+		began := time.Now()
 		for _, err := range c.startAll(t.Context(), orders, 0) {
 			is.NoErr(err)
 		}
+		is.True(time.Since(began) <= relayBatchDelay) // each call carries the spec
 		relayed := c.workers.take()
 		is.Equal(len(relayed), len(orders)-1) // the others go directly
 		for _, o := range append(relayed, c.direct.take()...) {
--- a/internal/entry/startrelay.go
+++ b/internal/entry/startrelay.go
@@ -209,16 +209,15 @@
 	for _, p := range pending {
 		byFence[p.order.Fence] = append(byFence[p.order.Fence], p)
 	}
+	unknown := h.unknownSpecs(pending)
 	for fence, batch := range byFence {
-		go h.sendBatch(batch, fence)
+		go h.sendBatch(batch, fence, unknown)
 	}
 }
 
 // sendBatch relays orders of one fence and passes on the answers.
-func (h *relayHost) sendBatch(batch []pendingStart, fence int64) {
-	h.mu.Lock()
-	request, added := h.request(batch)
-	h.mu.Unlock()
+func (h *relayHost) sendBatch(batch []pendingStart, fence int64, unknown map[string]bool) {
+	request, added := encodeBatch(batch, unknown)
 	request.Fence = fence
 	ctx, cancel := context.WithTimeout(context.Background(), relayBatchTimeout)
 	defer cancel()
@@ -269,15 +268,30 @@
 	}
 }
 
-// request encodes a batch, with the specs that the host has not been sent yet. It also
-// returns the jobs of these specs. The caller holds mu.
-func (h *relayHost) request(batch []pendingStart) (request *rpc.StartRunsRequest, added []string) {
+// unknownSpecs returns the jobs of these orders whose specs the host has not been sent yet.
+// Each call for them carries the spec: calls overtake each other.
+func (h *relayHost) unknownSpecs(pending []pendingStart) map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	unknown := map[string]bool{}
+	for _, p := range pending {
+		job := p.order.Run.Task.Job
+		if _, known := h.specs.Get(job); !known {
+			h.specs.Add(job, "") // the text itself is not needed again
+			unknown[job] = true
+		}
+	}
+	return unknown
+}
+
+// encodeBatch encodes a batch, with the specs of the jobs that the host does not know. It also
+// returns the jobs of these specs.
+func encodeBatch(batch []pendingStart, unknown map[string]bool) (request *rpc.StartRunsRequest, added []string) {
 	request = &rpc.StartRunsRequest{Specs: map[string]string{}}
 	for _, p := range batch {
 		o := &p.order
 		task := o.Run.Task
-		if _, known := h.specs.Get(task.Job); !known {
-			h.specs.Add(task.Job, "") // the text itself is not needed again
+		if _, has := request.Specs[task.Job]; unknown[task.Job] && !has {
 			added = append(added, task.Job)
 			request.Specs[task.Job] = o.Spec
 		}
