--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -199,9 +199,9 @@
 }
 
 // startIncarnation handles a restart of the worker under the same ID. The runs of the old
-// incarnation have ended, but a start that a coordinator of an older build sent may have
-// reached the new one, since its orders do not distinguish the incarnations. So the tasks
-// count as possibly running until an inventory of the new incarnation shows whether they run.
+// incarnation have ended, but the new one may have carried out a start that the old one left
+// unanswered, or that a coordinator of an older build sent. So the tasks count as possibly
+// running until an inventory of the new incarnation shows whether they run.
 func (c *Core) startIncarnation(w *worker, incarnation int64) {
 	if w.incarnation != 0 {
 		c.emit("worker started anew", "worker", w.info.ID, "born", incarnation, "tasks", len(w.tasks))
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -140,8 +140,9 @@
 // Commander sends commands to workers. Each command names the worker's ID; it fails with
 // ErrReplaced if the receiver answers that it is not that worker any more. A worker may
 // restart under its ID, and its clock and the numbers of its ends then start anew: a
-// command that names an incarnation reaches no other one, and fails with ErrRestarted
-// instead.
+// command that names an incarnation is sent to no other one, and fails with ErrRestarted
+// instead. One that is left unanswered may be carried out later, by a later incarnation as
+// well unless that has seen a higher fence.
 type Commander interface {
 	// Start starts a run; it succeeds if the run has been started already. clockMS is
 	// the reading of the worker's clock in milliseconds; 0 if it was not reported.
