--- /dev/null
+++ b/review/cell3/flap.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Size of the cell in the cases of flapping workers, and the disruption: a tenth of the workers
+// goes down and up by turns (srv_flap: share 0.1, gap_s 0.88 to 1.5, for_s up to 7.1).
+const (
+	flapHosts    = 3
+	flapWorkers  = 20
+	flapCores    = 24_000 // of each worker
+	flapping     = 2
+	flapFor      = 7 * time.Second
+	serviceTasks = 8           // of each job
+	youngAge     = time.Second // of the tasks when the disruption begins
+)
+
+// flapCase is a case of flapping workers: jobs that last, whose tasks fill two workers.
+type flapCase struct {
+	jobs      int
+	taskCores int64
+	gap       time.Duration // between down and up
+	calm      time.Duration // that is watched after the disruption
+}
+
+var (
+	givenUp = flapCase{jobs: 6, taskCores: 1000, gap: 900 * time.Millisecond, calm: 20 * time.Second}
+	apart   = flapCase{jobs: 12, taskCores: 500, gap: 1200 * time.Millisecond, calm: 45 * time.Second}
+)
+
+// services are the jobs of a case, and their tasks.
+type services struct {
+	jobs, tasks []string
+}
+
+// play starts a cell and the jobs, and disturbs it. The caller closes the cell.
+func (f flapCase) play(rec *recorder, trouble bool) (*cell, services, error) {
+	var s services
+	c, err := startCell(rec, flapHosts, flapWorkers, flapCores, f.taskCores)
+	if err != nil {
+		return nil, s, err
+	}
+	body := fmt.Sprintf(`{"spec":"service","steps":[{"count":%d,"cpu":%d,"mem-mb":256,"long-running":true}]}`, serviceTasks, f.taskCores)
+	for i := range f.jobs {
+		id := fmt.Sprintf("%016x", 0xa000+i)
+		if err := c.submit(id, body); err != nil {
+			return c, s, err
+		}
+		s.jobs = append(s.jobs, id)
+		for k := range serviceTasks {
+			s.tasks = append(s.tasks, fmt.Sprintf("%s.0.0.%d", id, k))
+		}
+	}
+	for deadline := time.Now().Add(15 * time.Second); len(rec.missing(s.tasks)) > 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			return c, s, fmt.Errorf("%d tasks do not start", len(rec.missing(s.tasks)))
+		}
+	}
+	rec.say("all %d tasks run", len(s.tasks))
+	time.Sleep(youngAge)
+	if trouble {
+		err = f.disturb(c)
+	}
+	rec.say("nothing is disturbed from now on")
+	return c, s, err
+}
+
+// disturb takes the workers with the most runs down and up by turns.
+func (f flapCase) disturb(c *cell) error {
+	chosen := append([]*worker(nil), c.workers...)
+	sort.SliceStable(chosen, func(a, b int) bool { return chosen[a].runs() > chosen[b].runs() })
+	chosen = chosen[:flapping]
+	for began := time.Now(); time.Since(began)+f.gap <= flapFor; time.Sleep(f.gap) {
+		for _, w := range chosen {
+			w.crash()
+		}
+		time.Sleep(f.gap)
+		for _, w := range chosen {
+			if err := w.restart(); err != nil {
+				return err
+			}
+		}
+		c.register()
+	}
+	return nil
+}
+
+// playGivenUp checks the state of the jobs after the disruption.
+func playGivenUp(rec *recorder, trouble bool) (int, error) {
+	c, s, err := givenUp.play(rec, trouble)
+	if c != nil {
+		defer func() { _ = c.close() }()
+	}
+	if err != nil {
+		return couldNot, err
+	}
+	time.Sleep(givenUp.calm)
+	result := held
+	for i, id := range s.jobs {
+		state, ends := c.state(i, id), rec.endsOf(id)
+		rec.say("GET %s -> %s; ends of its runs: %v", id, state, ends)
+		if state == "failed" && ends["failed"] == 0 || state == "cancelled" {
+			rec.say("broken: LOST: job %s, which lasts and which nobody cancelled, is shown as %s, and no run of it has ended failed", id, state)
+			result = broken
+		}
+	}
+	rec.say("%d of %d tasks have no run", len(rec.missing(s.tasks)), len(s.tasks))
+	return result, nil
+}
+
+// Times of the rule LOST for tasks that last: they are owed a run 6 s after the last one; it is
+// broken if they have none for 3 s, and these and the 4 s before are calm.
+const (
+	owedAfter  = 6 * time.Second
+	brokenFor  = 3 * time.Second
+	calmBefore = 4 * time.Second
+)
+
+// playApart checks for how long tasks have no run after the disruption.
+func playApart(rec *recorder, trouble bool) (int, error) {
+	c, s, err := apart.play(rec, trouble)
+	if c != nil {
+		defer func() { _ = c.close() }()
+	}
+	if err != nil {
+		return couldNot, err
+	}
+	calmFrom := time.Now()
+	lost := map[string]time.Duration{}
+	lackedRoom := time.Now()
+	for ; time.Since(calmFrom) < apart.calm; time.Sleep(100 * time.Millisecond) {
+		missing := rec.missing(s.tasks)
+		free, used := 0, 0
+		for _, w := range c.workers {
+			free += w.free()
+			used += w.runs()
+		}
+		if free < 2*len(missing) || used >= free {
+			lackedRoom = time.Now()
+		}
+		if time.Since(calmFrom) < calmBefore+brokenFor || time.Since(lackedRoom) < brokenFor {
+			continue
+		}
+		for task, without := range missing {
+			if without < owedAfter+brokenFor {
+				continue
+			}
+			if lost[task] == 0 {
+				rec.say("broken: LOST: task %s, which lasts, has had no run for %.1f s, after %.1f s of calm, with room for %d more tasks",
+					task, without.Seconds(), time.Since(calmFrom).Seconds(), free)
+			}
+			lost[task] = max(lost[task], without)
+		}
+	}
+	var longest time.Duration
+	for _, without := range lost {
+		longest = max(longest, without)
+	}
+	for i, id := range s.jobs {
+		rec.say("GET %s -> %s", id, c.state(i, id))
+	}
+	rec.say("%d tasks were without a run for too long, the longest for %.1f s; %d have none now", len(lost), longest.Seconds(), len(rec.missing(s.tasks)))
+	if len(lost) > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
