--- a/review/cell3/flap.go
+++ b/review/cell3/flap.go
@@ -31,7 +31,8 @@
 var (
 	givenUp      = flapCase{jobs: 6, firstJob: 0xa000, lasts: true, taskCores: 1000, gap: 900 * time.Millisecond, calm: 20 * time.Second}
 	givenUpPlain = flapCase{jobs: 6, firstJob: 0xb000, taskCores: 1000, gap: 900 * time.Millisecond, calm: 30 * time.Second}
-	apart        = flapCase{jobs: 12, firstJob: 0xc000, lasts: true, taskCores: 500, gap: 1200 * time.Millisecond, calm: 45 * time.Second}
+	apart        = flapCase{jobs: 30, firstJob: 0xc000, lasts: true, taskCores: 200, gap: 1200 * time.Millisecond, calm: 38 * time.Second}
+	apartPlain   = flapCase{jobs: 30, firstJob: 0xd000, taskCores: 200, gap: 1200 * time.Millisecond, calm: 38 * time.Second}
 )
 
 // plainTask is the duration of tasks that do not last.
@@ -147,40 +148,72 @@
 	calmBefore = 4 * time.Second
 )
 
-// playApart checks for how long tasks have no run after the disruption.
+// finish is the time after the end of the traffic from which jobs are owed progress (finish_s).
+const finish = 14 * time.Second
+
+// playApart checks for how long tasks that last have no run after the disruption, and then, in a
+// new cell, for how long plain jobs have nothing running.
 func playApart(rec *recorder, trouble bool) (int, error) {
-	c, s, err := apart.play(rec, trouble)
+	worst := held
+	for _, f := range []flapCase{apart, apartPlain} {
+		rec.say("a cell with %d jobs that last: %v", f.jobs, f.lasts)
+		result, err := f.checkProgress(rec, trouble)
+		if err != nil {
+			return couldNot, err
+		}
+		worst = max(worst, result)
+		rec.forget()
+	}
+	return worst, nil
+}
+
+// idle returns how long each task that lasts, or each plain job that is not done, has had
+// nothing running.
+func (f flapCase) idle(rec *recorder, s services) map[string]time.Duration {
+	if f.lasts {
+		return rec.missing(s.tasks)
+	}
+	return rec.idleJobs(s.jobs, serviceTasks)
+}
+
+// checkProgress plays a case and checks that what can run does.
+func (f flapCase) checkProgress(rec *recorder, trouble bool) (int, error) {
+	c, s, err := f.play(rec, trouble)
 	if c != nil {
 		defer func() { _ = c.close() }()
 	}
 	if err != nil {
 		return couldNot, err
 	}
+	limit, from := owedAfter+brokenFor, calmBefore+brokenFor
+	if !f.lasts {
+		limit, from = brokenFor, finish+brokenFor // the traffic has ended before the disruption
+	}
 	calmFrom := time.Now()
 	lost := map[string]time.Duration{}
 	lackedRoom := time.Now()
-	for ; time.Since(calmFrom) < apart.calm; time.Sleep(100 * time.Millisecond) {
-		missing := rec.missing(s.tasks)
+	for ; time.Since(calmFrom) < f.calm; time.Sleep(100 * time.Millisecond) {
+		idle := f.idle(rec, s)
 		free, used := 0, 0
 		for _, w := range c.workers {
 			free += w.free()
 			used += w.runs()
 		}
-		if free < 2*len(missing) || used >= free {
+		if free < 2*len(idle)*serviceTasks || used >= free {
 			lackedRoom = time.Now()
 		}
-		if time.Since(calmFrom) < calmBefore+brokenFor || time.Since(lackedRoom) < brokenFor {
+		if time.Since(calmFrom) < from || time.Since(lackedRoom) < brokenFor {
 			continue
 		}
-		for task, without := range missing {
-			if without < owedAfter+brokenFor {
+		for name, without := range idle {
+			if without < limit {
 				continue
 			}
-			if lost[task] == 0 {
-				rec.say("broken: LOST: task %s, which lasts, has had no run for %.1f s, after %.1f s of calm, with room for %d more tasks",
-					task, without.Seconds(), time.Since(calmFrom).Seconds(), free)
+			if lost[name] == 0 {
+				rec.say("broken: LOST: %s has had nothing running for %.1f s, after %.1f s of calm, with room for %d more tasks, %d in use",
+					name, without.Seconds(), time.Since(calmFrom).Seconds(), free, used)
 			}
-			lost[task] = max(lost[task], without)
+			lost[name] = max(lost[name], without)
 		}
 	}
 	var longest time.Duration
@@ -190,7 +223,7 @@
 	for i, id := range s.jobs {
 		rec.say("GET %s -> %s", id, c.state(i, id))
 	}
-	rec.say("%d tasks were without a run for too long, the longest for %.1f s; %d have none now", len(lost), longest.Seconds(), len(rec.missing(s.tasks)))
+	rec.say("%d had nothing running for too long, the longest for %.1f s; %d have nothing running now", len(lost), longest.Seconds(), len(f.idle(rec, s)))
 	if len(lost) > 0 {
 		return broken, nil
 	}
--- a/review/cell3/recorder.go
+++ b/review/cell3/recorder.go
@@ -109,6 +109,32 @@
 	return out
 }
 
+// idleJobs returns how long each of the jobs that is not done has had no run, whose only step
+// has this number of tasks.
+func (r *recorder) idleJobs(jobs []string, tasks int) map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]time.Duration{}
+	for _, job := range jobs {
+		if r.ends[job]["done"] >= tasks {
+			continue
+		}
+		busy, since := false, r.began
+		for task := range r.running {
+			busy = busy || strings.HasPrefix(task, job+".")
+		}
+		for task, end := range r.lastEnd {
+			if strings.HasPrefix(task, job+".") && end.After(since) {
+				since = end
+			}
+		}
+		if !busy {
+			out[job] = time.Since(since)
+		}
+	}
+	return out
+}
+
 // endsOf returns the number of ends of a job's runs by the way of the end.
 func (r *recorder) endsOf(job string) map[string]int {
 	r.mu.Lock()
