--- a/review/cell3/cell.go
+++ b/review/cell3/cell.go
@@ -66,8 +66,23 @@
 	return out, nil
 }
 
+// cellTries is how often a cell is started: another process may have taken a port meanwhile.
+const cellTries = 3
+
 // startCell starts a cell whose workers have this many thousandths of a core.
-func startCell(rec *recorder, hosts, workers int, milliCores, size int64) (*cell, error) {
+func startCell(rec *recorder, hosts, workers int, milliCores int64) (*cell, error) {
+	var errs []error
+	for range cellTries {
+		c, err := tryCell(rec, hosts, workers, milliCores)
+		if err == nil {
+			return c, nil
+		}
+		errs = append(errs, err)
+	}
+	return nil, errors.Join(errs...)
+}
+
+func tryCell(rec *recorder, hosts, workers int, milliCores int64) (*cell, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &cell{rec: rec, store: rows.New(), stop: stop, client: http.Client{Timeout: 3 * time.Second}}
 	var err error
@@ -83,7 +98,7 @@
 	go func() { _ = server.Serve(listener) }() // ends with the process
 	zones := []string{"a", "b", "c"}
 	for i := range workers {
-		w, err := newWorker(fmt.Sprintf("w-%02d", i), zones[i%len(zones)], fmt.Sprintf("r%d-0", i%len(zones)), milliCores, size, rec)
+		w, err := newWorker(fmt.Sprintf("w-%02d", i), zones[i%len(zones)], fmt.Sprintf("r%d-0", i%len(zones)), milliCores, rec)
 		if err != nil {
 			return nil, err
 		}
@@ -96,13 +111,12 @@
 	go func() {
 		ticker := time.NewTicker(heartbeat)
 		defer ticker.Stop()
-		silent := map[string]int{}
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				c.beat(silent)
+				c.register()
 			}
 		}
 	}()
@@ -111,7 +125,10 @@
 			return nil, errors.Join(err, c.close())
 		}
 	}
-	return c, c.awaitReady()
+	if err := c.awaitReady(); err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 // put writes a row as the operator or a worker does.
@@ -143,20 +160,6 @@
 	}
 }
 
-// beat writes the entries and removes those of workers that were silent for three beats.
-func (c *cell) beat(silent map[string]int) {
-	c.register()
-	for _, w := range c.workers {
-		if w.free() > 0 || w.runs() > 0 {
-			silent[w.id] = 0
-			continue
-		}
-		if silent[w.id]++; silent[w.id] == 3 {
-			_, _ = c.store.Commit(context.Background(), platform.Tx{Removes: []platform.PartitionRow{{Table: "servers", Key: w.id}}})
-		}
-	}
-}
-
 func (c *cell) startHost(i int, zone string) error {
 	addresses, err := freeAddresses(4)
 	if err != nil {
@@ -192,7 +195,7 @@
 // awaitReady waits until every host answers a query to the coordinator.
 func (c *cell) awaitReady() error {
 	ready := 0
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+	for deadline := time.Now().Add(6 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		for ready < len(c.hosts) {
 			if status, _ := c.call(http.MethodGet, ready, "", ""); status != http.StatusOK {
 				break
--- a/review/cell3/main.go
+++ b/review/cell3/main.go
@@ -21,8 +21,7 @@
 )
 
 var cases = map[string]func(*recorder, bool) (int, error){
-	"given-up": playGivenUp,
-	"apart":    playApart,
+	"late-order": playLateOrder,
 }
 
 func main() {
--- a/review/cell3/recorder.go
+++ b/review/cell3/recorder.go
@@ -15,9 +15,11 @@
 	began   time.Time
 	file    *os.File
 	out     *bufio.Writer
+	answers int                       // to orders
 	running map[string]string         // by task: the worker that runs it
-	lastEnd map[string]time.Time      // by task: when its last run ended
 	ends    map[string]map[string]int // by job: number of ends by the way of the end
+	noted   map[string]int            // by task: ends done that were taken note of
+	again   map[string]int            // by task: starts after that
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -25,7 +27,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{began: time.Now(), file: file, out: bufio.NewWriter(file), running: map[string]string{}, lastEnd: map[string]time.Time{}, ends: map[string]map[string]int{}}, nil
+	return &recorder{began: time.Now(), file: file, out: bufio.NewWriter(file), running: map[string]string{}, ends: map[string]map[string]int{},
+		noted: map[string]int{}, again: map[string]int{}}, nil
 }
 
 func (r *recorder) close() {
@@ -35,13 +38,6 @@
 	_ = r.file.Close()
 }
 
-// forget drops what was kept of an earlier cell.
-func (r *recorder) forget() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running, r.lastEnd, r.ends = map[string]string{}, map[string]time.Time{}, map[string]map[string]int{}
-}
-
 // event writes a line.
 func (r *recorder) event(format string, args ...any) {
 	r.mu.Lock()
@@ -54,6 +50,20 @@
 	_ = r.out.Flush() // the record is complete if the script is ended
 }
 
+// answering counts the answers to orders.
+func (r *recorder) answering() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers++
+}
+
+// answered returns the number of answers to orders.
+func (r *recorder) answered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answers
+}
+
 // say writes a line to the record and to the standard output.
 func (r *recorder) say(format string, args ...any) {
 	r.event(format, args...)
@@ -68,6 +78,23 @@
 		r.line("run %s/%d starts while another run of the task is on %s", task, number, other)
 	}
 	r.running[task] = worker
+	if r.noted[task] > 0 {
+		r.again[task]++
+	}
+}
+
+// notedDone returns how many ends done of a task were taken note of.
+func (r *recorder) notedDone(task string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.noted[task]
+}
+
+// startsAfterDone returns how often a task has started after an end done was taken note of.
+func (r *recorder) startsAfterDone(task string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.again[task]
 }
 
 func (r *recorder) runEnded(task string, number int, worker, how string) {
@@ -76,7 +103,6 @@
 	r.line("run %s/%d on %s ends: %s", task, number, worker, how)
 	if r.running[task] == worker {
 		delete(r.running, task)
-		r.lastEnd[task] = time.Now()
 	}
 	job, _, _ := strings.Cut(task, ".")
 	if r.ends[job] == nil {
@@ -89,50 +115,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.line("end of %s/%d on %s is taken note of: %s", task, number, worker, how)
-}
-
-// missing returns how long each of the tasks has had no run.
-func (r *recorder) missing(tasks []string) map[string]time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := map[string]time.Duration{}
-	for _, task := range tasks {
-		if _, running := r.running[task]; running {
-			continue
-		}
-		since, ended := r.lastEnd[task]
-		if !ended {
-			since = r.began
-		}
-		out[task] = time.Since(since)
-	}
-	return out
-}
-
-// idleJobs returns how long each of the jobs that is not done has had no run, whose only step
-// has this number of tasks.
-func (r *recorder) idleJobs(jobs []string, tasks int) map[string]time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := map[string]time.Duration{}
-	for _, job := range jobs {
-		if r.ends[job]["done"] >= tasks {
-			continue
-		}
-		busy, since := false, r.began
-		for task := range r.running {
-			busy = busy || strings.HasPrefix(task, job+".")
-		}
-		for task, end := range r.lastEnd {
-			if strings.HasPrefix(task, job+".") && end.After(since) {
-				since = end
-			}
-		}
-		if !busy {
-			out[job] = time.Since(since)
-		}
+	if how == "done" {
+		r.noted[task]++
 	}
-	return out
 }
 
 // endsOf returns the number of ends of a job's runs by the way of the end.
--- a/review/cell3/worker.go
+++ b/review/cell3/worker.go
@@ -23,21 +23,22 @@
 type worker struct {
 	id, address, zone, rack string
 	milliCores              int64
-	size                    int64 // of each task
 	rec                     *recorder
 
-	mu       sync.Mutex
-	server   *http.Server // nil while the worker is down
-	born     int64
-	began    time.Time
-	fence    int64
-	lease    time.Time
-	seq      int64
-	running  map[string]*run
-	highest  map[string]int // by task: highest number of a stopped or ended run
-	ends     []runEnd
-	changed  chan struct{}
-	entrySeq int64
+	mu        sync.Mutex
+	server    *http.Server // nil while the worker is down
+	born      int64
+	began     time.Time
+	fence     int64
+	lease     time.Time
+	seq       int64
+	running   map[string]*run
+	highest   map[string]int // by task: highest number of a stopped or ended run
+	ends      []runEnd
+	changed   chan struct{}
+	entrySeq  int64
+	restarted bool        // it has crashed and is back
+	heldBack  *heldOrders // orders that are left unanswered; nil for none
 }
 
 type run struct {
@@ -65,12 +66,12 @@
 	WaitMS  int64  `json:"wait-ms"`
 }
 
-func newWorker(id, zone, rack string, milliCores, size int64, rec *recorder) (*worker, error) {
+func newWorker(id, zone, rack string, milliCores int64, rec *recorder) (*worker, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, address: listener.Addr().String(), zone: zone, rack: rack, milliCores: milliCores, size: size, rec: rec}
+	w := &worker{id: id, address: listener.Addr().String(), zone: zone, rack: rack, milliCores: milliCores, rec: rec}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.live(listener)
@@ -109,6 +110,12 @@
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == "/-/run-start" && w.heldBack.take(w, in) || r.URL.Path == "/-/hold" && w.heldBack.takeHold(w, in) {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.rec.answering()
 	status, body := call(in)
 	ended := w.born != life || w.server == nil
 	w.mu.Unlock()
@@ -319,6 +326,7 @@
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", w.id, err)
 	}
+	w.restarted = true
 	w.live(listener)
 	w.rec.event("worker %s is back, born %d", w.id, w.born)
 	return nil
@@ -338,20 +346,3 @@
 		"capacity": map[string]any{"cpu": w.milliCores, "mem-mb": 131072, "gpu": 0}, "labels": []string{"a", w.rack},
 	}
 }
-
-// runs returns the number of runs.
-func (w *worker) runs() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.running)
-}
-
-// free returns how many more tasks the worker has room for.
-func (w *worker) free() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.server == nil {
-		return 0
-	}
-	return int(w.milliCores/w.size) - len(w.running)
-}
